--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,30 @@
+// Package deps keeps modules in go.mod until their first user lands.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/dgryski/go-rendezvous"
+	_ "github.com/go-logr/logr"
+	_ "github.com/google/uuid"
+	_ "github.com/jessevdk/go-flags"
+	_ "github.com/jonboulle/clockwork"
+	_ "github.com/onsi/ginkgo/v2"
+	_ "github.com/onsi/gomega"
+	_ "github.com/openai/openai-go/v3"
+	_ "github.com/qmuntal/stateless"
+	_ "github.com/rcrowley/go-metrics"
+	_ "github.com/zeromicro/go-zero/core/logx"
+	_ "github.com/zeromicro/go-zero/core/proc"
+	_ "github.com/zeromicro/go-zero/rest"
+	_ "github.com/zeromicro/go-zero/rest/httpc"
+	_ "go.uber.org/goleak"
+	_ "google.golang.org/protobuf/proto"
+	_ "gopkg.in/ini.v1"
+	_ "pgregory.net/rapid"
+	_ "storj.io/drpc"
+	_ "storj.io/drpc/drpcconn"
+	_ "storj.io/drpc/drpcmux"
+	_ "storj.io/drpc/drpcpool"
+	_ "storj.io/drpc/drpcserver"
+)
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs all tests with the race detector.
+set -euo pipefail
+cd "$(dirname "$0")"
+go vet ./...
+go test -race -count=1 -timeout 20m ./...
