--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -60,6 +60,7 @@
 	AnswerIncomplete     Kind = "answer_incomplete"
 	CallerGone           Kind = "caller_gone"
 	Conflict             Kind = "conflict"
+	NotFound             Kind = "not_found"
 	PlatformUnavailable  Kind = "platform_unavailable"
 	InvalidRecord        Kind = "invalid_record"
 	BadSettings          Kind = "bad_settings"
@@ -108,6 +109,7 @@
 	AnswerIncomplete:     {http.StatusBadGateway, Unknown, false, LogError, 8},
 	CallerGone:           {statusCallerGone, Unknown, false, LogDebug, 8},
 	Conflict:             {http.StatusConflict, NotRun, true, LogInfo, 9},
+	NotFound:             {http.StatusNotFound, NotRun, true, LogInfo, 4},
 	PlatformUnavailable:  {http.StatusServiceUnavailable, NotRun, true, LogError, 10},
 	InvalidRecord:        {http.StatusBadRequest, NotRun, true, LogInfo, 11},
 	BadSettings:          {http.StatusInternalServerError, NotRun, true, LogError, 12},
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -63,6 +63,7 @@
 // Conflict when a precondition failed. A write that returned
 // PlatformUnavailable may have taken effect.
 type Store interface {
+	// Get returns an error of kind NotFound when the object does not exist.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	List(ctx context.Context, kinds ...string) (List, error)
 	Put(ctx context.Context, object Object, pre Precondition) (uint64, error)
