Add the order manager: lease with fencing number and read-back of engine state

A lease object in the platform is taken over only after its version stayed the same for a whole duration on the contender's own monotonic clock, so clocks of two instances are never compared. An order names the whole desired state of an engine; what a paused holder sends late is overwritten after the next read-back, also on engines that ignore the fencing number.

Weighed against it: a lease with wall-clock expiry in the object (breaks with clock skew), and orders as increments (a late one cannot be undone by the next).

--- /dev/null
+++ b/pkg/order/manager.go
@@ -0,0 +1,185 @@
+package order
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
+)
+
+// Engines is the part of the engine interface that the manager uses.
+type Engines interface {
+	Load(ctx context.Context, address string) (upstream.Load, error)
+	GiveOrder(ctx context.Context, address string, order upstream.Order) error
+}
+
+// Config assembles a manager.
+type Config struct {
+	// Domain is the failure domain whose engines get orders.
+	Domain string
+	Lease  *Lease
+	Source conf.Source
+	// Refresh brings the configuration up to the platform's current state.
+	Refresh func(ctx context.Context) error
+	Engines Engines
+	Clock   clockwork.Clock
+	Log     logr.Logger
+	// Period is the time between two rounds.
+	Period time.Duration
+	// CallTimeout limits a call to the platform or to an engine.
+	CallTimeout time.Duration
+	// MaxOrders limits the orders in one round, because the weight store that
+	// the engines load from is rate-limited.
+	MaxOrders int
+}
+
+// Manager compares what each engine of a failure domain has loaded with what
+// the records say, and orders the difference, while it holds the lease.
+//
+// An order names the whole desired state of an engine. An order that a former
+// holder sent late is therefore overwritten as a whole when the present holder
+// next reads the engine's state back, also on engines that ignore the fencing
+// number.
+type Manager struct {
+	config Config
+	// refreshedFence is the term for which Refresh succeeded.
+	refreshedFence uint64
+}
+
+// NewManager returns a manager.
+func NewManager(config Config) *Manager {
+	return &Manager{config: config}
+}
+
+// Run runs a round each period until ctx ends, then releases the lease.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := m.config.Clock.NewTicker(m.config.Period)
+	defer ticker.Stop()
+	for {
+		m.Round(ctx)
+		select {
+		case <-ctx.Done():
+			m.release(ctx)
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (m *Manager) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), m.config.CallTimeout)
+	defer cancel()
+	if err := m.config.Lease.Release(ctx); err != nil {
+		m.config.Log.Info("order lease not released", "domain", m.config.Domain, "err", err.Error())
+	}
+}
+
+// Round renews the lease and, if it is held, reconciles every engine once.
+func (m *Manager) Round(ctx context.Context) {
+	if !m.renew(ctx) {
+		return
+	}
+	if !m.refresh(ctx) {
+		return
+	}
+	snapshot := m.config.Source.Snapshot()
+	budget := m.config.MaxOrders
+	for _, name := range m.engineNames(snapshot) {
+		if budget == 0 {
+			return
+		}
+		if m.reconcile(ctx, snapshot, snapshot.Upstreams[name]) {
+			budget--
+		}
+	}
+}
+
+func (m *Manager) renew(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, m.config.CallTimeout)
+	defer cancel()
+	err := m.config.Lease.Renew(ctx)
+	if err != nil && errkind.KindOf(err) != errkind.Conflict {
+		m.config.Log.Info("order lease not renewed", "domain", m.config.Domain, "err", err.Error())
+	}
+	return m.config.Lease.Held()
+}
+
+// refresh reads the configuration once per term: a new holder may know less
+// than the one before, and must not give orders from older records.
+func (m *Manager) refresh(ctx context.Context) bool {
+	if m.refreshedFence == m.config.Lease.Fence() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.config.CallTimeout)
+	defer cancel()
+	fence := m.config.Lease.Fence()
+	if err := m.config.Refresh(ctx); err != nil {
+		m.config.Log.Info("no orders before the configuration is current", "domain", m.config.Domain, "err", err.Error())
+		return false
+	}
+	m.refreshedFence = fence
+	return true
+}
+
+func (m *Manager) engineNames(snapshot *conf.Snapshot) []string {
+	var names []string
+	for name, up := range snapshot.Upstreams {
+		if up.Type == record.TypeEngine && up.Domain == m.config.Domain {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// reconcile gives an order if the engine's state differs, and reports whether
+// an order was given.
+func (m *Manager) reconcile(ctx context.Context, snapshot *conf.Snapshot, up *record.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, m.config.CallTimeout)
+	defer cancel()
+	load, err := m.config.Engines.Load(ctx, up.Address)
+	if err != nil || load.Leaving {
+		return false
+	}
+	wanted := desired(snapshot, up)
+	if matches(load, wanted) {
+		return false
+	}
+	if !m.config.Lease.Held() {
+		return false
+	}
+	wanted.Fence = m.config.Lease.Fence()
+	err = m.config.Engines.GiveOrder(ctx, up.Address, wanted)
+	m.config.Log.Info("order given", "upstream", up.Name, "models", wanted.Models, "role", wanted.Role,
+		"fence", wanted.Fence, "reason", "engine state differs from its record", "accepted", err == nil)
+	return true
+}
+
+// desired returns the state that the records ask of an engine.
+func desired(snapshot *conf.Snapshot, up *record.Upstream) upstream.Order {
+	order := upstream.Order{Role: up.Role}
+	if snapshot.Withdrawn[up.Name] {
+		return order
+	}
+	for _, model := range up.Models {
+		if !snapshot.WithdrawnVersions[model] {
+			order.Models = append(order.Models, model)
+		}
+	}
+	sort.Strings(order.Models)
+	return order
+}
+
+func matches(load upstream.Load, wanted upstream.Order) bool {
+	loaded := slices.Clone(load.LoadedModels)
+	sort.Strings(loaded)
+	return load.Role == wanted.Role && slices.Equal(loaded, wanted.Models)
+}
--- /dev/null
+++ b/pkg/order/order_test.go
@@ -0,0 +1,211 @@
+package order_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/order"
+	"github.com/rosemarywing/rosemarywing/pkg/platform"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
+)
+
+const leaseDuration = 10 * time.Second
+
+// fakeStore is one object with the platform's rules and faults.
+type fakeStore struct {
+	platform.Store
+	object     *platform.Object
+	version    uint64
+	out        bool
+	loseAnswer bool
+}
+
+func (s *fakeStore) Get(context.Context, string, string) (platform.Object, error) {
+	switch {
+	case s.out:
+		return platform.Object{}, errkind.New(errkind.PlatformUnavailable, "out")
+	case s.object == nil:
+		return platform.Object{}, errkind.New(errkind.NotFound, "absent")
+	}
+	return *s.object, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, object platform.Object, pre platform.Precondition) (uint64, error) {
+	if s.out {
+		return 0, errkind.New(errkind.PlatformUnavailable, "out")
+	}
+	present := s.object != nil
+	if pre.Absent && present || pre.Version != 0 && (!present || s.object.Version != pre.Version) {
+		return 0, errkind.New(errkind.Conflict, "precondition")
+	}
+	s.version++
+	object.Version = s.version
+	s.object = &object
+	if s.loseAnswer {
+		s.loseAnswer = false
+		return 0, errkind.New(errkind.PlatformUnavailable, "answer lost")
+	}
+	return s.version, nil
+}
+
+// fakeEngine applies orders, and refuses old fencing numbers if it checks them.
+type fakeEngine struct {
+	checks bool
+	load   upstream.Load
+	orders int
+	// beforeOrder runs between the holder's decision and the order's arrival.
+	beforeOrder func()
+}
+
+func (e *fakeEngine) Load(context.Context, string) (upstream.Load, error) { return e.load, nil }
+
+func (e *fakeEngine) GiveOrder(_ context.Context, _ string, o upstream.Order) error {
+	if hook := e.beforeOrder; hook != nil {
+		e.beforeOrder = nil
+		hook()
+	}
+	if e.checks && o.Fence < e.load.Fence {
+		return errkind.New(errkind.Conflict, "old fencing number")
+	}
+	e.orders++
+	e.load.Fence = o.Fence
+	e.load.LoadedModels = o.Models
+	e.load.Role = o.Role
+	return nil
+}
+
+type fixedSource struct{ snapshot *conf.Snapshot }
+
+func (s fixedSource) Snapshot() *conf.Snapshot { return s.snapshot }
+func (s fixedSource) Changed() <-chan struct{} { return nil }
+
+func sourceFor(model string) fixedSource {
+	up := &record.Upstream{Name: "engine-1", Type: record.TypeEngine, Domain: "north", Models: []string{model}}
+	return fixedSource{&conf.Snapshot{Upstreams: map[string]*record.Upstream{up.Name: up}}}
+}
+
+func newLease(store platform.Store, clock clockwork.Clock, holder string) *order.Lease {
+	return order.NewLease(order.LeaseConfig{
+		Store: store, Clock: clock, Name: "orders-north", Holder: holder, Incarnation: 1, Duration: leaseDuration,
+	})
+}
+
+func newManager(store platform.Store, clock clockwork.Clock, holder, model string, engine order.Engines) *order.Manager {
+	return order.NewManager(order.Config{
+		Domain: "north", Lease: newLease(store, clock, holder), Source: sourceFor(model), Engines: engine,
+		Refresh: func(context.Context) error { return nil }, Clock: clock, Log: logr.Discard(),
+		Period: time.Second, CallTimeout: time.Second, MaxOrders: 4,
+	})
+}
+
+// Guards against two valid leases at once, whatever the order of renewals,
+// pauses, outages and lost answers.
+func TestLeaseTable(t *testing.T) {
+	type step struct {
+		advance time.Duration
+		fault   string
+		renew   string
+		heldA   bool
+		heldB   bool
+	}
+	cases := map[string][]step{
+		"second contender waits for a whole duration": {
+			{renew: "a", heldA: true},
+			{renew: "b", heldA: true},
+			{advance: leaseDuration / 2, renew: "a", heldA: true},
+			{advance: leaseDuration * 3 / 4, renew: "b", heldA: true},
+			{advance: leaseDuration / 4, renew: "b"},
+			{advance: leaseDuration, renew: "b", heldB: true},
+			{renew: "a", heldB: true},
+		},
+		"lost answer of the first write is resolved": {
+			{fault: "lose", renew: "a", heldA: true},
+			{renew: "b", heldA: true},
+		},
+		"outage lets the lease lapse": {
+			{renew: "a", heldA: true},
+			{advance: leaseDuration / 2, fault: "out", renew: "a", heldA: true},
+			{advance: leaseDuration / 2, renew: "a"},
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			store, clock := &fakeStore{}, clockwork.NewFakeClock()
+			leases := map[string]*order.Lease{"a": newLease(store, clock, "a"), "b": newLease(store, clock, "b")}
+			for i, s := range steps {
+				clock.Advance(s.advance)
+				store.loseAnswer = s.fault == "lose"
+				store.out = store.out || s.fault == "out"
+				_ = leases[s.renew].Renew(t.Context())
+				g.Expect(leases["a"].Held()).To(Equal(s.heldA), "step %d, a", i)
+				g.Expect(leases["b"].Held()).To(Equal(s.heldB), "step %d, b", i)
+			}
+		})
+	}
+}
+
+// Guards against an order of a paused holder staying in effect after its lease
+// lapsed, on engines that check the fencing number and on those that do not.
+func TestPausedHolder(t *testing.T) {
+	for name, checks := range map[string]bool{"engine checks": true, "engine ignores": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			store, clock := &fakeStore{}, clockwork.NewFakeClock()
+			engine := &fakeEngine{checks: checks}
+			paused := newManager(store, clock, "a", "plan@1", engine)
+			next := newManager(store, clock, "b", "plan@2", engine)
+			// a pauses after its last check; b takes over and gives its order meanwhile.
+			engine.beforeOrder = func() {
+				next.Round(t.Context())
+				clock.Advance(leaseDuration)
+				next.Round(t.Context())
+				g.Expect(engine.load.LoadedModels).To(Equal([]string{"plan@2"}))
+			}
+			paused.Round(t.Context())
+			next.Round(t.Context())
+			g.Expect(engine.load.LoadedModels).To(Equal([]string{"plan@2"}))
+			ordersBefore := engine.orders
+			paused.Round(t.Context())
+			next.Round(t.Context())
+			g.Expect(engine.orders).To(Equal(ordersBefore), "orders alternate between two holders")
+		})
+	}
+}
+
+// Guards against a new holder that gives orders from configuration older than
+// that of the holder before.
+func TestNoOrderBeforeRefresh(t *testing.T) {
+	g := NewWithT(t)
+	store, clock, engine := &fakeStore{}, clockwork.NewFakeClock(), &fakeEngine{}
+	refreshErr := error(errkind.New(errkind.PlatformUnavailable, "out"))
+	manager := order.NewManager(order.Config{
+		Domain: "north", Lease: newLease(store, clock, "a"), Source: sourceFor("plan@1"), Engines: engine,
+		Refresh: func(context.Context) error { return refreshErr }, Clock: clock, Log: logr.Discard(),
+		Period: time.Second, CallTimeout: time.Second, MaxOrders: 4,
+	})
+	manager.Round(t.Context())
+	g.Expect(engine.orders).To(BeZero())
+	refreshErr = nil
+	manager.Round(t.Context())
+	g.Expect(engine.orders).To(Equal(1))
+}
+
+// Guards against a lease body that another version wrote and this one cannot read.
+func TestUnreadableLeaseIsNotTakenAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	body, err := json.Marshal([]int{1})
+	g.Expect(err).NotTo(HaveOccurred())
+	store := &fakeStore{object: &platform.Object{Version: 1, Body: body}, version: 1}
+	lease := newLease(store, clockwork.NewFakeClock(), "a")
+	g.Expect(errkind.KindOf(lease.Renew(t.Context()))).To(Equal(errkind.Conflict))
+}
