order: test that a checking engine refuses the order of a former holder

The test of the paused holder passed with a constant fencing number, because the read-back alone repaired the state. It now looks at the engine before the read-back, and fails with a constant number.

--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -172,6 +172,9 @@
 				g.Expect(engine.load.LoadedModels).To(Equal([]string{"plan@2"}))
 			}
 			paused.Round(t.Context())
+			if checks {
+				g.Expect(engine.load.LoadedModels).To(Equal([]string{"plan@2"}), "the late order was accepted")
+			}
 			next.Round(t.Context())
 			g.Expect(engine.load.LoadedModels).To(Equal([]string{"plan@2"}))
 			ordersBefore := engine.orders
