--- /dev/null
+++ b/pkg/route/budget.go
@@ -0,0 +1,73 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// LinkBytesPerSecond is the capacity of the link between regions in one
+	// direction: 30 Mbit/s.
+	LinkBytesPerSecond = 30_000_000 / 8
+	// usableShare is the part of the link that requests may use; the rest is
+	// left to the platform's and the users' other traffic.
+	usableShare = 0.5
+	// burstSeconds is how much unused budget may be saved up. A prompt of
+	// 100,000 tokens is about 400 KB, more than a second's share of one
+	// instance even today.
+	burstSeconds = 30
+	// EventBytes is the size of one token's event on a stream.
+	EventBytes = 200
+)
+
+// Budget limits the bytes that this instance sends between regions. Each
+// instance has an equal share, which needs no messages; the sum over all
+// instances stays below the usable part of the link.
+type Budget struct {
+	mu        sync.Mutex
+	clock     clockwork.Clock
+	instances func() int
+	saved     float64
+	last      time.Time
+}
+
+// NewBudget returns an empty budget. instances returns the number of instances
+// that share the link.
+func NewBudget(clock clockwork.Clock, instances func() int) *Budget {
+	return &Budget{clock: clock, instances: instances, last: clock.Now()}
+}
+
+// RequestBytes estimates the bytes that a request moves between regions: the
+// larger of both directions counts, because each has its own capacity.
+func RequestBytes(promptBytes, outputTokens int) int {
+	return max(promptBytes, outputTokens*EventBytes)
+}
+
+// Take reserves bytes and reports whether the budget allowed it.
+func (b *Budget) Take(bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill()
+	if float64(bytes) > b.saved {
+		return false
+	}
+	b.saved -= float64(bytes)
+	return true
+}
+
+// Return gives back bytes of a request that was not dispatched.
+func (b *Budget) Return(bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved += float64(bytes)
+}
+
+func (b *Budget) refill() {
+	now := b.clock.Now()
+	rate := LinkBytesPerSecond * usableShare / float64(max(1, b.instances()))
+	b.saved += rate * now.Sub(b.last).Seconds()
+	b.saved = min(b.saved, rate*burstSeconds)
+	b.last = now
+}
