--- /dev/null
+++ b/pkg/sched/limits.go
@@ -0,0 +1,236 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+)
+
+// backoffs after an upstream broke or could not be dialled.
+const (
+	firstBackoff = 500 * time.Millisecond
+	lastBackoff  = 10 * time.Second
+)
+
+// foreignLife is the time for which a load report's surplus over our own
+// accounts is believed.
+const foreignLife = 10 * time.Second
+
+// upstream is what the pool keeps about one upstream.
+type upstream struct {
+	name   string
+	index  int32
+	record record.Upstream
+	// present is false once the configuration no longer names the upstream;
+	// the entry stays until its last grant has ended.
+	present bool
+	leaving bool
+	serving []*model
+
+	maxRequests int
+	maxTokens   int
+	requests    int
+	tokens      int
+	longTokens  int
+	longs       int
+	suspects    int
+	grants      []*grant
+
+	// foreign is the number of requests that the upstream reported beyond our
+	// own accounts; peak is the highest count of our own since the last report.
+	foreign      int
+	foreignUntil time.Time
+	peak         int
+
+	load        Load
+	incarnation string
+	// lastReport is when the last report of the incarnation arrived.
+	lastReport time.Time
+
+	backoff    time.Duration
+	avoidUntil int64
+
+	estimate estimate
+	detector slowness
+}
+
+// grant is a request that an upstream may be running. It counts against the
+// limits until its holder releases it, cancels it or is dropped, because the
+// protocol has no message that tells whether a grant was used: an expired
+// grant may have been dispatched just before its expiry. Expiry binds only the
+// holder, which must not dispatch after it.
+type grant struct {
+	key      requestKey
+	sequence uint64
+	work     Work
+	upstream *upstream
+	holder   *holder
+	use      *modelTier
+	// position is the index in upstream.grants.
+	position int
+	granted  time.Time
+	need     int
+	long     bool
+	suspect  bool
+	// foreign marks a grant made by another scheduler.
+	foreign bool
+	// broken is set once a crash of the upstream is on the account of this
+	// grant; struck when this grant carries the strike of its fingerprint.
+	broken bool
+	struck bool
+
+	expectedFirst time.Duration
+	uncached      int
+}
+
+// model is what upstreams have in common that a request can ask for: a model,
+// a model version or a service.
+type model struct {
+	name      string
+	upstreams []*upstream
+	// tiers is sorted by descending priority.
+	tiers []*modelTier
+	// capacity is the sum of the token limits of the open upstreams.
+	capacity int
+	// fastest is the highest prefill rate among the open upstreams.
+	fastest float64
+}
+
+// modelTier is what belongs to one tier of one model: the requests that wait,
+// and the tokens in flight with their recent peak.
+type modelTier struct {
+	tier    *tier
+	groups  [classes]group
+	waiting int
+	current int
+	peak    float64
+	at      time.Time
+}
+
+// open reports whether the upstream may get new work.
+func (u *upstream) open() bool { return u.present && !u.leaving }
+
+func (u *upstream) serves(m *model) bool {
+	for _, other := range u.serving {
+		if other == m {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether limits leave room for need tokens. A request larger
+// than what is left by the limit and the reservation may run alone.
+func (u *upstream) fits(share float64, reserved, need int, long bool, longShare float64) bool {
+	if u.requests+u.foreign+1 > max(1, int(share*float64(u.maxRequests))) {
+		return false
+	}
+	if u.maxTokens == 0 || u.requests == 0 {
+		return true
+	}
+	limit := int(share * float64(u.maxTokens))
+	if u.tokens+need > limit-reserved {
+		return false
+	}
+	return !long || u.fitsLong(share, need, longShare)
+}
+
+// fitsLong reports whether the share of long reads leaves room; one long read
+// may always run.
+func (u *upstream) fitsLong(share float64, need int, longShare float64) bool {
+	if u.longs == 0 {
+		return true
+	}
+	return float64(u.longTokens+need) <= longShare*share*float64(u.maxTokens)
+}
+
+// occupy adds a grant to the accounts.
+func (u *upstream) occupy(g *grant) {
+	u.requests++
+	u.tokens += g.need
+	u.peak = max(u.peak, u.requests)
+	if g.long {
+		u.longs++
+		u.longTokens += g.need
+	}
+	if g.suspect {
+		u.suspects++
+	}
+	g.position = len(u.grants)
+	u.grants = append(u.grants, g)
+}
+
+// vacate removes a grant from the accounts.
+func (u *upstream) vacate(g *grant) {
+	u.requests--
+	u.tokens -= g.need
+	if g.long {
+		u.longs--
+		u.longTokens -= g.need
+	}
+	if g.suspect {
+		u.suspects--
+	}
+	last := u.grants[len(u.grants)-1]
+	u.grants[g.position] = last
+	last.position = g.position
+	u.grants[len(u.grants)-1] = nil
+	u.grants = u.grants[:len(u.grants)-1]
+}
+
+// avoid keeps new work away for a while that doubles with each failure.
+func (u *upstream) avoid(now time.Time) {
+	u.backoff = min(max(2*u.backoff, firstBackoff), lastBackoff)
+	u.avoidUntil = now.Add(u.backoff).UnixNano()
+}
+
+// tierOf returns what belongs to a tier, which it creates when it is new.
+func (m *model) tierOf(t *tier) *modelTier {
+	at := sort.Search(len(m.tiers), func(i int) bool { return m.tiers[i].tier.priority <= t.priority })
+	if at < len(m.tiers) && m.tiers[at].tier == t {
+		return m.tiers[at]
+	}
+	created := &modelTier{tier: t}
+	for i := range created.groups {
+		created.groups[i] = group{class: class(i), model: m}
+	}
+	m.tiers = append(m.tiers, nil)
+	copy(m.tiers[at+1:], m.tiers[at:])
+	m.tiers[at] = created
+	return created
+}
+
+// change applies a difference to the tokens in flight.
+func (mt *modelTier) change(now time.Time, tokens int, decay time.Duration) {
+	mt.settle(now, decay)
+	mt.current += tokens
+	mt.peak = max(mt.peak, float64(mt.current))
+}
+
+// settle lets the remembered peak fall exponentially to the current use.
+func (mt *modelTier) settle(now time.Time, decay time.Duration) {
+	elapsed := now.Sub(mt.at)
+	mt.at = now
+	if elapsed <= 0 || mt.peak == 0 {
+		return
+	}
+	excess := mt.peak - float64(mt.current)
+	mt.peak -= excess * min(1, float64(elapsed)/float64(decay))
+}
+
+// reservedShare is the share of each upstream's tokens that tiers above the
+// given one used recently and do not use now.
+func (m *model) reservedShare(priority int) float64 {
+	if m.capacity == 0 {
+		return 0
+	}
+	missing := 0.0
+	for _, mt := range m.tiers {
+		if mt.tier.priority <= priority {
+			break
+		}
+		missing += max(0, mt.peak-float64(mt.current))
+	}
+	return min(1, missing/float64(m.capacity))
+}
--- /dev/null
+++ b/pkg/sched/placement.go
@@ -0,0 +1,226 @@
+package sched
+
+import (
+	"strconv"
+	"time"
+)
+
+// class separates requests that wait for different resources.
+type class int
+
+const (
+	classShort class = iota
+	classLong
+	classSuspect
+	classes
+)
+
+// candidate is the request under consideration, with what the plugins need.
+type candidate struct {
+	now      int64
+	work     *Work
+	priority int
+	long     bool
+	suspect  bool
+	// outranked is set when a request of a higher tier waits in the pool.
+	outranked bool
+	deadline  int64
+}
+
+// filter is a plugin that decides whether an upstream may get the request.
+type filter struct {
+	name   string
+	passes func(p *Pool, c *candidate, u *upstream) bool
+}
+
+// score is a plugin that estimates a cost, in seconds; the lowest sum wins.
+type score struct {
+	name string
+	cost func(p *Pool, c *candidate, u *upstream) float64
+}
+
+// filters are applied in this order, cheap ones first.
+func filters() []filter {
+	return []filter{
+		{"open", filterOpen},
+		{"avoided", filterAvoided},
+		{"slow", filterSlow},
+		{"suspect", filterSuspect},
+		{"limits", filterLimits},
+		{"outranked", filterOutranked},
+	}
+}
+
+func scores() []score {
+	return []score{
+		{"first token", scoreFirstToken},
+		{"decode", scoreDecode},
+	}
+}
+
+// filterOpen rejects upstreams that were withdrawn or are leaving.
+func filterOpen(_ *Pool, _ *candidate, u *upstream) bool { return u.present && !u.leaving }
+
+// filterAvoided rejects upstreams that failed a moment ago.
+func filterAvoided(_ *Pool, c *candidate, u *upstream) bool { return c.now >= u.avoidUntil }
+
+// filterSlow rejects slow upstreams but for probes.
+func filterSlow(_ *Pool, c *candidate, u *upstream) bool {
+	return !u.detector.slow || c.now >= u.detector.nextProbe
+}
+
+// filterSuspect allows at most one suspect on an upstream.
+func filterSuspect(_ *Pool, c *candidate, u *upstream) bool { return !c.suspect || u.suspects == 0 }
+
+// filterLimits applies the limits of the upstream and the reservation for
+// higher tiers.
+func filterLimits(p *Pool, c *candidate, u *upstream) bool {
+	return u.fits(p.share, u.reserved(c.priority), p.need(c.work, u), c.long, p.config.LongShare)
+}
+
+// filterOutranked rejects an upstream for which a request of a higher tier
+// waits that would fit there. Short requests of a higher tier always keep the
+// upstream: one that waits for room must not be overtaken by smaller ones.
+func filterOutranked(p *Pool, c *candidate, u *upstream) bool {
+	if !c.outranked {
+		return true
+	}
+	for _, m := range u.serving {
+		for _, scope := range m.tiers {
+			if scope.tier.priority <= c.priority {
+				break
+			}
+			if scope.waiting > 0 && scope.wants(p, u) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// wants reports whether a waiting request of the tier has a claim on u.
+func (mt *modelTier) wants(p *Pool, u *upstream) bool {
+	if len(mt.groups[classShort].teams) > 0 {
+		return true
+	}
+	if len(mt.groups[classLong].teams) > 0 && u.fitsLong(p.share, p.config.LongTokens, p.config.LongShare) {
+		return true
+	}
+	if u.suspects > 0 {
+		return false
+	}
+	for _, team := range mt.groups[classSuspect].teams {
+		for element := team.items.Front(); element != nil; element = element.Next() {
+			if p.strikes.inFlight[element.Value.(*waiting).request.Work.Fingerprint] == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// scoreFirstToken is the expected time to the first token: the prefill work
+// ahead, counted by ourselves, and the request's own uncached prompt.
+func scoreFirstToken(p *Pool, c *candidate, u *upstream) float64 {
+	return u.estimate.first(c.now, p.uncached(c.work, u))
+}
+
+// decodeWeight is the value of a second of decoding against a second of
+// waiting for the first token, on which deadlines depend.
+const decodeWeight = 0.1
+
+// scoreDecode is the expected time to decode the answer.
+func scoreDecode(_ *Pool, c *candidate, u *upstream) float64 {
+	return decodeWeight * u.estimate.tokenTime * float64(c.work.OutputTokens)
+}
+
+// uncached is the prefill work of the request on the upstream; match must
+// have been called for the request.
+func (p *Pool) uncached(work *Work, u *upstream) int {
+	return work.PromptTokens - p.prefixes.cached[u.index]
+}
+
+// need is what the request counts against the token limit of the upstream.
+func (p *Pool) need(work *Work, u *upstream) int {
+	return p.uncached(work, u) + work.OutputTokens
+}
+
+// reserved is the number of tokens kept free for tiers above the priority.
+func (u *upstream) reserved(priority int) int {
+	share := 0.0
+	for _, m := range u.serving {
+		share += m.reservedShare(priority)
+	}
+	return int(min(1, share) * float64(u.maxTokens))
+}
+
+// placement is the outcome of a decision.
+type placement struct {
+	best, second *upstream
+	cost         float64
+}
+
+// tie is the difference in cost, in seconds, within which the choice is random,
+// so that several schedulers of a pool do not all choose the same upstream.
+const tie = 0.002
+
+// choose applies the plugins to the upstreams.
+func (p *Pool) choose(c *candidate, upstreams []*upstream) placement {
+	var out placement
+	for _, u := range upstreams {
+		if !p.passes(c, u) {
+			continue
+		}
+		cost := 0.0
+		for i := range p.scores {
+			cost += p.scores[i].cost(p, c, u)
+		}
+		switch {
+		case out.best == nil || cost < out.cost-tie || (cost < out.cost+tie && p.config.Random.IntN(2) == 0):
+			out.second = out.best
+			out.best = u
+			out.cost = cost
+		case out.second == nil:
+			out.second = u
+		}
+	}
+	return out
+}
+
+func (p *Pool) passes(c *candidate, u *upstream) bool {
+	for i := range p.filters {
+		if !p.filters[i].passes(p, c, u) {
+			return false
+		}
+	}
+	return true
+}
+
+// inTime reports whether the first token is expected before the deadline.
+func (c *candidate) inTime(u *upstream, p *Pool) bool {
+	first := u.estimate.first(c.now, p.uncached(c.work, u))
+	return c.now+int64(first*float64(time.Second)) <= c.deadline
+}
+
+// meetable reports whether any of the upstreams is expected to produce the
+// first token before the deadline, whether it has room now or not.
+func (p *Pool) meetable(c *candidate, upstreams []*upstream) bool {
+	for _, u := range upstreams {
+		if u.open() && c.inTime(u, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// reason is the text of a grant for the decision's log line.
+func (p *Pool) reason(c *candidate, chosen placement) string {
+	text := make([]byte, 0, 64)
+	text = append(text, "cost "...)
+	text = strconv.AppendFloat(text, chosen.cost, 'f', 3, 64)
+	text = append(text, " s, cached "...)
+	text = strconv.AppendInt(text, int64(p.prefixes.cached[chosen.best.index]), 10)
+	text = append(text, " of "...)
+	text = strconv.AppendInt(text, int64(c.work.PromptTokens), 10)
+	return string(text)
+}
--- /dev/null
+++ b/pkg/sched/strikes.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"sort"
+	"time"
+)
+
+// blockedStrikes is the number of crashes after which a fingerprint is refused.
+const blockedStrikes = 2
+
+// strike is what is known about a fingerprint that was in flight at a crash.
+type strike struct {
+	count int
+	at    time.Time
+}
+
+// strikeTable counts crashes per fingerprint. Fingerprint 0 means none.
+type strikeTable struct {
+	entries map[uint64]strike
+	// inFlight counts the grants of each fingerprint. A suspect runs only
+	// when no other copy of it runs: two copies could break two more upstreams.
+	inFlight map[uint64]int
+	limit    int
+	life     time.Duration
+}
+
+func newStrikeTable(limit int, life time.Duration) strikeTable {
+	return strikeTable{entries: map[uint64]strike{}, inFlight: map[uint64]int{}, limit: limit, life: life}
+}
+
+func (s *strikeTable) count(fingerprint uint64) int {
+	if fingerprint == 0 {
+		return 0
+	}
+	return s.entries[fingerprint].count
+}
+
+func (s *strikeTable) suspect(fingerprint uint64) bool { return s.count(fingerprint) > 0 }
+
+func (s *strikeTable) blocked(fingerprint uint64) bool {
+	return s.count(fingerprint) >= blockedStrikes
+}
+
+// add changes the count of a fingerprint, never below zero.
+func (s *strikeTable) add(now time.Time, fingerprint uint64, delta int) {
+	if fingerprint == 0 {
+		return
+	}
+	count := s.entries[fingerprint].count + delta
+	if count <= 0 {
+		delete(s.entries, fingerprint)
+		return
+	}
+	s.entries[fingerprint] = strike{count: count, at: now}
+	if len(s.entries) > s.limit {
+		s.evict()
+	}
+}
+
+// complete clears a suspect that ran to its end. A blocked fingerprint stays
+// blocked: a copy that ended well does not undo two crashes.
+func (s *strikeTable) complete(fingerprint uint64) {
+	if !s.blocked(fingerprint) {
+		delete(s.entries, fingerprint)
+	}
+}
+
+func (s *strikeTable) start(fingerprint uint64) {
+	if fingerprint != 0 {
+		s.inFlight[fingerprint]++
+	}
+}
+
+func (s *strikeTable) end(fingerprint uint64) {
+	if fingerprint == 0 {
+		return
+	}
+	s.inFlight[fingerprint]--
+	if s.inFlight[fingerprint] <= 0 {
+		delete(s.inFlight, fingerprint)
+	}
+}
+
+// expire forgets strikes older than their life.
+func (s *strikeTable) expire(now time.Time) {
+	for fingerprint, entry := range s.entries {
+		if now.Sub(entry.at) > s.life {
+			delete(s.entries, fingerprint)
+		}
+	}
+}
+
+// evict drops a tenth of the table, suspects before blocked fingerprints and
+// older before newer ones.
+func (s *strikeTable) evict() {
+	fingerprints := make([]uint64, 0, len(s.entries))
+	for fingerprint := range s.entries {
+		fingerprints = append(fingerprints, fingerprint)
+	}
+	sort.Slice(fingerprints, func(i, j int) bool {
+		a, b := s.entries[fingerprints[i]], s.entries[fingerprints[j]]
+		if a.count != b.count {
+			return a.count < b.count
+		}
+		if !a.at.Equal(b.at) {
+			return a.at.Before(b.at)
+		}
+		return fingerprints[i] < fingerprints[j]
+	})
+	for _, fingerprint := range fingerprints[:len(fingerprints)/10+1] {
+		delete(s.entries, fingerprint)
+	}
+}
