Add the state chart interpreter and four charts

Charts are embedded text files, checked when they are loaded: unknown and unreachable states, events without target or with two, states with no way to a final state, and missing flags are refused.

Fire and FireIf are atomic, so that of a refusal and a dispatch exactly one is accepted.

Seen to fail: TestExactlyOneEventWins without the mutex, TestParseRefusesFaults without the reachability checks.

--- /dev/null
+++ b/pkg/chart/chart_test.go
@@ -0,0 +1,132 @@
+package chart_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/chart"
+)
+
+// Guards against an embedded chart that is missing or does not pass the checks.
+func TestEmbeddedChartsLoad(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(chart.Names()).To(Equal([]string{"instance", "lease", "request", "upstream"}))
+	for _, name := range chart.Names() {
+		_, err := chart.Load(name)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// Guards against a faulty chart that starts anyway.
+func TestParseRefusesFaults(t *testing.T) {
+	const sound = "chart c\nflags f\nstate a initial f=no\nstate b final f=yes\non go a -> b\n"
+	for _, c := range []struct{ text, fault string }{
+		{sound, ""},
+		{strings.Replace(sound, "chart c", "", 1), "no line 'chart NAME'"},
+		{sound + "chart d", "expected one line 'chart NAME'"},
+		{sound + "nonsense", "line 6: unknown word \"nonsense\""},
+		{sound + "state", "a state needs a name"},
+		{sound + "state b final f=yes", "state b is defined twice"},
+		{sound + "state c f=maybe\non x a -> c", "\"f=maybe\" is not initial, final or FLAG=yes|no"},
+		{sound + "state c\non x a -> c\non y c -> b", "state c does not set the flag f"},
+		{sound + "state c f=no g=no\non x a -> c\non y c -> b", "state c sets a flag"},
+		{sound + "state c initial f=no\non y c -> b", "2 initial states"},
+		{sound + "on stop a ->", "expected 'on EVENT FROM... -> TO'"},
+		{sound + "on stop a -> x", "event stop: unknown state x"},
+		{sound + "on go a -> a", "event go has two targets from state a"},
+		{sound + "on stop b -> a", "event stop leaves the final state b"},
+		{sound + "state c f=no\non x c -> b", "state c is unreachable"},
+		{sound + "state c f=no\non x a -> c", "state c has no way to a final state"},
+	} {
+		g := NewWithT(t)
+		_, err := chart.Parse("c", c.text)
+		if c.fault == "" {
+			g.Expect(err).NotTo(HaveOccurred())
+			continue
+		}
+		g.Expect(err).To(MatchError(ContainSubstring(c.fault)), c.text)
+	}
+}
+
+// Guards against code that fires an event which the chart does not have.
+func TestRequireNamesWhatIsMissing(t *testing.T) {
+	g := NewWithT(t)
+	c, err := chart.Load("lease")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Require([]chart.Event{"renew"}, []string{"holds"}, "held")).To(Succeed())
+	err = c.Require([]chart.Event{"melt"}, []string{"wet"}, "ice")
+	g.Expect(err).To(MatchError(And(ContainSubstring("melt"), ContainSubstring("wet"), ContainSubstring("ice"))))
+}
+
+// Guards against a request that is both refused as not run and dispatched:
+// the caller's disconnect, the deadline and the dispatch race.
+func TestExactlyOneEventWins(t *testing.T) {
+	g := NewWithT(t)
+	c, err := chart.Load("request")
+	g.Expect(err).NotTo(HaveOccurred())
+	for range 200 {
+		m := c.New()
+		for _, event := range []chart.Event{"claimed", "grant", "dial"} {
+			g.Expect(m.Fire(event)).To(BeTrue())
+		}
+		var wins atomic.Int32
+		var group sync.WaitGroup
+		for _, event := range []chart.Event{"refuse", "refuse", "dispatch"} {
+			group.Go(func() {
+				if m.FireIf(event, func() error { return nil }) == nil {
+					wins.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		g.Expect(wins.Load()).To(Equal(int32(1)))
+		g.Expect(m.Is("dispatched")).To(Equal(m.State() == "dispatched"))
+	}
+}
+
+// Guards against a failed check that changes the state all the same.
+func TestFailedCheckKeepsTheState(t *testing.T) {
+	g := NewWithT(t)
+	c, err := chart.Load("request")
+	g.Expect(err).NotTo(HaveOccurred())
+	m := c.New()
+	failed := errors.New("failed")
+	g.Expect(m.FireIf("claim", func() error { return failed })).To(MatchError(failed))
+	g.Expect(m.State()).To(Equal(chart.State("received")))
+	g.Expect(m.Fire("dispatch")).To(BeFalse())
+	g.Expect(m.Final()).To(BeFalse())
+}
+
+// Guards against a docs page that lags behind the charts.
+func TestDocumentIsUpToDate(t *testing.T) {
+	g := NewWithT(t)
+	const page = "../../docs/charts.md"
+	want, err := chart.Document()
+	g.Expect(err).NotTo(HaveOccurred())
+	if os.Getenv("UPDATE_DOCS") != "" {
+		g.Expect(os.WriteFile(page, []byte(want), 0o644)).To(Succeed())
+	}
+	got, err := os.ReadFile(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(got)).To(Equal(want), "run UPDATE_DOCS=1 go test ./pkg/chart")
+}
+
+func BenchmarkFire(b *testing.B) {
+	c, err := chart.Load("request")
+	if err != nil {
+		b.Fatal(err)
+	}
+	m := c.New()
+	m.Fire("claimed")
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Fire("grant")
+		m.Fire("return")
+	}
+}
--- /dev/null
+++ b/pkg/chart/machine.go
@@ -0,0 +1,69 @@
+package chart
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/qmuntal/stateless"
+)
+
+// Machine is one instance of a chart. Its methods are safe for concurrent
+// use: of several events that exclude each other, exactly one is accepted.
+type Machine struct {
+	// Context carries the Machine to the accessors of the shared state
+	// machine without an allocation per event.
+	context.Context
+	chart *Chart
+	mu    sync.Mutex
+	state stateless.State
+}
+
+// New returns a machine in the initial state.
+func (c *Chart) New() *Machine {
+	return &Machine{Context: context.Background(), chart: c, state: c.initial}
+}
+
+// Fire applies the event and reports whether the current state allows it.
+func (m *Machine) Fire(event Event) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fire(event)
+}
+
+// FireIf applies the event if the current state allows it and check returns
+// nil. No other event is applied in between. check must not use the machine.
+func (m *Machine) FireIf(event Event, check func() error) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if possible, err := m.chart.machine.CanFireCtx(m, event); err != nil || !possible {
+		return fmt.Errorf("chart %s: event %s is not possible in state %s", m.chart.name, event, m.state)
+	}
+	if err := check(); err != nil {
+		return err
+	}
+	m.fire(event)
+	return nil
+}
+
+func (m *Machine) fire(event Event) bool {
+	return m.chart.machine.FireCtx(m, event) == nil
+}
+
+// State returns the current state.
+func (m *Machine) State() State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, _ := m.state.(State)
+	return state
+}
+
+// Is reports whether the current state has the flag set.
+func (m *Machine) Is(flag string) bool {
+	return m.chart.byName[m.State()].flags[flag]
+}
+
+// Final reports whether the current state is final.
+func (m *Machine) Final() bool {
+	return m.chart.byName[m.State()].final
+}
