--- a/pkg/order/lease.go
+++ b/pkg/order/lease.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/rosemarywing/rosemarywing/pkg/chart"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/platform"
 )
@@ -17,6 +18,22 @@
 // LeaseKind is the kind of the lease objects in the platform.
 const LeaseKind = "Lease"
 
+// Events and flag of the lease chart.
+const (
+	eventAcquire  chart.Event = "acquire"
+	eventAcquired chart.Event = "acquired"
+	eventLose     chart.Event = "lose"
+	eventRenew    chart.Event = "renew"
+	eventRenewed  chart.Event = "renewed"
+	eventExpire   chart.Event = "expire"
+	eventRelease  chart.Event = "release"
+	flagHolds                 = "holds"
+)
+
+var leaseEvents = []chart.Event{
+	eventAcquire, eventAcquired, eventLose, eventRenew, eventRenewed, eventExpire, eventRelease,
+}
+
 // leaseBody is the content of a lease object.
 type leaseBody struct {
 	Holder      string `json:"holder"`
@@ -43,8 +60,11 @@
 	self     leaseBody
 	duration time.Duration
 
-	version    uint64 // version of our last write; 0 when not held
-	fence      uint64 // version at which the current term began
+	state *chart.Machine
+	// version is that of our last write, and fence that of the first write of
+	// the current term; both are 0 when the lease is not held.
+	version    uint64
+	fence      uint64
 	validUntil time.Time
 
 	seenVersion uint64
@@ -62,20 +82,28 @@
 	Duration time.Duration
 }
 
-// NewLease returns a lease that is not held.
-func NewLease(config LeaseConfig) *Lease {
+// NewLease returns a lease that is not held. It fails when the lease chart does.
+func NewLease(config LeaseConfig) (*Lease, error) {
+	states, err := chart.Load("lease")
+	if err != nil {
+		return nil, err
+	}
+	if err := states.Require(leaseEvents, []string{flagHolds}); err != nil {
+		return nil, err
+	}
 	return &Lease{
+		state:    states.New(),
 		store:    config.Store,
 		clock:    config.Clock,
 		name:     config.Name,
 		self:     leaseBody{Holder: config.Holder, Incarnation: config.Incarnation},
 		duration: config.Duration,
-	}
+	}, nil
 }
 
 // Held reports whether the lease is valid now.
 func (l *Lease) Held() bool {
-	return l.version != 0 && l.clock.Now().Before(l.validUntil)
+	return l.state.Is(flagHolds) && l.clock.Now().Before(l.validUntil)
 }
 
 // Fence returns the fencing number of the current term. It grows with every
@@ -86,15 +114,16 @@
 // held, an error of kind Conflict when another instance holds it, and
 // PlatformUnavailable when the platform does not answer.
 func (l *Lease) Renew(ctx context.Context) error {
-	if l.version != 0 && !l.Held() {
-		l.drop()
+	if l.state.Is(flagHolds) && !l.Held() {
+		l.drop(eventExpire)
 	}
-	if l.version != 0 {
+	if l.state.Is(flagHolds) {
+		l.state.Fire(eventRenew)
 		return l.write(ctx, platform.Precondition{Version: l.version})
 	}
 	object, err := l.store.Get(ctx, LeaseKind, l.name)
 	if errkind.KindOf(err) == errkind.NotFound {
-		return l.write(ctx, platform.Precondition{Absent: true})
+		return l.acquire(ctx, platform.Precondition{Absent: true})
 	}
 	if err != nil {
 		return err
@@ -102,18 +131,28 @@
 	if !l.mayTakeOver(object) {
 		return errkind.New(errkind.Conflict, "lease %s is held by another instance", l.name)
 	}
-	return l.write(ctx, platform.Precondition{Version: object.Version})
+	return l.acquire(ctx, platform.Precondition{Version: object.Version})
 }
 
-// Release gives the lease up so that another instance need not wait for it to lapse.
+func (l *Lease) acquire(ctx context.Context, pre platform.Precondition) error {
+	l.state.Fire(eventAcquire)
+	err := l.write(ctx, pre)
+	if err != nil {
+		l.drop(eventLose)
+	}
+	return err
+}
+
+// Release gives the lease up for good, so that another instance need not wait
+// for it to expire.
 func (l *Lease) Release(ctx context.Context) error {
-	if l.version == 0 {
+	version := l.version
+	l.drop(eventRelease)
+	if version == 0 {
 		return nil
 	}
 	body := l.self
 	body.Released = true
-	version := l.version
-	l.drop()
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "encode lease %s", l.name)
@@ -155,13 +194,15 @@
 		version, err = l.readBack(ctx, err)
 	}
 	if errkind.KindOf(err) == errkind.Conflict {
-		l.drop()
+		l.drop(eventLose)
 	}
 	if err != nil {
 		return err
 	}
-	if l.version == 0 {
+	if l.state.Fire(eventAcquired) {
 		l.fence = version
+	} else {
+		l.state.Fire(eventRenewed)
 	}
 	l.version = version
 	l.validUntil = started.Add(l.duration)
@@ -182,7 +223,8 @@
 	return object.Version, nil
 }
 
-func (l *Lease) drop() {
+func (l *Lease) drop(event chart.Event) {
+	l.state.Fire(event)
 	l.version = 0
 	l.fence = 0
 	l.validUntil = time.Time{}
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -94,9 +94,11 @@
 }
 
 func newLease(store platform.Store, clock clockwork.Clock, holder string) *order.Lease {
-	return order.NewLease(order.LeaseConfig{
+	lease, err := order.NewLease(order.LeaseConfig{
 		Store: store, Clock: clock, Name: "orders-north", Holder: holder, Incarnation: 1, Duration: leaseDuration,
 	})
+	Expect(err).NotTo(HaveOccurred())
+	return lease
 }
 
 func newManager(store platform.Store, clock clockwork.Clock, holder, model string, engine order.Engines) *order.Manager {
@@ -110,6 +112,7 @@
 // Guards against two valid leases at once, whatever the order of renewals,
 // pauses, outages and lost answers.
 func TestLeaseTable(t *testing.T) {
+	RegisterTestingT(t)
 	type step struct {
 		advance time.Duration
 		fault   string
@@ -157,6 +160,7 @@
 // Guards against an order of a paused holder staying in effect after its lease
 // lapsed, on engines that check the fencing number and on those that do not.
 func TestPausedHolder(t *testing.T) {
+	RegisterTestingT(t)
 	for name, checks := range map[string]bool{"engine checks": true, "engine ignores": false} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -188,6 +192,7 @@
 // Guards against a new holder that gives orders from configuration older than
 // that of the holder before.
 func TestNoOrderBeforeRefresh(t *testing.T) {
+	RegisterTestingT(t)
 	g := NewWithT(t)
 	store, clock, engine := &fakeStore{}, clockwork.NewFakeClock(), &fakeEngine{}
 	refreshErr := error(errkind.New(errkind.PlatformUnavailable, "out"))
@@ -205,6 +210,7 @@
 
 // Guards against a lease body that another version wrote and this one cannot read.
 func TestUnreadableLeaseIsNotTakenAtOnce(t *testing.T) {
+	RegisterTestingT(t)
 	g := NewWithT(t)
 	body, err := json.Marshal([]int{1})
 	g.Expect(err).NotTo(HaveOccurred())
