Answer 410 for a cancelled stream in the stand-in engine

A client that takes a broken stream for one to resume would otherwise resume a cancelled one without end. The tests now also cover the limit on tokens, late cache events, delayed answers, and services that hang or answer late.

Each of these was taken out once and made a test fail: the status 410, the token limit, the lag of cache events, the delay of answers (the test then ran into its timeout), hanging and late answers.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -18,6 +17,9 @@
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
 
+// The timeout only bounds a failing test: passing ones do not depend on it.
+func init() { SetDefaultEventuallyTimeout(time.Minute) }
+
 func request(prompt string, output int) chatRequest {
 	return chatRequest{Messages: []upstream.Message{{Role: "user", Content: prompt}}, MaxTokens: output}
 }
@@ -68,6 +70,12 @@
 	ended := drain(e, add(e, "a", request("x", 10)), add(e, "b", request("y", 10)), add(e, "c", request("z", 1)))
 	g.Expect(ended[0].Seconds()).To(BeNumerically("~", 9*0.15, 0.05), "two streams decode at 1.5 times the step")
 	g.Expect(ended[2]).To(BeNumerically(">", ended[1]), "the third waits for a place")
+
+	config.MaxTokens = 1000
+	e = New(config)
+	ended = drain(e, add(e, "a", request(prompt, 10)), add(e, "b", request("y", 1)), add(e, "c", request("z", 1)))
+	g.Expect(ended[1]).To(BeNumerically(">", ended[0]), "a request above the token limit runs alone")
+	g.Expect(ended[2]).To(Equal(ended[1]), "both small ones fit")
 }
 
 // Guards against a cache without a limit, and against repeated prefill that
@@ -88,6 +96,7 @@
 	}
 	g.Expect(stored - removed).To(Equal(20))
 	g.Expect(e.cache.eventsAfter(0, e.clock.Now(), 2)).To(HaveLen(2), "every second event is lost")
+	g.Expect(e.cache.eventsAfter(0, e.clock.Now().Add(-time.Second), 0)).To(BeEmpty(), "events are late")
 }
 
 func serve(t *testing.T, config Config) (*Engine, string) {
@@ -195,6 +204,23 @@
 	g.Expect(code).To(Equal(crashExitCode))
 }
 
+// Guards against a delayed answer that is not delayed, or that never comes.
+func TestDelay(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	e, url := serve(t, Config{Clock: clock, Faults: Faults{DelayMs: 100}})
+	answered := make(chan error, 1)
+	go func() {
+		_, _, err := call(t, "POST", url+"/v1/chat/completions", "r1", chat("hi", 1, false))
+		answered <- err
+	}()
+	g.Expect(clock.BlockUntilContext(t.Context(), 1)).To(Succeed())
+	g.Eventually(func() State { return e.Log().Requests[0].State }).Should(Equal(Finished))
+	g.Expect(answered).To(BeEmpty())
+	clock.Advance(100 * time.Millisecond)
+	g.Eventually(answered).Should(Receive(BeNil()))
+}
+
 // Guards against load reports without a lag, and against an engine that takes
 // an order with an old fencing number although it checks them.
 func TestLoadAndOrders(t *testing.T) {
@@ -222,15 +248,16 @@
 	e, url := serve(t, Config{Speed: 1, Clock: clock})
 	s := add(e, "a", request(strings.Repeat("k", 1024), 100))
 	g.Eventually(func() State { _, state, _ := e.observe(s); return state }).Should(Equal(Running))
+	_, kvBody, _ := call(t, "GET", url+"/kv/a", "a", "")
 	response, _, _ := call(t, "DELETE", url+"/v1/streams/a", "a", "")
 	g.Expect(response.StatusCode).To(Equal(http.StatusNoContent))
 	g.Expect(e.laggingLoad().TokensInUse).To(BeZero())
-	_, kvBody, _ := call(t, "GET", url+"/kv/a", "a", "")
+	response, _, _ = call(t, "GET", url+"/v1/streams/a?from=1", "a", "")
+	g.Expect(response.StatusCode).To(Equal(http.StatusGone))
 	other, otherURL := serve(t, Config{})
 	_, _, err := call(t, "PUT", otherURL+"/kv/a", "a", kvBody)
 	g.Expect(err).NotTo(HaveOccurred())
-	body := bytes.NewBufferString(chat(strings.Repeat("k", 1024), 1, false)).String()
-	_, _, err = call(t, "POST", otherURL+"/v1/chat/completions", "b", body)
+	_, _, err = call(t, "POST", otherURL+"/v1/chat/completions", "b", chat(strings.Repeat("k", 1024), 1, false))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(other.Log().CachedTokens).To(Equal(4 * blockTokens))
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -321,12 +321,18 @@
 	return e.currentLoad(e.clock.Now()).LoadedModels
 }
 
-// requestOf finds the stream that a path names, or answers 404.
+// requestOf finds the stream that a path names, or answers 404. A cancelled
+// stream gets 410, so that clients do not resume it again and again.
 func (e *Engine) requestOf(w http.ResponseWriter, r *http.Request) *stream {
+	w.Header().Set(headerRequestID, r.PathValue("request"))
 	s := e.find(r.PathValue("request"))
 	if s == nil {
-		w.Header().Set(headerRequestID, r.PathValue("request"))
 		http.Error(w, "unknown request", http.StatusNotFound)
+		return nil
+	}
+	if _, state, _ := e.observe(s); state == Cancelled {
+		http.Error(w, "the request was cancelled", http.StatusGone)
+		return nil
 	}
 	return s
 }
@@ -401,7 +407,6 @@
 
 func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
 	if s := e.requestOf(w, r); s != nil {
-		w.Header().Set(headerRequestID, s.id)
 		writeJSON(w, kv{Hashes: s.hashes})
 	}
 }
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -1,11 +1,13 @@
 package service_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
@@ -13,6 +15,9 @@
 	"github.com/rosemarywing/rosemarywing/internal/standin/service"
 )
 
+// The timeout only bounds a failing test: passing ones do not depend on it.
+func init() { SetDefaultEventuallyTimeout(time.Minute) }
+
 // Guards against a fault that does not show, and against executions that are
 // not counted: the checkers of "at most once" rely on the counts.
 func TestFaultsAndCounts(t *testing.T) {
@@ -56,3 +61,40 @@
 		})
 	}
 }
+
+// Guards against a service that does not execute what it never answers, or
+// that answers at once where it should be late.
+func TestHangAndLate(t *testing.T) {
+	for _, mode := range []service.Mode{service.Hang, service.Late} {
+		t.Run(string(mode), func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			standin := service.New(clock)
+			standin.SetFaults(service.Faults{Mode: mode, DelayMs: 100})
+			server := httptest.NewServer(standin.Handler())
+			defer server.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			answered := make(chan error, 1)
+			go func() {
+				request, _ := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/x", strings.NewReader("{}"))
+				request.Header.Set("X-Request-Id", "r1")
+				response, err := http.DefaultClient.Do(request)
+				if err == nil {
+					response.Body.Close()
+				}
+				answered <- err
+			}()
+			g.Eventually(func() int { return standin.Log().ByRequestID["r1"] }).Should(Equal(1))
+			g.Expect(answered).To(BeEmpty())
+			if mode == service.Hang {
+				cancel()
+				g.Eventually(answered).Should(Receive(MatchError(context.Canceled)))
+				return
+			}
+			g.Expect(clock.BlockUntilContext(ctx, 1)).To(Succeed())
+			clock.Advance(100 * time.Millisecond)
+			g.Eventually(answered).Should(Receive(BeNil()))
+		})
+	}
+}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"strconv"
 
@@ -35,6 +36,8 @@
 		_ = os.Setenv(name, "http://127.0.0.1:1")
 	}
 	logx.Disable()
+	// The timeout only bounds a failing test: passing ones do not depend on it.
+	SetDefaultEventuallyTimeout(time.Minute)
 	os.Exit(m.Run())
 }
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -36,6 +36,8 @@
 
 // Dispatcher sends requests. An error is an *errkind.Error: DialFailed only
 // when no byte can have been written, otherwise UpstreamBroken or CrossedAnswer.
+// An *errkind.Error of OnDispatch is returned as it is. The context also bounds
+// the reading of the answer's body.
 type Dispatcher interface {
 	Dispatch(ctx context.Context, call Call) (*Answer, error)
 }
