--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -46,6 +46,7 @@
 		{"avoided", filterAvoided},
 		{"slow", filterSlow},
 		{"suspect", filterSuspect},
+		{"deadline", filterDeadline},
 		{"limits", filterLimits},
 		{"outranked", filterOutranked},
 	}
@@ -72,6 +73,10 @@
 // filterSuspect allows at most one suspect on an upstream.
 func filterSuspect(_ *Pool, c *candidate, u *upstream) bool { return !c.suspect || u.suspects == 0 }
 
+// filterDeadline rejects an upstream that is not expected to produce the first
+// token in time, because the prefill would be wasted.
+func filterDeadline(p *Pool, c *candidate, u *upstream) bool { return c.inTime(u, p) }
+
 // filterLimits applies the limits of the upstream and the reservation for
 // higher tiers.
 func filterLimits(p *Pool, c *candidate, u *upstream) bool {
@@ -106,12 +111,11 @@
 	if len(mt.groups[classLong].teams) > 0 && u.fitsLong(p.share, p.config.LongTokens, p.config.LongShare) {
 		return true
 	}
-	if u.suspects > 0 {
-		return false
-	}
 	for _, team := range mt.groups[classSuspect].teams {
 		for element := team.items.Front(); element != nil; element = element.Next() {
-			if p.strikes.inFlight[element.Value.(*waiting).request.Work.Fingerprint] == 0 {
+			fingerprint := element.Value.(*waiting).request.Work.Fingerprint
+			// A request stays in the class after its fingerprint was cleared.
+			if !p.strikes.suspect(fingerprint) || (u.suspects == 0 && p.strikes.inFlight[fingerprint] == 0) {
 				return true
 			}
 		}
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -1,13 +1,11 @@
 package sched
 
 import (
-	"container/heap"
 	"container/list"
 	"sort"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
-	"github.com/rosemarywing/rosemarywing/pkg/record"
 )
 
 // Pool implements Scheduler for one pool of upstreams. It is plain code: it
@@ -79,169 +77,6 @@
 	return d
 }
 
-// targets lists the names under which requests can ask for the upstream: each
-// model version, the model without its version, and the service, the latter
-// two also with the prefix that conf.Pool uses.
-func targets(r *record.Upstream) []string {
-	var names []string
-	for _, versioned := range r.Models {
-		names = append(names, versioned)
-		for i := range versioned {
-			if versioned[i] == '@' {
-				names = append(names, versioned[:i], "model:"+versioned[:i])
-				break
-			}
-		}
-	}
-	if r.Service != "" {
-		names = append(names, r.Service, "service:"+r.Service)
-	}
-	return names
-}
-
-// SetUpstreams applies the upstreams in force. One that is absent gets no new
-// work and is forgotten once its last grant has ended.
-func (p *Pool) SetUpstreams(now time.Time, records []record.Upstream) Decisions {
-	for _, u := range p.upstreams {
-		u.present = false
-	}
-	for i := range records {
-		u := p.upstreamFor(records[i].Name, &records[i])
-		u.present = true
-		u.record = records[i]
-		u.maxRequests = records[i].MaxRequests
-		orDefault(&u.maxRequests, p.config.MaxRequests)
-		u.maxTokens = records[i].MaxTokens
-	}
-	for _, u := range p.upstreams {
-		p.forget(u)
-	}
-	p.relate()
-	var d Decisions
-	p.refuseStranded(&d)
-	p.schedule(now, nil, &d)
-	return d
-}
-
-// upstreamFor returns the upstream of a name, which it creates when it is new.
-func (p *Pool) upstreamFor(name string, r *record.Upstream) *upstream {
-	if u := p.upstreams[name]; u != nil {
-		return u
-	}
-	u := &upstream{name: name, index: p.takeIndex()}
-	u.estimate = newEstimate(r.PrefillTokensPerSecond, r.DecodeTokensPerSecond)
-	p.byIndex[u.index] = u
-	p.upstreams[name] = u
-	return u
-}
-
-func (p *Pool) takeIndex() int32 {
-	if n := len(p.freeIndex); n > 0 {
-		index := p.freeIndex[n-1]
-		p.freeIndex = p.freeIndex[:n-1]
-		return index
-	}
-	p.byIndex = append(p.byIndex, nil)
-	p.prefixes.grow(len(p.byIndex))
-	return int32(len(p.byIndex) - 1)
-}
-
-// forget drops an absent upstream that has no grants.
-func (p *Pool) forget(u *upstream) {
-	if u.present || u.requests > 0 {
-		return
-	}
-	p.prefixes.reset(u.index)
-	p.byIndex[u.index] = nil
-	p.freeIndex = append(p.freeIndex, u.index)
-	delete(p.upstreams, u.name)
-}
-
-// relate rebuilds the relation between models and upstreams.
-func (p *Pool) relate() {
-	for _, m := range p.models {
-		m.upstreams = m.upstreams[:0]
-	}
-	for _, u := range p.sortedUpstreams() {
-		u.serving = u.serving[:0]
-		if !u.present {
-			continue
-		}
-		for _, name := range targets(&u.record) {
-			m := p.models[name]
-			if m == nil {
-				m = &model{name: name}
-				p.models[name] = m
-			}
-			if !u.serves(m) {
-				u.serving = append(u.serving, m)
-				m.upstreams = append(m.upstreams, u)
-			}
-		}
-	}
-	for name, m := range p.models {
-		if len(m.upstreams) == 0 {
-			delete(p.models, name)
-			continue
-		}
-		m.measure()
-	}
-}
-
-func (p *Pool) sortedUpstreams() []*upstream {
-	sorted := make([]*upstream, 0, len(p.upstreams))
-	for _, u := range p.upstreams {
-		sorted = append(sorted, u)
-	}
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].name < sorted[j].name })
-	return sorted
-}
-
-// measure recomputes the capacity and the highest prefill rate.
-func (m *model) measure() {
-	m.capacity = 0
-	m.fastest = 0
-	for _, u := range m.upstreams {
-		if !u.open() {
-			continue
-		}
-		m.capacity += u.maxTokens
-		m.fastest = max(m.fastest, u.estimate.prefillRate)
-	}
-}
-
-func (m *model) anyOpen() bool {
-	for _, u := range m.upstreams {
-		if u.open() {
-			return true
-		}
-	}
-	return false
-}
-
-// refuseStranded refuses waiting requests that no upstream serves any more.
-func (p *Pool) refuseStranded(d *Decisions) {
-	for _, w := range p.waitingInOrder() {
-		if !w.group.model.anyOpen() {
-			p.refuseWaiting(w, errkind.NoUpstream, "no upstream for "+w.request.Work.Model+" takes new work", d)
-		}
-	}
-}
-
-// waitingInOrder lists all waiting requests, by tier and team in order of
-// arrival.
-func (p *Pool) waitingInOrder() []*waiting {
-	all := make([]*waiting, 0, p.queue.len())
-	for _, t := range p.queue.tiers {
-		for _, a := range t.active {
-			for element := a.recent.Front(); element != nil; element = element.Next() {
-				all = append(all, element.Value.(*waiting))
-			}
-		}
-	}
-	return all
-}
-
 // Acquire queues a request, or decides it at once. Acquiring a request that
 // waits changes nothing. Acquiring one that has a grant returns the grant as
 // not dispatched, because the holder would not ask again had it used it.
@@ -251,39 +86,49 @@
 	if p.queue.byKey[key] != nil {
 		return d
 	}
-	if g := p.grants[key]; g != nil {
-		p.end(now, g, Result{Outcome: NotDispatched})
-		p.schedule(now, g.upstream, &d)
+	returned := p.grants[key]
+	if returned != nil {
+		p.end(now, returned, Result{Outcome: NotDispatched})
+	}
+	p.admit(now, key, request, &d)
+	if returned != nil {
+		// What it gave back is offered only now, so that the request itself
+		// competes for it by its tier.
+		p.schedule(now, returned.upstream, &d)
 	}
+	return d
+}
+
+// admit refuses a request that cannot be served, and queues any other.
+func (p *Pool) admit(now time.Time, key requestKey, request Request, d *Decisions) {
 	m := p.models[request.Work.Model]
 	if m == nil || !m.anyOpen() {
 		d.refuse(request, errkind.NoUpstream, "no upstream for "+request.Work.Model+" takes new work")
-		return d
+		return
 	}
 	if !now.Before(request.Deadline) {
 		d.refuse(request, errkind.DeadlineExceeded, "the deadline has passed")
-		return d
+		return
 	}
 	if p.baseline != nil {
-		p.acquireBaseline(now, request, m, &d)
-		return d
+		p.acquireBaseline(now, request, m, d)
+		return
 	}
 	if p.strikes.blocked(request.Work.Fingerprint) {
 		d.refuse(request, errkind.PoisonRequest, "requests with this content broke upstreams")
-		return d
+		return
 	}
-	w := p.enqueue(now, request, m)
-	p.scheduleGroup(now, w.group, m.upstreams, &d)
-	p.expire(now, &d)
-	p.shed(&d)
-	return d
+	w := p.enqueue(now, key, request, m)
+	p.scheduleGroup(now, w.group, m.upstreams, d)
+	p.expire(now, d)
+	p.shed(d)
 }
 
-func (p *Pool) enqueue(now time.Time, request Request, m *model) *waiting {
+func (p *Pool) enqueue(now time.Time, key requestKey, request Request, m *model) *waiting {
 	t := p.queue.tierFor(request.Work.Tier)
 	w := &waiting{
 		request: request,
-		key:     requestKey{request.Holder, request.ID},
+		key:     key,
 		tier:    t,
 		scope:   m.tierOf(t),
 		account: t.accountFor(request.Work.Team, p.config.Weight(request.Work.Team)),
@@ -340,268 +185,6 @@
 	p.dropIdle(w.holder)
 }
 
-// schedule grants what can be granted, highest tier first. With only set, it
-// considers that upstream alone, because nothing changed elsewhere.
-func (p *Pool) schedule(now time.Time, only *upstream, d *Decisions) {
-	p.expire(now, d)
-	for _, t := range p.queue.tiers {
-		for _, g := range t.groups {
-			g.blocked = false
-		}
-		for g := t.next(); g != nil; g = t.next() {
-			p.serve(now, g, p.eligible(g, only), d)
-		}
-	}
-}
-
-// eligible lists the upstreams to consider for a group.
-func (p *Pool) eligible(g *group, only *upstream) []*upstream {
-	if only == nil {
-		return g.model.upstreams
-	}
-	if !only.serves(g.model) {
-		return nil
-	}
-	p.one[0] = only
-	return p.one[:]
-}
-
-// scheduleGroup grants what can be granted of one group.
-func (p *Pool) scheduleGroup(now time.Time, g *group, upstreams []*upstream, d *Decisions) {
-	g.blocked = false
-	for !g.blocked && len(g.teams) > 0 {
-		p.serve(now, g, upstreams, d)
-	}
-}
-
-// next returns the group whose first request is furthest behind its share, or
-// nil when all are blocked.
-func (t *tier) next() *group {
-	var best *group
-	var lowest float64
-	for _, g := range t.groups {
-		if g.blocked {
-			continue
-		}
-		if virtual := g.head().account.virtual; best == nil || virtual < lowest {
-			best = g
-			lowest = virtual
-		}
-	}
-	return best
-}
-
-// serve decides the first request of a group: it is granted, refused, parked,
-// or else the group is blocked for this pass.
-func (p *Pool) serve(now time.Time, g *group, upstreams []*upstream, d *Decisions) {
-	if len(upstreams) == 0 {
-		g.blocked = true
-		return
-	}
-	w := g.head().items.Front().Value.(*waiting)
-	work := &w.request.Work
-	p.prefixes.match(work)
-	c := p.candidate(now, &w.request)
-	if c.suspect && p.strikes.inFlight[work.Fingerprint] > 0 {
-		g.blocked = true
-		return
-	}
-	chosen := p.choose(&c, upstreams)
-	if chosen.best == nil {
-		g.blocked = true
-		return
-	}
-	if !c.inTime(chosen.best, p) && !p.meetable(&c, g.model.upstreams) {
-		p.late(w, d)
-		return
-	}
-	p.dequeue(w)
-	w.charge(p.need(work, chosen.best))
-	p.grant(now, &w.request, g.model, chosen, &c, d)
-}
-
-// late handles a request that no upstream is expected to serve in time. It is
-// refused before prefill is spent on it; but while a request of a lower tier
-// waits, it is kept up to its deadline, so that no tier is refused for
-// capacity before a lower one.
-func (p *Pool) late(w *waiting, d *Decisions) {
-	if p.queue.waitsBelow(w.tier.priority) {
-		p.queue.park(w)
-		w.giveUp = w.request.Deadline
-		heap.Fix(&p.queue.deadlines, w.heapIndex)
-		return
-	}
-	p.refuseWaiting(w, errkind.DeadlineUnmeetable, "the first token is expected after the deadline", d)
-}
-
-func (p *Pool) candidate(now time.Time, request *Request) candidate {
-	work := &request.Work
-	return candidate{
-		now:       now.UnixNano(),
-		work:      work,
-		priority:  work.Tier,
-		long:      work.PromptTokens >= p.config.LongTokens,
-		suspect:   p.strikes.suspect(work.Fingerprint),
-		outranked: p.waitsAbove(work.Tier),
-		deadline:  request.Deadline.UnixNano(),
-	}
-}
-
-// waitsAbove reports whether a request of a higher tier competes.
-func (p *Pool) waitsAbove(priority int) bool {
-	for _, t := range p.queue.tiers {
-		if t.priority <= priority {
-			return false
-		}
-		if len(t.groups) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// grant records a grant and adds it to the decisions.
-func (p *Pool) grant(now time.Time, request *Request, m *model, chosen placement, c *candidate, d *Decisions) {
-	u := chosen.best
-	uncached := p.uncached(&request.Work, u)
-	first := u.estimate.first(c.now, uncached)
-	g := &grant{
-		key:           requestKey{request.Holder, request.ID},
-		work:          request.Work,
-		upstream:      u,
-		use:           m.tierOf(p.queue.tierFor(request.Work.Tier)),
-		granted:       now,
-		need:          p.need(&request.Work, u),
-		long:          c.long,
-		suspect:       c.suspect,
-		uncached:      uncached,
-		expectedFirst: time.Duration(first * float64(time.Second)),
-	}
-	out := Grant{
-		RequestID:      request.ID,
-		Holder:         request.Holder,
-		Upstream:       u.name,
-		Expiry:         now.Add(p.config.GrantValidity),
-		UncachedTokens: uncached,
-		Reason:         p.reason(c, chosen),
-	}
-	if chosen.second != nil {
-		out.PreferredTo = chosen.second.name
-	}
-	d.Grants = append(d.Grants, out)
-	u.estimate.start(c.now, uncached)
-	for _, hash := range request.Work.PrefixHashes {
-		p.prefixes.add(u.index, hash)
-	}
-	p.begin(now, g, request.Holder)
-}
-
-// begin adds a grant to all accounts.
-func (p *Pool) begin(now time.Time, g *grant, holderName string) {
-	p.sequence++
-	g.sequence = p.sequence
-	g.holder = p.holderFor(holderName)
-	g.holder.grants[g] = struct{}{}
-	p.grants[g.key] = g
-	g.upstream.occupy(g)
-	g.use.change(now, g.need, p.config.ReserveDecay)
-	p.strikes.start(g.work.Fingerprint)
-}
-
-// end takes a grant out of all accounts and learns from its result.
-func (p *Pool) end(now time.Time, g *grant, result Result) {
-	u := g.upstream
-	u.vacate(g)
-	g.use.change(now, -g.need, p.config.ReserveDecay)
-	p.strikes.end(g.work.Fingerprint)
-	delete(p.grants, g.key)
-	delete(g.holder.grants, g)
-	p.dropIdle(g.holder)
-	switch result.Outcome {
-	case Completed:
-		p.completed(g, result)
-	case NotDispatched, DialFailed:
-		p.notDispatched(now, g, result.Outcome)
-	case UpstreamBroken:
-		p.broke(now, u, g)
-	case UpstreamRefused:
-		u.estimate.undo(g.uncached)
-		u.avoid(now)
-	case Cancelled:
-	}
-	p.forget(u)
-}
-
-func (p *Pool) completed(g *grant, result Result) {
-	u := g.upstream
-	u.backoff = 0
-	if !g.foreign {
-		u.estimate.observe(g, result)
-	}
-	p.prefixes.learn(u.index, &g.work, result.CachedTokens, true)
-	p.strikes.complete(g.work.Fingerprint)
-}
-
-func (p *Pool) notDispatched(now time.Time, g *grant, outcome Outcome) {
-	u := g.upstream
-	u.estimate.undo(g.uncached)
-	p.prefixes.learn(u.index, &g.work, g.work.PromptTokens-g.uncached, false)
-	if g.struck {
-		// It never reached the upstream that broke.
-		p.strikes.add(now, g.work.Fingerprint, -1)
-	}
-	if outcome == DialFailed {
-		u.avoid(now)
-	}
-}
-
-// broke handles a crash of an upstream: each fingerprint in flight there gets
-// one strike per crash. Later reports of the same crash, which come from the
-// other requests that were in flight, find their grants marked.
-func (p *Pool) broke(now time.Time, u *upstream, reporter *grant) {
-	p.prefixes.reset(u.index)
-	u.estimate.backlogUntil = 0
-	if u.avoidUntil <= now.UnixNano() {
-		u.avoid(now)
-	}
-	if reporter != nil && reporter.broken {
-		return
-	}
-	struck := map[uint64]bool{}
-	if reporter != nil {
-		struck[reporter.work.Fingerprint] = true
-		p.strikes.add(now, reporter.work.Fingerprint, 1)
-	}
-	for _, g := range u.grants {
-		if g.broken {
-			continue
-		}
-		g.broken = true
-		if !struck[g.work.Fingerprint] {
-			struck[g.work.Fingerprint] = true
-			g.struck = true
-			p.strikes.add(now, g.work.Fingerprint, 1)
-		}
-	}
-}
-
-// reclassify moves waiting requests whose fingerprint has become a suspect,
-// and refuses those whose fingerprint is blocked.
-func (p *Pool) reclassify(d *Decisions) {
-	for _, w := range p.waitingInOrder() {
-		work := &w.request.Work
-		if p.strikes.blocked(work.Fingerprint) {
-			p.refuseWaiting(w, errkind.PoisonRequest, "requests with this content broke upstreams", d)
-			continue
-		}
-		if target := &w.scope.groups[p.classOf(work)]; target != w.group && !w.parked {
-			p.queue.park(w)
-			w.group = target
-			p.queue.compete(w)
-		}
-	}
-}
-
 // Cancel removes a waiting request, or ends its grant as not dispatched.
 func (p *Pool) Cancel(now time.Time, holderName, requestID string) Decisions {
 	var d Decisions
@@ -719,31 +302,6 @@
 	return d
 }
 
-// restarted handles a new incarnation: what was granted before the last report
-// of the old one was in flight when the upstream ended. Later grants may have
-// been dispatched to the new incarnation.
-func (p *Pool) restarted(now time.Time, u *upstream, d *Decisions) {
-	p.prefixes.reset(u.index)
-	u.estimate.backlogUntil = 0
-	u.avoidUntil = 0
-	u.backoff = 0
-	struck := map[uint64]bool{}
-	for _, g := range u.grants {
-		if g.broken || !g.granted.Before(u.lastReport) {
-			continue
-		}
-		g.broken = true
-		if !struck[g.work.Fingerprint] {
-			struck[g.work.Fingerprint] = true
-			g.struck = true
-			p.strikes.add(now, g.work.Fingerprint, 1)
-		}
-	}
-	if len(struck) > 0 {
-		p.reclassify(d)
-	}
-}
-
 // ReportCache applies a cache event.
 func (p *Pool) ReportCache(_ time.Time, name string, stored, removed []uint64) {
 	u := p.upstreams[name]
@@ -758,28 +316,6 @@
 	}
 }
 
-// AddStrikes applies strikes reported by another scheduler. Counts are merged
-// by the maximum, because the same crash may be reported along several ways.
-func (p *Pool) AddStrikes(now time.Time, strikes map[uint64]int) {
-	for fingerprint, count := range strikes {
-		if known := p.strikes.count(fingerprint); count > known {
-			p.strikes.add(now, fingerprint, count-known)
-		}
-	}
-	var d Decisions
-	p.reclassify(&d)
-	p.pending = append(p.pending, d.Refusals...)
-}
-
-// Strikes returns the strikes in force.
-func (p *Pool) Strikes() map[uint64]int {
-	out := make(map[uint64]int, len(p.strikes.entries))
-	for fingerprint, entry := range p.strikes.entries {
-		out[fingerprint] = entry.count
-	}
-	return out
-}
-
 // Tick expires deadlines, and grants what the passing of time allows.
 func (p *Pool) Tick(now time.Time) Decisions {
 	var d Decisions
--- a/pkg/sched/pool_test.go
+++ b/pkg/sched/pool_test.go
@@ -1,11 +1,14 @@
 package sched_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/record"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 )
@@ -42,3 +45,180 @@
 		})
 	}
 }
+
+// Guards against a request that breaks every upstream that runs it and is sent
+// again under new identities, and against blocking its neighbours with it.
+func TestPoisonRunsAtMostTwice(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 8, 0), engine("b", 8, 0), engine("c", 8, 0), engine("d", 8, 0)})
+	crashes := 0
+	now := start
+	for attempt := range 6 {
+		now = now.Add(5 * time.Second)
+		poison := request(fmt.Sprint("poison", attempt), 1, 100)
+		poison.Work.Fingerprint = 13
+		d := p.Acquire(now, poison)
+		if len(d.Grants) == 0 {
+			g.Expect(d.Refusals).To(HaveLen(1))
+			g.Expect(d.Refusals[0].Kind).To(Equal(errkind.PoisonRequest))
+			continue
+		}
+		broken := d.Grants[0].Upstream
+		neighbours := acquireBeside(p, now, broken, attempt)
+		g.Expect(neighbours).NotTo(BeEmpty())
+		crashes++
+		for _, id := range append(neighbours, poison.ID) {
+			p.Release(now, sched.Result{RequestID: id, Holder: "entry", Outcome: sched.UpstreamBroken})
+		}
+	}
+	g.Expect(crashes).To(Equal(2))
+	for fingerprint, count := range p.Strikes() {
+		g.Expect(count).To(Equal(map[bool]int{true: 2, false: 1}[fingerprint == 13]), "fingerprint %d", fingerprint)
+	}
+}
+
+// acquireBeside grants further requests, each with a fingerprint of its own,
+// and returns those on the given upstream; the others are given back.
+func acquireBeside(p *sched.Pool, now time.Time, upstream string, attempt int) []string {
+	var beside, elsewhere []string
+	for i := range 12 {
+		r := request(fmt.Sprint("r", attempt, "-", i), 1, 100)
+		r.Work.Fingerprint = uint64(1000*attempt + 100 + i)
+		for _, grant := range p.Acquire(now, r).Grants {
+			if grant.Upstream == upstream {
+				beside = append(beside, r.ID)
+				continue
+			}
+			elsewhere = append(elsewhere, r.ID)
+		}
+	}
+	for _, id := range elsewhere {
+		p.Cancel(now, "entry", id)
+	}
+	return beside
+}
+
+// Guards against one team that starves the others of its tier, and against
+// weights that are ignored.
+func TestTeamsShareATierByWeight(t *testing.T) {
+	g := NewWithT(t)
+	weights := map[string]int{"greedy": 1, "light": 1, "heavy": 2}
+	p := sched.New(sched.Config{Weight: func(team string) int { return weights[team] }})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 1, 0)})
+	running := p.Acquire(start, request("first", 1, 100)).Grants[0].RequestID
+	add := func(team string, count int) {
+		for i := range count {
+			r := request(fmt.Sprint(team, i), 1, 100)
+			r.Work.Team = team
+			p.Acquire(start, r)
+		}
+	}
+	add("greedy", 200)
+	add("light", 40)
+	add("heavy", 40)
+	served := map[string]int{}
+	for range 40 {
+		d := p.Release(start, sched.Result{RequestID: running, Holder: "entry", Outcome: sched.NotDispatched})
+		g.Expect(d.Grants).To(HaveLen(1))
+		running = d.Grants[0].RequestID
+		served[strings.TrimRight(running, "0123456789")]++
+	}
+	g.Expect(served).To(Equal(map[string]int{"greedy": 10, "light": 10, "heavy": 20}))
+}
+
+// Guards against a full queue that refuses the wrong request.
+func TestAFullQueueShedsTheLowestTierAndTheHeaviestTeam(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{QueueRequests: 3})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 1, 0)})
+	p.Acquire(start, request("running", 1, 100))
+	acquire := func(id string, tier int, team string) []string {
+		r := request(id, tier, 100)
+		r.Work.Team = team
+		var refused []string
+		for _, refusal := range p.Acquire(start, r).Refusals {
+			g.Expect(refusal.Kind).To(Equal(errkind.Overloaded))
+			refused = append(refused, refusal.RequestID)
+		}
+		return refused
+	}
+	g.Expect(acquire("low1", 1, "big")).To(BeEmpty())
+	g.Expect(acquire("low2", 1, "big")).To(BeEmpty())
+	g.Expect(acquire("low3", 1, "small")).To(BeEmpty())
+	g.Expect(acquire("low4", 1, "small")).To(ConsistOf("low2"))
+	g.Expect(acquire("high1", 2, "big")).To(ConsistOf("low4"))
+	g.Expect(acquire("high2", 2, "big")).To(ConsistOf("low1"))
+	g.Expect(acquire("high3", 2, "big")).To(ConsistOf("low3"))
+	g.Expect(acquire("low5", 1, "tiny")).To(ConsistOf("low5"))
+	g.Expect(acquire("high4", 2, "small")).To(ConsistOf("high3"))
+}
+
+// Guards against a late request of a higher tier that is refused early while a
+// lower tier waits, and against one that is never refused.
+func TestLateRequestsOutlastLowerTiers(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 2, 0)})
+	p.Acquire(start, request("running", 1, 20_000))
+	p.Acquire(start, request("running too", 1, 20_000))
+	p.Acquire(start, request("low", 1, 100))
+	late := request("high", 2, 100)
+	late.Deadline = start.Add(time.Second)
+	g.Expect(p.Acquire(start, late).Refusals).To(BeEmpty())
+	g.Expect(p.Tick(start.Add(995 * time.Millisecond)).Refusals).To(BeEmpty())
+	g.Expect(p.Tick(start.Add(time.Second)).Refusals).To(ConsistOf(HaveField("Kind", errkind.DeadlineExceeded)))
+	p.Cancel(start, "entry", "low")
+	late.ID = "high again"
+	late.Deadline = start.Add(2 * time.Second)
+	refused := p.Acquire(start.Add(time.Second), late).Refusals
+	g.Expect(refused).To(ConsistOf(HaveField("Kind", errkind.DeadlineUnmeetable)))
+}
+
+// Guards against two copies of a suspect that break two upstreams at once, and
+// against a strike on a request that never reached the upstream that broke.
+func TestSuspectsRunOneCopyAtATime(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 4, 0)})
+	first, second := request("1", 1, 100), request("2", 1, 100)
+	first.Work.Fingerprint = 5
+	second.Work.Fingerprint = 6
+	p.Acquire(start, first)
+	p.Acquire(start, second)
+	p.Release(start, sched.Result{RequestID: "2", Holder: "entry", Outcome: sched.UpstreamBroken})
+	g.Expect(p.Strikes()).To(Equal(map[uint64]int{5: 1, 6: 1}))
+	p.Release(start, sched.Result{RequestID: "1", Holder: "entry", Outcome: sched.NotDispatched})
+	g.Expect(p.Strikes()).To(Equal(map[uint64]int{6: 1}))
+
+	p.SetUpstreams(start, []record.Upstream{engine("a", 4, 0), engine("b", 4, 0), engine("c", 4, 0)})
+	first.Work.Fingerprint = 6
+	g.Expect(p.Acquire(start, first).Grants).To(HaveLen(1))
+	g.Expect(p.Acquire(start, second).Grants).To(BeEmpty())
+	d := p.Release(start, sched.Result{RequestID: "1", Holder: "entry", Outcome: sched.Completed})
+	g.Expect(p.Strikes()).To(BeEmpty())
+	g.Expect(append(d.Grants, p.Tick(start).Grants...)).To(HaveLen(1))
+}
+
+// Guards against a restart that goes unnoticed, and against a strike on what
+// was granted after it.
+func TestARestartStrikesWhatWasInFlight(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 4, 0)})
+	report := func(at time.Duration, incarnation string) {
+		p.ReportLoad(start.Add(at), "a", sched.Load{Incarnation: incarnation, ReportedAt: start.Add(at)})
+	}
+	acquire := func(at time.Duration, fingerprint uint64) {
+		r := request(fmt.Sprint(fingerprint), 1, 100)
+		r.Work.Fingerprint = fingerprint
+		p.Acquire(start.Add(at), r)
+	}
+	report(0, "1")
+	acquire(time.Second, 5)
+	report(2*time.Second, "1")
+	acquire(3*time.Second, 6)
+	report(4*time.Second, "2")
+	report(3*time.Second, "1")
+	g.Expect(p.Strikes()).To(Equal(map[uint64]int{5: 1}))
+}
--- /dev/null
+++ b/pkg/sched/upstreams.go
@@ -0,0 +1,172 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+)
+
+// targets lists the names under which requests can ask for the upstream: each
+// model version, the model without its version, and the service, the latter
+// two also with the prefix that conf.Pool uses.
+func targets(r *record.Upstream) []string {
+	var names []string
+	for _, versioned := range r.Models {
+		names = append(names, versioned)
+		for i := range versioned {
+			if versioned[i] == '@' {
+				names = append(names, versioned[:i], "model:"+versioned[:i])
+				break
+			}
+		}
+	}
+	if r.Service != "" {
+		names = append(names, r.Service, "service:"+r.Service)
+	}
+	return names
+}
+
+// SetUpstreams applies the upstreams in force. One that is absent gets no new
+// work and is forgotten once its last grant has ended.
+func (p *Pool) SetUpstreams(now time.Time, records []record.Upstream) Decisions {
+	for _, u := range p.upstreams {
+		u.present = false
+	}
+	for i := range records {
+		u := p.upstreamFor(records[i].Name, &records[i])
+		u.present = true
+		u.record = records[i]
+		u.maxRequests = records[i].MaxRequests
+		orDefault(&u.maxRequests, p.config.MaxRequests)
+		u.maxTokens = records[i].MaxTokens
+	}
+	for _, u := range p.upstreams {
+		p.forget(u)
+	}
+	p.relate()
+	var d Decisions
+	p.refuseStranded(&d)
+	p.schedule(now, nil, &d)
+	return d
+}
+
+// upstreamFor returns the upstream of a name, which it creates when it is new.
+func (p *Pool) upstreamFor(name string, r *record.Upstream) *upstream {
+	if u := p.upstreams[name]; u != nil {
+		return u
+	}
+	u := &upstream{name: name, index: p.takeIndex()}
+	u.estimate = newEstimate(r.PrefillTokensPerSecond, r.DecodeTokensPerSecond)
+	p.byIndex[u.index] = u
+	p.upstreams[name] = u
+	return u
+}
+
+func (p *Pool) takeIndex() int32 {
+	if n := len(p.freeIndex); n > 0 {
+		index := p.freeIndex[n-1]
+		p.freeIndex = p.freeIndex[:n-1]
+		return index
+	}
+	p.byIndex = append(p.byIndex, nil)
+	p.prefixes.grow(len(p.byIndex))
+	return int32(len(p.byIndex) - 1)
+}
+
+// forget drops an absent upstream that has no grants.
+func (p *Pool) forget(u *upstream) {
+	if u.present || u.requests > 0 {
+		return
+	}
+	p.prefixes.reset(u.index)
+	p.byIndex[u.index] = nil
+	p.freeIndex = append(p.freeIndex, u.index)
+	delete(p.upstreams, u.name)
+}
+
+// relate rebuilds the relation between models and upstreams.
+func (p *Pool) relate() {
+	for _, m := range p.models {
+		m.upstreams = m.upstreams[:0]
+	}
+	for _, u := range p.sortedUpstreams() {
+		u.serving = u.serving[:0]
+		if !u.present {
+			continue
+		}
+		for _, name := range targets(&u.record) {
+			m := p.models[name]
+			if m == nil {
+				m = &model{name: name}
+				p.models[name] = m
+			}
+			if !u.serves(m) {
+				u.serving = append(u.serving, m)
+				m.upstreams = append(m.upstreams, u)
+			}
+		}
+	}
+	for name, m := range p.models {
+		if len(m.upstreams) == 0 {
+			delete(p.models, name)
+			continue
+		}
+		m.measure()
+	}
+}
+
+func (p *Pool) sortedUpstreams() []*upstream {
+	sorted := make([]*upstream, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		sorted = append(sorted, u)
+	}
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].name < sorted[j].name })
+	return sorted
+}
+
+// measure recomputes the capacity and the highest prefill rate.
+func (m *model) measure() {
+	m.capacity = 0
+	m.fastest = 0
+	for _, u := range m.upstreams {
+		if !u.open() {
+			continue
+		}
+		m.capacity += u.maxTokens
+		m.fastest = max(m.fastest, u.estimate.prefillRate)
+	}
+}
+
+func (m *model) anyOpen() bool {
+	for _, u := range m.upstreams {
+		if u.open() {
+			return true
+		}
+	}
+	return false
+}
+
+// refuseStranded refuses waiting requests that no upstream serves any more.
+func (p *Pool) refuseStranded(d *Decisions) {
+	for _, w := range p.waitingInOrder() {
+		if !w.group.model.anyOpen() {
+			p.refuseWaiting(w, errkind.NoUpstream, "no upstream for "+w.request.Work.Model+" takes new work", d)
+		}
+	}
+}
+
+// waitingInOrder lists all waiting requests, by tier and team in order of
+// arrival.
+func (p *Pool) waitingInOrder() []*waiting {
+	all := make([]*waiting, 0, p.queue.len())
+	for _, t := range p.queue.tiers {
+		for _, a := range t.active {
+			for element := a.recent.Front(); element != nil; element = element.Next() {
+				all = append(all, element.Value.(*waiting))
+			}
+		}
+	}
+	return all
+}
