--- /dev/null
+++ b/internal/bench/world.go
@@ -0,0 +1,361 @@
+package bench
+
+import (
+	"container/list"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+	"github.com/rosemarywing/rosemarywing/pkg/sched"
+)
+
+// Parameters of the modelled network and entries.
+const (
+	networkDelay = time.Millisecond
+	// dialTimeout is how long an entry waits for an upstream that is gone.
+	dialTimeout = time.Second
+	// redialDelay is the pause before a request that was not dispatched asks
+	// for another grant.
+	redialDelay = 10 * time.Millisecond
+	// queueRequests bounds the queue of the product's policy and, on top of
+	// the request limits, what a baseline lets pass.
+	queueRequests = 400
+	queueTokens   = 1_000_000
+	entries       = 6
+)
+
+// epoch is the wall-clock time of the start of a run.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// world is one run.
+type world struct {
+	loop     loop
+	scenario scenario
+	workload workload
+	pool     *sched.Pool
+	engines  []*engine
+	byName   map[string]*engine
+	random   *rand.Rand
+	requests map[string]*inFlight
+	// known holds the longest part of each shared prefix that any engine has
+	// processed; processing it again is repeated work.
+	known   map[string]int
+	results *results
+	open    int
+	tickAt  time.Duration
+	ticking uint64
+}
+
+// inFlight is a request between its arrival and its end.
+type inFlight struct {
+	arrival  *arrival
+	work     sched.Work
+	job      *job
+	engine   *engine
+	granted  time.Duration
+	firstAt  time.Duration
+	finished bool
+	prefill  int
+	repeated int
+}
+
+// Run makes one run and returns its results.
+func Run(scenarioName, workloadName, policy string, seed uint64) (*Result, error) {
+	w, err := newWorld(scenarioName, workloadName, policy, seed)
+	if err != nil {
+		return nil, err
+	}
+	w.loop.run(func() bool { return w.open == 0 && w.loop.now > Duration })
+	return w.results.finish(scenarioName, workloadName, policy, seed), nil
+}
+
+func newWorld(scenarioName, workloadName, policy string, seed uint64) (*world, error) {
+	base, ok := workloads[workloadName]
+	if !ok {
+		return nil, errkind.New(errkind.BadSettings, "there is no workload %q", workloadName)
+	}
+	for i := range scenarios {
+		if scenarios[i].name != scenarioName {
+			continue
+		}
+		s := scenarios[i].withDefaults()
+		w := &world{
+			scenario: s,
+			workload: s.shape(base),
+			byName:   map[string]*engine{},
+			random:   rand.New(rand.NewPCG(seed, 1)),
+			requests: map[string]*inFlight{},
+			known:    map[string]int{},
+			results:  newResults(),
+		}
+		w.pool = sched.New(sched.Config{
+			Policy:        policy,
+			Random:        rand.New(rand.NewPCG(seed, 2)),
+			QueueRequests: queueRequests,
+			QueueTokens:   queueTokens,
+		})
+		w.build()
+		w.arrive(seed)
+		w.disturb()
+		return w, nil
+	}
+	return nil, errkind.New(errkind.BadSettings, "there is no scenario %q", scenarioName)
+}
+
+func (w *world) now() time.Time { return epoch.Add(w.loop.now) }
+
+// build makes the engines. Every third serves all models, the others one each.
+func (w *world) build() {
+	var records []record.Upstream
+	for i := range w.workload.engines {
+		generation := generations[i%len(generations)]
+		e := &engine{
+			loop:     &w.loop,
+			name:     fmt.Sprintf("engine-%02d", i),
+			prefill:  generation[0],
+			decode:   generation[1],
+			slowdown: 1,
+		}
+		e.cache.entries = map[string]*list.Element{}
+		e.cache.changed = func(id string, tokens int, stored bool) { w.cacheEvent(e, id, tokens, stored) }
+		e.prefillDone = w.countPrefill
+		w.engines = append(w.engines, e)
+		w.byName[e.name] = e
+		served := w.workload.models
+		if (i/len(generations))%3 != 0 {
+			at := (i / len(generations)) % len(served)
+			served = served[at : at+1]
+		}
+		e.models = served
+		records = append(records, recordOf(e, served, generation))
+		w.reportLoad(e, time.Duration(i)*w.scenario.reportGap/time.Duration(w.workload.engines))
+	}
+	w.pool.SetUpstreams(w.now(), records)
+}
+
+func recordOf(e *engine, models []string, generation [2]float64) record.Upstream {
+	r := record.Upstream{
+		Name:                   e.name,
+		Type:                   record.TypeEngine,
+		MaxRequests:            maxBatch,
+		MaxTokens:              memoryTokens,
+		PrefillTokensPerSecond: int(generation[0]),
+		DecodeTokensPerSecond:  int(generation[1]),
+	}
+	for _, m := range models {
+		r.Models = append(r.Models, m+"@1")
+	}
+	return r
+}
+
+// reportLoad takes a report and delivers it later, over and over.
+func (w *world) reportLoad(e *engine, delay time.Duration) {
+	w.loop.after(delay, func() {
+		if e.dead {
+			return
+		}
+		load := sched.Load{
+			Running:     len(e.running),
+			Waiting:     len(e.waiting),
+			TokensInUse: e.memory,
+			Incarnation: "1",
+			ReportedAt:  w.now(),
+		}
+		w.loop.after(w.scenario.reportLag, func() {
+			w.apply(w.pool.ReportLoad(w.now(), e.name, load))
+		})
+		w.reportLoad(e, w.scenario.reportGap)
+	})
+}
+
+// cacheEvent delivers an event about a shared prefix late, or not at all. Parts
+// of prompts that nothing shares are left out: no other request asks for them.
+func (w *world) cacheEvent(e *engine, id string, tokens int, stored bool) {
+	if w.random.Float64() < cacheEventLoss {
+		return
+	}
+	hashes, _ := prefixHashes(id, tokens, tokens, 0)
+	delay := time.Duration(w.random.ExpFloat64() * float64(w.scenario.cacheLag))
+	w.loop.after(delay, func() {
+		if stored {
+			w.pool.ReportCache(w.now(), e.name, hashes, nil)
+			return
+		}
+		w.pool.ReportCache(w.now(), e.name, nil, hashes)
+	})
+}
+
+// countPrefill accounts for the shared prefix that a job processed again.
+func (w *world) countPrefill(j *job) {
+	a := j.arrival
+	known := w.known[a.prefixID]
+	j.repeated = max(0, min(known, a.prefixTokens)-j.cached)
+	w.known[a.prefixID] = max(known, a.prefixTokens)
+}
+
+// arrive schedules the arrivals.
+func (w *world) arrive(seed uint64) {
+	arrivals := w.scenario.arrivalsOf(&w.workload, seed)
+	for i := range arrivals {
+		a := &arrivals[i]
+		w.open++
+		w.loop.at(a.at, func() { w.start(a) })
+	}
+}
+
+// disturb schedules the faults of the scenario.
+func (w *world) disturb() {
+	if w.scenario.slowEngine {
+		w.loop.at(Duration/4, func() { w.engines[len(generations)-1].slowdown = 5 })
+	}
+	if w.scenario.loseDomain {
+		w.loop.at(Duration/3, func() {
+			for i := 0; i < len(w.engines); i += 2 {
+				w.engines[i].kill()
+			}
+		})
+	}
+}
+
+func (w *world) start(a *arrival) {
+	w.results.offered(a)
+	r := &inFlight{arrival: a, work: sched.Work{
+		Tier:         a.class.tier,
+		Team:         a.team,
+		Model:        a.class.model,
+		PromptTokens: a.promptTokens,
+		OutputTokens: a.outputTokens,
+		Fingerprint:  uint64(a.index) + 1,
+	}}
+	r.work.PrefixHashes, r.work.PrefixTokens = prefixHashes(a.prefixID, a.prefixTokens, a.promptTokens, a.index)
+	w.requests[strconv.Itoa(a.index)] = r
+	w.loop.at(a.at+a.class.deadline, func() { w.giveUp(r) })
+	w.acquire(r)
+}
+
+func (r *inFlight) id() string     { return strconv.Itoa(r.arrival.index) }
+func (r *inFlight) holder() string { return "entry-" + strconv.Itoa(r.arrival.index%entries) }
+
+func (w *world) acquire(r *inFlight) {
+	if r.finished {
+		return
+	}
+	w.apply(w.pool.Acquire(w.now(), sched.Request{
+		ID:       r.id(),
+		Holder:   r.holder(),
+		Work:     r.work,
+		Deadline: epoch.Add(r.arrival.at + r.arrival.class.deadline),
+	}))
+}
+
+// giveUp is the caller's reaction to a deadline without a first token.
+func (w *world) giveUp(r *inFlight) {
+	if r.finished || r.firstAt > 0 {
+		return
+	}
+	w.end(r, ended{outcome: late})
+	if r.job == nil {
+		w.apply(w.pool.Cancel(w.now(), r.holder(), r.id()))
+		return
+	}
+	r.job.dropped = true
+	w.release(r, sched.Cancelled)
+}
+
+// apply carries out decisions.
+func (w *world) apply(d sched.Decisions) {
+	for _, refusal := range d.Refusals {
+		r := w.requests[refusal.RequestID]
+		w.end(r, ended{outcome: refused, kind: refusal.Kind, inverted: w.results.grantedBelow(r.arrival)})
+	}
+	for _, grant := range d.Grants {
+		w.dispatch(w.requests[grant.RequestID], w.byName[grant.Upstream])
+	}
+	w.planTick()
+}
+
+func (w *world) planTick() {
+	due := w.pool.NextTick()
+	if due.IsZero() {
+		return
+	}
+	at := max(due.Sub(epoch), w.loop.now+time.Millisecond)
+	if w.tickAt > w.loop.now && w.tickAt <= at {
+		return
+	}
+	w.tickAt = at
+	w.ticking++
+	current := w.ticking
+	w.loop.at(at, func() {
+		if current == w.ticking {
+			w.apply(w.pool.Tick(w.now()))
+		}
+	})
+}
+
+func (w *world) dispatch(r *inFlight, e *engine) {
+	w.results.granted(r.arrival, e.models, w.loop.now)
+	r.granted = w.loop.now
+	if e.dead {
+		w.loop.after(dialTimeout, func() { w.redial(r) })
+		return
+	}
+	r.engine = e
+	j := &job{arrival: r.arrival}
+	j.first = func() { r.firstAt = w.loop.now }
+	j.done = func() {
+		w.end(r, ended{outcome: good, firstToken: r.firstAt - r.arrival.at})
+		w.release(r, sched.Completed)
+	}
+	j.failed = func() {
+		w.end(r, ended{outcome: failed})
+		w.release(r, sched.UpstreamBroken)
+	}
+	r.job = j
+	w.loop.after(networkDelay, func() {
+		if e.dead {
+			j.failed()
+			return
+		}
+		e.submit(j)
+	})
+}
+
+// redial gives back a grant whose upstream could not be reached, and asks for
+// another: the request did not run.
+func (w *world) redial(r *inFlight) {
+	w.apply(w.pool.Release(w.now(), sched.Result{RequestID: r.id(), Holder: r.holder(), Outcome: sched.DialFailed}))
+	w.loop.after(redialDelay, func() { w.acquire(r) })
+}
+
+func (w *world) release(r *inFlight, outcome sched.Outcome) {
+	result := sched.Result{
+		RequestID:    r.id(),
+		Holder:       r.holder(),
+		Outcome:      outcome,
+		CachedTokens: r.job.cached,
+		OutputTokens: r.job.produced,
+		Total:        w.loop.now - r.granted,
+	}
+	if r.firstAt > 0 {
+		result.FirstToken = r.firstAt - r.granted
+	}
+	w.loop.after(networkDelay, func() { w.apply(w.pool.Release(w.now(), result)) })
+}
+
+// end records the end of a request, once.
+func (w *world) end(r *inFlight, e ended) {
+	if r.finished {
+		return
+	}
+	r.finished = true
+	w.open--
+	if r.job != nil {
+		r.prefill = r.job.prefilled
+		r.repeated = r.job.repeated
+	}
+	w.results.ended(r, e)
+}
