sched: bound the prefill work granted to an upstream

Cause: the token limit admits many seconds of prefill to one engine, which does it in order of arrival, so a later request of a higher tier waits behind it. The policy now grants only while at most 200 ms of prefill are ahead, and the rest waits in the queue, where its tier counts.

--- a/pkg/sched/config.go
+++ b/pkg/sched/config.go
@@ -27,6 +27,7 @@
 	defaultMaxRequests   = 64
 	defaultLongTokens    = 4096
 	defaultLongShare     = 0.5
+	defaultMaxBacklog    = 200 * time.Millisecond
 	defaultPrefixEntries = 4096
 	defaultStrikeEntries = 10_000
 	defaultStrikeLife    = time.Hour
@@ -57,6 +58,9 @@
 	LongTokens int
 	// LongShare is the share of an upstream's tokens that long reads may use.
 	LongShare float64
+	// MaxBacklog bounds the prefill work granted to an upstream ahead of a
+	// request.
+	MaxBacklog time.Duration
 	// PrefixEntries bounds the prefix index of one upstream.
 	PrefixEntries int
 	// StrikeEntries bounds the table of crash strikes.
@@ -83,6 +87,7 @@
 	orDefault(&c.MaxRequests, defaultMaxRequests)
 	orDefault(&c.LongTokens, defaultLongTokens)
 	orDefault(&c.LongShare, defaultLongShare)
+	orDefault(&c.MaxBacklog, defaultMaxBacklog)
 	orDefault(&c.PrefixEntries, defaultPrefixEntries)
 	orDefault(&c.StrikeEntries, defaultStrikeEntries)
 	orDefault(&c.StrikeLife, defaultStrikeLife)
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -47,6 +47,7 @@
 		{"slow", filterSlow},
 		{"suspect", filterSuspect},
 		{"deadline", filterDeadline},
+		{"backlog", filterBacklog},
 		{"limits", filterLimits},
 		{"outranked", filterOutranked},
 	}
@@ -77,6 +78,14 @@
 // token in time, because the prefill would be wasted.
 func filterDeadline(p *Pool, c *candidate, u *upstream) bool { return c.inTime(u, p) }
 
+// filterBacklog rejects an upstream whose granted prefill work will take longer
+// than the bound. Requests wait in the queue instead, where their tier counts
+// and where they go to whichever upstream is free first; engines know no
+// priorities.
+func filterBacklog(p *Pool, c *candidate, u *upstream) bool {
+	return u.estimate.backlogUntil-c.now <= int64(p.config.MaxBacklog)
+}
+
 // filterLimits applies the limits of the upstream and the reservation for
 // higher tiers.
 func filterLimits(p *Pool, c *candidate, u *upstream) bool {
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -12,7 +12,7 @@
 // fixture returns a pool with one engine of 10 requests and 10,000 tokens, that
 // prefills 1,000 tokens per second, and a short request with a second left.
 func fixture() (*Pool, *upstream, *candidate) {
-	p := New(Config{LongTokens: 4000})
+	p := New(Config{LongTokens: 4000, MaxBacklog: 2 * time.Second})
 	now := time.Unix(1_700_000_000, 0)
 	p.SetUpstreams(now, []record.Upstream{{
 		Name: "u", Models: []string{"m@1", "n@1"}, MaxRequests: 10, MaxTokens: 10_000,
@@ -72,6 +72,10 @@
 		{"backlog up to the deadline", "", func(_ *Pool, u *upstream, c *candidate) {
 			u.estimate.start(c.now, 499)
 		}, true},
+		{"backlog beyond the bound", "backlog", func(_ *Pool, u *upstream, c *candidate) {
+			u.estimate.start(c.now, 2001)
+			c.deadline += int64(time.Minute)
+		}, false},
 		{"no request left", "limits", func(_ *Pool, u *upstream, _ *candidate) { u.requests = 10 }, false},
 		{"reported surplus", "limits", func(_ *Pool, u *upstream, _ *candidate) {
 			u.requests = 5
--- a/pkg/sched/pool_test.go
+++ b/pkg/sched/pool_test.go
@@ -158,7 +158,7 @@
 // lower tier waits, and against one that is never refused.
 func TestLateRequestsOutlastLowerTiers(t *testing.T) {
 	g := NewWithT(t)
-	p := sched.New(sched.Config{})
+	p := sched.New(sched.Config{MaxBacklog: time.Minute})
 	p.SetUpstreams(start, []record.Upstream{engine("a", 2, 0)})
 	p.Acquire(start, request("running", 1, 20_000))
 	p.Acquire(start, request("running too", 1, 20_000))
