sched: separate the step overhead from the prefill rate

Cause: a short prompt waits for the step that the engine is in, and the whole time to the first token was attributed to the prefill rate, which then looked too low; requests were refused as unmeetable and the backlog bound held them back. The overhead is now estimated from short prompts, the rate from long ones. Nothing else was tried for it.

--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -10,18 +10,23 @@
 const (
 	rateWeight      = 0.1
 	largestRateStep = 4.0
-	// minObservedTokens is the prefill below which the first token's time says
-	// more about the network than about the prefill rate.
-	minObservedTokens = 64
+	// minRateTokens is the prefill from which the time to the first token says
+	// more about the prefill rate than about the steps of the running batch.
+	minRateTokens = 1024
 )
 
 // estimate predicts an upstream from observed releases and from the work
 // granted since. It is a single-server queue: prefill work is done in order at
-// prefillRate, and backlogUntil is when the granted work will be done.
+// prefillRate, and backlogUntil is when the granted work will be done. Each
+// request also waits for the step that the engine is in, whatever its length;
+// that is the overhead. Without it, short prompts would make the prefill rate
+// look several times too low.
 type estimate struct {
-	// prefillRate is in tokens per second, tokenTime in seconds per token.
+	// prefillRate is in tokens per second, tokenTime in seconds per token, and
+	// overhead in seconds.
 	prefillRate float64
 	tokenTime   float64
+	overhead    float64
 	// backlogUntil is in nanoseconds since the epoch.
 	backlogUntil int64
 }
@@ -39,7 +44,7 @@
 // first returns the expected time to the first token, in seconds.
 func (e *estimate) first(now int64, uncached int) float64 {
 	backlog := float64(max(0, e.backlogUntil-now)) / float64(time.Second)
-	return backlog + float64(uncached)/e.prefillRate
+	return e.overhead + backlog + float64(uncached)/e.prefillRate
 }
 
 // start adds granted prefill work.
@@ -56,10 +61,8 @@
 
 // observe learns from a completed request.
 func (e *estimate) observe(g *grant, result Result) {
-	if g.uncached >= minObservedTokens && g.expectedFirst > 0 && result.FirstToken > 0 {
-		ratio := float64(result.FirstToken) / float64(g.expectedFirst)
-		ratio = min(max(ratio, 1/largestRateStep), largestRateStep)
-		e.prefillRate *= math.Pow(ratio, -rateWeight)
+	if result.FirstToken > 0 && g.expectedFirst > 0 {
+		e.observeFirst(g, result.FirstToken.Seconds())
 	}
 	if perToken, ok := tokenTime(result); ok {
 		perToken = min(max(perToken, e.tokenTime/largestRateStep), e.tokenTime*largestRateStep)
@@ -67,6 +70,19 @@
 	}
 }
 
+// observeFirst attributes the time to the first token to the prefill rate for
+// long prompts, and to the overhead for short ones.
+func (e *estimate) observeFirst(g *grant, first float64) {
+	expected := g.expectedFirst.Seconds()
+	if g.uncached < minRateTokens {
+		e.overhead = max(0, e.overhead+rateWeight*(first-expected))
+		return
+	}
+	ratio := max(first-e.overhead, first/largestRateStep) / max(expected-e.overhead, expected/largestRateStep)
+	ratio = min(max(ratio, 1/largestRateStep), largestRateStep)
+	e.prefillRate *= math.Pow(ratio, -rateWeight)
+}
+
 // tokenTime returns the observed time per output token, in seconds.
 func tokenTime(result Result) (float64, bool) {
 	decode := result.Total - result.FirstToken
