--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -46,6 +46,8 @@
 		{"avoided", filterAvoided},
 		{"slow", filterSlow},
 		{"suspect", filterSuspect},
+		{"deadline", filterDeadline},
+		{"backlog", filterBacklog},
 		{"limits", filterLimits},
 		{"outranked", filterOutranked},
 	}
@@ -72,6 +74,18 @@
 // filterSuspect allows at most one suspect on an upstream.
 func filterSuspect(_ *Pool, c *candidate, u *upstream) bool { return !c.suspect || u.suspects == 0 }
 
+// filterDeadline rejects an upstream that is not expected to produce the first
+// token in time, because the prefill would be wasted.
+func filterDeadline(p *Pool, c *candidate, u *upstream) bool { return c.inTime(u, p) }
+
+// filterBacklog rejects an upstream whose granted prefill work will take longer
+// than the bound. Requests wait in the queue instead, where their tier counts
+// and where they go to whichever upstream is free first; engines know no
+// priorities.
+func filterBacklog(p *Pool, c *candidate, u *upstream) bool {
+	return u.estimate.backlogUntil-c.now <= int64(p.config.MaxBacklog)
+}
+
 // filterLimits applies the limits of the upstream and the reservation for
 // higher tiers.
 func filterLimits(p *Pool, c *candidate, u *upstream) bool {
@@ -106,12 +120,11 @@
 	if len(mt.groups[classLong].teams) > 0 && u.fitsLong(p.share, p.config.LongTokens, p.config.LongShare) {
 		return true
 	}
-	if u.suspects > 0 {
-		return false
-	}
 	for _, team := range mt.groups[classSuspect].teams {
 		for element := team.items.Front(); element != nil; element = element.Next() {
-			if p.strikes.inFlight[element.Value.(*waiting).request.Work.Fingerprint] == 0 {
+			fingerprint := element.Value.(*waiting).request.Work.Fingerprint
+			// A request stays in the class after its fingerprint was cleared.
+			if !p.strikes.suspect(fingerprint) || (u.suspects == 0 && p.strikes.inFlight[fingerprint] == 0) {
 				return true
 			}
 		}
