--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -41,6 +41,10 @@
 type Reply struct {
 	Result   Result
 	Upstream string
+	// RequestID is the ID under which upstreams know the request. For a key of
+	// the caller's own it is the ID issued to the attempt that holds the key;
+	// it is empty when that is not known.
+	RequestID string
 }
 
 // Claimer grants at most one holder the right to dispatch a request.
@@ -52,6 +56,9 @@
 	// Claim claims an issued ID or a key of the caller's own (scoped by team).
 	Claim(ctx context.Context, team, identity string) (Reply, error)
 	// Update tells the issuer that the phase changed. It does not fail: what
-	// does not arrive is asked for through the holder's status.
+	// does not arrive is asked for through the holder's status. The identity is
+	// the RequestID of the granting reply. After Abandoned the holder must not
+	// dispatch; Dispatched is set before the first byte may be sent, and no
+	// phase but Finished follows it.
 	Update(identity string, phase Phase, upstream string)
 }
