Add the interface to callers

Each request is driven through its state chart: claim, grant, dispatch, answer, release. The check of the grant and the change to dispatched are one atomic step, so that a request is refused as not run or dispatched, never both. Streams are renumbered, resumed from the engine when they break, and end with an error event when they cannot be completed. Answers that are not streamed are verified before any of them is sent.

Every default of go-zero's rest that would answer without a run state, cut a stream or buffer an answer is off; its router is replaced by one with wildcards that never redirects.

--- /dev/null
+++ b/pkg/entry/answer.go
@@ -0,0 +1,295 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/sched"
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
+)
+
+// apiError is the error object of OpenAI's API, with the run state and the kind.
+type apiError struct {
+	Message  string           `json:"message"`
+	Type     string           `json:"type"`
+	Param    *string          `json:"param"`
+	Code     errkind.Kind     `json:"code"`
+	Kind     errkind.Kind     `json:"kind"`
+	RunState errkind.RunState `json:"run_state"`
+}
+
+func errorBody(err *errkind.Error) []byte {
+	answer := errkind.AnswerFor(err.Kind)
+	errorType := "server_error"
+	if answer.Status < http.StatusInternalServerError {
+		errorType = "invalid_request_error"
+	}
+	body, _ := json.Marshal(map[string]apiError{"error": {
+		Message: err.Message, Type: errorType, Code: err.Kind, Kind: err.Kind, RunState: answer.RunState,
+	}})
+	return body
+}
+
+// writeRefusal answers with the kind of err.
+func writeRefusal(w http.ResponseWriter, requestID string, err *errkind.Error) {
+	answer := errkind.AnswerFor(err.Kind)
+	header := w.Header()
+	if requestID != "" {
+		header.Set(headerRequestID, requestID)
+	}
+	header.Set(headerRunState, string(answer.RunState))
+	header.Set(headerError, string(err.Kind))
+	header.Set(headerShouldRetry, strconv.FormatBool(answer.Resend && answer.Status >= http.StatusTooManyRequests))
+	header.Set(headerContentType, typeJSON)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(errorBody(err))
+}
+
+// refuseEarly answers a request that was not read.
+func (e *Entry) refuseEarly(w http.ResponseWriter, err *errkind.Error) {
+	e.count(string(err.Kind), "")
+	writeRefusal(w, "", err)
+}
+
+// finishRefused answers a request that was not dispatched.
+func (e *Entry) finishRefused(w http.ResponseWriter, q *request, err *errkind.Error) {
+	e.logEnd(q, err)
+	if !q.callerGone() {
+		writeRefusal(w, q.id, err)
+	}
+}
+
+// finishBroken reports a dispatched request that has no answer, first to the
+// scheduler, whose strikes must be in force when the caller sends it again.
+func (e *Entry) finishBroken(w http.ResponseWriter, q *request, err *errkind.Error) {
+	err = e.endBroken(q, err)
+	if !q.callerGone() {
+		writeRefusal(w, q.id, err)
+	}
+}
+
+// endBroken ends a dispatched request without a complete answer.
+func (e *Entry) endBroken(q *request, err *errkind.Error) *errkind.Error {
+	if errkind.AnswerFor(err.Kind).RunState == errkind.NotRun {
+		// A byte may have been sent, whatever the error says.
+		err = errkind.Wrap(errkind.UpstreamBroken, err, "the request may have run")
+	}
+	outcome := outcomeOf(err.Kind)
+	q.machine.Fire(eventBreak)
+	if q.machine.State() == stateCancelled {
+		outcome = sched.Cancelled
+		err = errkind.New(errkind.CallerGone, "the request was cancelled after its caller had gone")
+	}
+	if q.pool != "" {
+		e.release(q, outcome)
+		e.Claimer.Update(q.claimedIdentity(), claim.Finished, q.upstreamName())
+	}
+	e.logEnd(q, err)
+	return err
+}
+
+// outcomeOf maps a kind to the outcome for the scheduler. Only a broken
+// upstream counts as a crash; a wrong answer is no sign of one.
+func outcomeOf(kind errkind.Kind) sched.Outcome {
+	if kind == errkind.UpstreamBroken {
+		return sched.UpstreamBroken
+	}
+	return sched.UpstreamRefused
+}
+
+// endComplete ends a request whose whole answer was received.
+func (e *Entry) endComplete(q *request) {
+	q.machine.Fire(eventComplete)
+	if q.pool != "" {
+		e.release(q, sched.Completed)
+		e.Claimer.Update(q.claimedIdentity(), claim.Finished, q.upstreamName())
+	}
+	if q.target.engine() {
+		e.averages.add(q.target.model, q.outputTokens)
+	}
+	e.logEnd(q, nil)
+}
+
+// deliver passes the upstream's answer on to the caller.
+func (e *Entry) deliver(w http.ResponseWriter, q *request, answer *upstream.Answer) {
+	q.machine.Fire(eventAnswer)
+	if id := answer.Header.Get(headerUpstreamID); id != "" && id != q.id {
+		_ = answer.Body.Close()
+		e.finishBroken(w, q, errkind.New(errkind.CrossedAnswer, "the upstream answered another request"))
+		return
+	}
+	if q.target.engine() && (answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusTooManyRequests) {
+		_ = answer.Body.Close()
+		e.finishBroken(w, q, errkind.New(errkind.UpstreamRefused, "the engine answered with status %d", answer.Status))
+		return
+	}
+	streamed := strings.HasPrefix(answer.Header.Get(headerContentType), typeEvents)
+	switch {
+	case streamed && q.target.engine():
+		e.stream(w, q, answer, 0)
+	case streamed:
+		e.pass(w, q, answer)
+	default:
+		e.whole(w, q, answer)
+	}
+}
+
+var errTooLarge = errors.New("the answer is larger than the limit")
+
+func (e *Entry) readAnswer(answer *upstream.Answer) ([]byte, error) {
+	defer func() { _ = answer.Body.Close() }()
+	limit := e.Settings.Limits.AnswerBytes
+	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errTooLarge
+	}
+	return body, err
+}
+
+// afterBreak handles a dispatch without an answer. An engine that lives has
+// the answer and is asked for it; the request is not sent a second time.
+func (e *Entry) afterBreak(w http.ResponseWriter, q *request, err *errkind.Error) {
+	if !q.target.engine() || err.Kind != errkind.UpstreamBroken {
+		e.finishBroken(w, q, err)
+		return
+	}
+	if q.target.stream {
+		e.attach(w, q, 0)
+		return
+	}
+	answer, body, failure := e.fetchAgain(q, err)
+	if failure != nil {
+		e.finishBroken(w, q, failure)
+		return
+	}
+	e.sendWhole(w, q, answer, body)
+}
+
+// whole verifies an answer that is not streamed before any of it is sent. An
+// engine is asked for it again when the connection broke.
+func (e *Entry) whole(w http.ResponseWriter, q *request, answer *upstream.Answer) {
+	body, err := e.readAnswer(answer)
+	if err == nil && q.target.engine() && answer.Status == http.StatusOK && !json.Valid(body) {
+		err = errkind.New(errkind.AnswerIncomplete, "the engine's answer is not complete JSON")
+	}
+	var failure *errkind.Error
+	switch {
+	case errors.Is(err, errTooLarge):
+		failure = errkind.New(errkind.AnswerIncomplete, "the answer is larger than %d bytes", e.Settings.Limits.AnswerBytes)
+	case err != nil && q.target.engine():
+		answer, body, failure = e.fetchAgain(q, err)
+	case err != nil:
+		failure = errkind.Wrap(errkind.AnswerIncomplete, err, "the service's answer was cut")
+	}
+	if failure != nil {
+		e.finishBroken(w, q, failure)
+		return
+	}
+	e.sendWhole(w, q, answer, body)
+}
+
+// sendWhole sends a verified answer.
+func (e *Entry) sendWhole(w http.ResponseWriter, q *request, answer *upstream.Answer, body []byte) {
+	q.firstToken = e.Clock.Now()
+	if q.target.engine() {
+		q.readUsage(body)
+	}
+	if !q.callerGone() {
+		copyHeader(w, answer.Header)
+		w.Header().Set(headerUpstream, q.upstreamName())
+		w.Header().Set(headerRunState, string(errkind.Ran))
+		if len(body) > 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		}
+		w.WriteHeader(answer.Status)
+		_, _ = w.Write(body)
+		// The caller need not wait until the release has been sent.
+		_ = http.NewResponseController(w).Flush()
+	}
+	e.endComplete(q)
+}
+
+// fetchAgain gets an engine's whole answer by its request ID. cause is why the
+// first connection had no answer.
+func (e *Entry) fetchAgain(q *request, cause error) (*upstream.Answer, []byte, *errkind.Error) {
+	broken := brokenBy(cause)
+	fetcher, ok := e.Engine.(AnswerFetcher)
+	if !ok {
+		return nil, nil, broken
+	}
+	for try := range e.Settings.Limits.ResumeTries {
+		if err := e.backoff(q.ctx, try); err != nil {
+			return nil, nil, typed(err, "the request was ended")
+		}
+		answer, err := fetcher.FetchAnswer(q.ctx, q.address, q.id)
+		if err != nil {
+			continue
+		}
+		body, err := e.readAnswer(answer)
+		if answer.Status == http.StatusNotFound {
+			return nil, nil, errkind.New(errkind.UpstreamBroken, "the engine does not know the request any more")
+		}
+		if id := answer.Header.Get(headerUpstreamID); id != "" && id != q.id {
+			broken = errkind.New(errkind.CrossedAnswer, "the engine returned another answer")
+			continue
+		}
+		if err == nil && answer.Status == http.StatusOK && json.Valid(body) {
+			return answer, body, nil
+		}
+	}
+	return nil, nil, broken
+}
+
+// brokenBy returns the error of a request whose connection broke.
+func brokenBy(cause error) *errkind.Error {
+	if known := typed(cause, ""); known.Kind != errkind.Internal {
+		return known
+	}
+	return errkind.Wrap(errkind.UpstreamBroken, cause, "the connection to the upstream broke")
+}
+
+// backoff waits before a try; the first comes at once.
+func (e *Entry) backoff(ctx context.Context, try int) error {
+	if try > 0 {
+		timer := e.Clock.NewTimer(e.Settings.Timeouts.ResumeBackoff << (try - 1))
+		defer timer.Stop()
+		select {
+		case <-timer.Chan():
+		case <-ctx.Done():
+		}
+	}
+	return context.Cause(ctx)
+}
+
+func copyHeader(w http.ResponseWriter, from http.Header) {
+	for name, values := range from {
+		if passedOn(name) {
+			w.Header()[name] = values
+		}
+	}
+}
+
+type usageBody struct {
+	Usage *struct {
+		CompletionTokens    int `json:"completion_tokens"`
+		PromptTokensDetails struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// readUsage takes the token counts of an answer or of a stream's event.
+func (q *request) readUsage(body []byte) {
+	var parsed usageBody
+	if json.Unmarshal(body, &parsed) == nil && parsed.Usage != nil {
+		q.outputTokens = parsed.Usage.CompletionTokens
+		q.cachedTokens = parsed.Usage.PromptTokensDetails.CachedTokens
+	}
+}
--- /dev/null
+++ b/pkg/entry/estimate.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// bytesPerToken is the usual estimate for text.
+	bytesPerToken = 4
+	// blockBytes is the block size of prefix hashes, the one of cache events.
+	blockBytes = 256
+	// maxHashes limits the prefix hashes of one request. Powers of two up to
+	// 2^10 blocks and the end cover prompts of 256 KiB.
+	maxHashes = 12
+	// firstOutputTokens is the estimate of the output before the first answer.
+	firstOutputTokens = 256
+	// averageWeight is the weight of the newest answer in the running average.
+	averageWeight = 0.1
+)
+
+// prefixHashes returns the hashes of growing prefixes of the prompt, of 1, 2,
+// 4, ... blocks and of all whole blocks, and their lengths in tokens. Each
+// hash covers the hash of the previous block; the first covers the model's
+// name. Of more than maxHashes the longest are kept.
+func prefixHashes(model string, prompt []byte) (hashes []uint64, tokens []int) {
+	var chained [8 + blockBytes]byte
+	previous := xxhash.Sum64String(model)
+	whole := len(prompt) / blockBytes
+	for block := 1; block <= whole; block++ {
+		binary.LittleEndian.PutUint64(chained[:8], previous)
+		copy(chained[8:], prompt[(block-1)*blockBytes:block*blockBytes])
+		previous = xxhash.Sum64(chained[:])
+		if block&(block-1) == 0 || block == whole {
+			hashes = append(hashes, previous)
+			tokens = append(tokens, block*blockBytes/bytesPerToken)
+		}
+	}
+	if extra := len(hashes) - maxHashes; extra > 0 {
+		return hashes[extra:], tokens[extra:]
+	}
+	return hashes, tokens
+}
+
+// fingerprint identifies the content of a request without its identity.
+func fingerprint(method, path string, body []byte) uint64 {
+	digest := xxhash.New()
+	for _, part := range [][]byte{[]byte(method), {0}, []byte(path), {0}, body} {
+		_, _ = digest.Write(part)
+	}
+	return digest.Sum64()
+}
+
+// promptText joins the messages of a chat completion, each as role, newline,
+// content, newline. A content of several parts is taken as its JSON.
+func promptText(messages []chatMessage) []byte {
+	var text []byte
+	for _, message := range messages {
+		text = append(text, message.Role...)
+		text = append(text, '\n')
+		var content string
+		if json.Unmarshal(message.Content, &content) == nil {
+			text = append(text, content...)
+		} else {
+			text = append(text, message.Content...)
+		}
+		text = append(text, '\n')
+	}
+	return text
+}
+
+// averages holds the running average of output tokens by model.
+type averages struct {
+	mu      sync.Mutex
+	byModel map[string]float64
+}
+
+func (a *averages) get(model string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if average, ok := a.byModel[model]; ok {
+		return int(average)
+	}
+	return firstOutputTokens
+}
+
+func (a *averages) add(model string, tokens int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byModel == nil {
+		a.byModel = map[string]float64{}
+	}
+	average, ok := a.byModel[model]
+	if !ok {
+		average = firstOutputTokens
+	}
+	a.byModel[model] = average + averageWeight*(float64(tokens)-average)
+}
--- /dev/null
+++ b/pkg/entry/fakes_test.go
@@ -0,0 +1,312 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/pool"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+	"github.com/rosemarywing/rosemarywing/pkg/sched"
+	"github.com/rosemarywing/rosemarywing/pkg/settings"
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
+)
+
+const (
+	testKey   = "secret-key-of-the-team"
+	grantTime = 2 * time.Second
+	chatBody  = `{"model":"m","stream":true,"messages":[{"role":"user","content":"secret prompt"}]}`
+	wholeBody = `{"model":"m","messages":[{"role":"user","content":"secret prompt"}]}`
+)
+
+var errReset = errors.New("connection reset by peer")
+
+// fixture is an entry with fakes around it. The hooks may be replaced by a test
+// before the first request.
+type fixture struct {
+	*WithT
+	entry *Entry
+	clock *clockwork.FakeClock
+
+	mu         sync.Mutex
+	snapshot   *conf.Snapshot
+	grants     int
+	dispatches []upstream.Call
+	releases   []sched.Outcome
+	updates    []claim.Phase
+	cancels    []string
+	log        strings.Builder
+
+	onClaim    func(identity string) (claim.Reply, error)
+	onAcquire  func() error
+	onGrant    func()
+	onDial     func() error
+	onDispatch func(call upstream.Call) (*upstream.Answer, error)
+	onResume   func(id string, from uint64) (*upstream.Answer, error)
+	onFetch    func(id string) (*upstream.Answer, error)
+}
+
+func newSnapshot(withdrawn ...string) *conf.Snapshot {
+	sum := sha256.Sum256([]byte(testKey))
+	team := &record.Team{Name: "t", Weight: 1, DefaultTier: "low", HighestTier: "mid"}
+	snapshot := &conf.Snapshot{
+		Usable: true, NewestVersion: 7,
+		Tiers: map[string]*record.Tier{
+			"low": {Name: "low", Priority: 1, DeadlineMs: 60000},
+			"mid": {Name: "mid", Priority: 2, DeadlineMs: 60000},
+			"top": {Name: "top", Priority: 3, DeadlineMs: 60000},
+		},
+		Teams:     map[string]*record.Team{"t": team, "u": {Name: "u", DefaultTier: "top", HighestTier: "top"}},
+		Models:    map[string]*record.Model{"m": {Name: "m", Versions: []string{"1"}}},
+		Upstreams: map[string]*record.Upstream{},
+		Withdrawn: map[string]bool{}, WithdrawnVersions: map[string]bool{},
+		TeamByKey: map[string]*record.Team{hex.EncodeToString(sum[:]): team},
+		Pools: map[string]*conf.Pool{
+			"north/m": {Name: "north/m", Domain: "north", Targets: []string{"model:m"}},
+			"north/s": {Name: "north/s", Domain: "north", Targets: []string{"service:s"}},
+		},
+	}
+	for i, name := range []string{"e1", "e2"} {
+		snapshot.Upstreams[name] = &record.Upstream{Name: name, Type: record.TypeEngine, Address: fmt.Sprintf("10.0.0.%d:1", i+1), Models: []string{"m@1"}}
+	}
+	for i, name := range []string{"s1", "s2"} {
+		snapshot.Upstreams[name] = &record.Upstream{Name: name, Type: record.TypeService, Address: fmt.Sprintf("10.0.1.%d:1", i+1), Service: "s"}
+	}
+	for _, name := range withdrawn {
+		snapshot.Withdrawn[name] = true
+	}
+	return snapshot
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{WithT: NewWithT(t), clock: clockwork.NewFakeClock(), snapshot: newSnapshot()}
+	s := settings.Default()
+	s.Instance.ID, s.Instance.Domain = "i1", "north"
+	s.Callers.TrustTeamHeader = true
+	s.Timeouts.ResumeBackoff = 0
+	f.onClaim = func(string) (claim.Reply, error) { return claim.Reply{Result: claim.Granted}, nil }
+	f.onAcquire = func() error { return nil }
+	f.onGrant = func() {}
+	f.onDial = func() error { return nil }
+	f.onDispatch = func(call upstream.Call) (*upstream.Answer, error) {
+		if strings.Contains(string(call.Body), `"stream":true`) {
+			return events(call.RequestID, 1, 4, nil), nil
+		}
+		return answer(http.StatusOK, call.RequestID, `{"usage":{"completion_tokens":3}}`), nil
+	}
+	f.onResume = func(id string, from uint64) (*upstream.Answer, error) { return events(id, from, 4, nil), nil }
+	f.onFetch = func(id string) (*upstream.Answer, error) { return answer(http.StatusOK, id, `{}`), nil }
+	var err error
+	f.entry, err = New(Options{
+		Settings: s, Clock: f.clock, Config: f, Claimer: f, Pool: f, Engine: f, Service: f,
+		Log: funcr.New(func(prefix, args string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.log.WriteString(prefix + args + "\n")
+		}, funcr.Options{Verbosity: 9}),
+		NotifyResumed: func(string, string) {},
+	})
+	f.Expect(err).NotTo(HaveOccurred())
+	return f
+}
+
+func answer(status int, id, body string) *upstream.Answer {
+	header := http.Header{headerUpstreamID: {id}, headerContentType: {typeJSON}}
+	return &upstream.Answer{Status: status, Header: header, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+// step is a part of a body: text, or an error, after a hook.
+type step struct {
+	hook func()
+	text string
+	err  error
+}
+
+type scripted struct{ steps []step }
+
+func (s *scripted) Close() error { return nil }
+
+func (s *scripted) Read(p []byte) (int, error) {
+	if len(s.steps) == 0 {
+		return 0, io.EOF
+	}
+	next := &s.steps[0]
+	if next.hook != nil {
+		next.hook()
+		next.hook = nil
+	}
+	if next.text == "" {
+		s.steps = s.steps[1:]
+		if next.err == nil {
+			return s.Read(p)
+		}
+		return 0, next.err
+	}
+	n := copy(p, next.text)
+	next.text = next.text[n:]
+	return n, nil
+}
+
+func eventText(id string, sequence uint64, last uint64) string {
+	data := fmt.Sprintf(`{"id":"x","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"w%d "}}]}`, sequence)
+	if sequence == last {
+		data = "[DONE]"
+	}
+	return fmt.Sprintf("id: e1/%s/%d\ndata: %s\n\n", id, sequence, data)
+}
+
+func streamed(id string, steps ...step) *upstream.Answer {
+	header := http.Header{headerUpstreamID: {id}, headerContentType: {typeEvents}}
+	return &upstream.Answer{Status: http.StatusOK, Header: header, Body: &scripted{steps}}
+}
+
+// events is a stream from one number to the last; before is called before each.
+func events(id string, from, last uint64, before func(sequence uint64) error) *upstream.Answer {
+	var steps []step
+	for sequence := from; sequence <= last; sequence++ {
+		s := step{text: eventText(id, sequence, last)}
+		if before != nil {
+			s.hook = func() { _ = before(sequence) }
+		}
+		steps = append(steps, s)
+	}
+	return streamed(id, steps...)
+}
+
+func (f *fixture) Snapshot() *conf.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
+func (f *fixture) Changed() <-chan struct{} { return nil }
+
+func (f *fixture) NewID() string { return "issued-1" }
+
+func (f *fixture) Claim(_ context.Context, _, identity string) (claim.Reply, error) {
+	return f.onClaim(identity)
+}
+
+func (f *fixture) Update(_ string, phase claim.Phase, _ string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.updates = append(f.updates, phase)
+}
+
+func (f *fixture) Acquire(_ context.Context, name string, request pool.Request) (sched.Grant, error) {
+	if err := f.onAcquire(); err != nil {
+		return sched.Grant{}, err
+	}
+	f.mu.Lock()
+	f.grants++
+	prefix := map[string]string{"north/m": "e", "north/s": "s"}[name]
+	chosen := fmt.Sprintf("%s%d", prefix, min(f.grants, 2))
+	f.mu.Unlock()
+	grant := sched.Grant{RequestID: request.ID, Upstream: chosen, Expiry: f.clock.Now().Add(grantTime)}
+	f.onGrant()
+	return grant, nil
+}
+
+func (f *fixture) Release(_ context.Context, _ string, _ sched.Work, result sched.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.releases = append(f.releases, result.Outcome)
+}
+
+func (f *fixture) Dispatch(_ context.Context, call upstream.Call) (*upstream.Answer, error) {
+	if err := f.onDial(); err != nil {
+		return nil, errkind.Wrap(errkind.DialFailed, err, "dial")
+	}
+	if err := call.OnDispatch(); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.dispatches = append(f.dispatches, call)
+	f.mu.Unlock()
+	reply, err := f.onDispatch(call)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.UpstreamBroken, err, "broken")
+	}
+	return reply, nil
+}
+
+func (f *fixture) Resume(_ context.Context, _, requestID string, from uint64) (*upstream.Answer, error) {
+	return f.onResume(requestID, from)
+}
+
+func (f *fixture) FetchAnswer(_ context.Context, _, requestID string) (*upstream.Answer, error) {
+	return f.onFetch(requestID)
+}
+
+func (f *fixture) CancelStream(_ context.Context, _, requestID string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels = append(f.cancels, requestID)
+	return nil
+}
+
+func (f *fixture) Load(context.Context, string) (upstream.Load, error) { return upstream.Load{}, nil }
+
+func (f *fixture) CacheEvents(context.Context, string, uint64) ([]upstream.CacheEvent, error) {
+	return nil, nil
+}
+func (f *fixture) GiveOrder(context.Context, string, upstream.Order) error  { return nil }
+func (f *fixture) ExportKV(context.Context, string, string) ([]byte, error) { return nil, nil }
+func (f *fixture) ImportKV(context.Context, string, string, []byte) error   { return nil }
+
+// counts returns what the upstream and the scheduler saw.
+func (f *fixture) counts() (dispatches, grants, releases int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.dispatches), f.grants, len(f.releases)
+}
+
+func (f *fixture) setSnapshot(snapshot *conf.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot = snapshot
+}
+
+// call sends a request straight to the handler.
+func (f *fixture) call(ctx context.Context, method, path, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	// A recorder takes the early 103 response for the final one.
+	r.Proto, r.ProtoMajor, r.ProtoMinor = "HTTP/1.0", 1, 0
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.entry.Handler().ServeHTTP(w, r)
+	return w
+}
+
+func (f *fixture) chat(body string, header ...string) *httptest.ResponseRecorder {
+	return f.call(context.Background(), http.MethodPost, "/v1/chat/completions", body, header...)
+}
+
+// one returns the only request that is held.
+func (f *fixture) one() *request {
+	f.entry.mu.Lock()
+	defer f.entry.mu.Unlock()
+	for q := range f.entry.held {
+		return q
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/logwriter.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"fmt"
+
+	"github.com/go-logr/logr"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// LogWriter passes the log of go-zero on to a logr sink.
+type LogWriter struct{ log logr.Logger }
+
+// NewLogWriter returns a writer for logx.SetWriter.
+func NewLogWriter(log logr.Logger) LogWriter { return LogWriter{log.WithName("go-zero")} }
+
+// Alert implements logx.Writer.
+func (l LogWriter) Alert(v any) { l.log.Error(nil, fmt.Sprint(v)) }
+
+// Close implements logx.Writer.
+func (l LogWriter) Close() error { return nil }
+
+// Debug implements logx.Writer.
+func (l LogWriter) Debug(v any, fields ...logx.LogField) {
+	l.log.V(1).Info(fmt.Sprint(v), values(fields)...)
+}
+
+// Error implements logx.Writer.
+func (l LogWriter) Error(v any, fields ...logx.LogField) {
+	l.log.Error(nil, fmt.Sprint(v), values(fields)...)
+}
+
+// Info implements logx.Writer.
+func (l LogWriter) Info(v any, fields ...logx.LogField) { l.log.Info(fmt.Sprint(v), values(fields)...) }
+
+// Severe implements logx.Writer.
+func (l LogWriter) Severe(v any) { l.log.Error(nil, fmt.Sprint(v)) }
+
+// Slow implements logx.Writer.
+func (l LogWriter) Slow(v any, fields ...logx.LogField) {
+	l.log.Info(fmt.Sprint(v), values(fields)...)
+}
+
+// Stack implements logx.Writer.
+func (l LogWriter) Stack(v any) { l.log.Error(nil, fmt.Sprint(v)) }
+
+// Stat implements logx.Writer.
+func (l LogWriter) Stat(v any, fields ...logx.LogField) {
+	l.log.V(1).Info(fmt.Sprint(v), values(fields)...)
+}
+
+func values(fields []logx.LogField) []any {
+	out := make([]any, 0, 2*len(fields))
+	for _, field := range fields {
+		out = append(out, field.Key, field.Value)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/entry/router.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+)
+
+// anyMethod registers a route for every method.
+const anyMethod = "*"
+
+// router implements the router interface of go-zero, whose own router has no
+// wildcards. A path that ends in "/" matches every path below it. Paths are
+// neither cleaned nor redirected: a redirect makes clients send a request
+// again, some of them with another method.
+type router struct {
+	exact      map[string]map[string]http.Handler
+	prefixes   map[string]map[string]http.Handler
+	notFound   http.Handler
+	notAllowed http.Handler
+}
+
+func newRouter() *router {
+	return &router{exact: map[string]map[string]http.Handler{}, prefixes: map[string]map[string]http.Handler{}}
+}
+
+// Handle adds a route.
+func (r *router) Handle(method, path string, handler http.Handler) error {
+	if !strings.HasPrefix(path, "/") {
+		return errors.New("path without a leading slash: " + path)
+	}
+	table := r.exact
+	if strings.HasSuffix(path, "/") {
+		table = r.prefixes
+	}
+	if table[path] == nil {
+		table[path] = map[string]http.Handler{}
+	}
+	if table[path][method] != nil {
+		return errors.New("duplicate route: " + method + " " + path)
+	}
+	table[path][method] = handler
+	return nil
+}
+
+// SetNotFoundHandler implements the router interface.
+func (r *router) SetNotFoundHandler(handler http.Handler) { r.notFound = handler }
+
+// SetNotAllowedHandler implements the router interface.
+func (r *router) SetNotAllowedHandler(handler http.Handler) { r.notAllowed = handler }
+
+// ServeHTTP implements http.Handler.
+func (r *router) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	methods := r.find(request.URL.Path)
+	handler := methods[request.Method]
+	if handler == nil {
+		handler = methods[anyMethod]
+	}
+	switch {
+	case handler != nil:
+		handler.ServeHTTP(w, request)
+	case methods != nil && r.notAllowed != nil:
+		r.notAllowed.ServeHTTP(w, request)
+	default:
+		r.notFound.ServeHTTP(w, request)
+	}
+}
+
+func (r *router) find(path string) map[string]http.Handler {
+	if methods := r.exact[path]; methods != nil {
+		return methods
+	}
+	for prefix, methods := range r.prefixes {
+		if strings.HasPrefix(path, prefix) {
+			return methods
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/status.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/rosemarywing/rosemarywing/pkg/chart"
+	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+)
+
+// maxIssued limits the request IDs that one call issues.
+const maxIssued = 1000
+
+// callerRoutes returns the paths for callers.
+func (e *Entry) callerRoutes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: e.serveRequest},
+		{Method: anyMethod, Path: servicesPrefix, Handler: e.serveRequest},
+		{Method: http.MethodGet, Path: "/v1/models", Handler: e.serveModels},
+		{Method: http.MethodPost, Path: "/v1/requests", Handler: e.serveIssue},
+		{Method: http.MethodGet, Path: requestsPrefix, Handler: e.serveRunState},
+		{Method: http.MethodGet, Path: "/v1/streams", Handler: e.serveResume},
+		{Method: http.MethodGet, Path: "/healthz", Handler: e.serveHealth},
+		{Method: http.MethodGet, Path: "/readyz", Handler: e.serveReady},
+	}
+}
+
+// AdminHandler returns the handler for the admin address.
+func (e *Entry) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", e.serveHealth)
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.HandleFunc("GET /metrics", e.serveMetrics)
+	mux.HandleFunc("GET /status/config", e.serveConfig)
+	mux.HandleFunc("GET /status/members", e.serveMembers)
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set(headerContentType, typeJSON)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case !e.instance.Is(flagReady):
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !e.Config.Snapshot().Usable:
+		http.Error(w, "configuration not known", http.StatusServiceUnavailable)
+	default:
+		_, _ = io.WriteString(w, "ready\n")
+	}
+}
+
+func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
+	snapshot := e.Config.Snapshot()
+	if _, err := e.resolveTeam(snapshot, r.Header); err != nil {
+		e.refuseEarly(w, err)
+		return
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := []model{}
+	for name := range snapshot.Models {
+		list = append(list, model{ID: name, Object: "model", OwnedBy: "rosemarywing"})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	writeJSON(w, map[string]any{"object": "list", "data": list})
+}
+
+// serveIssue issues request IDs.
+func (e *Entry) serveIssue(w http.ResponseWriter, r *http.Request) {
+	if _, err := e.resolveTeam(e.Config.Snapshot(), r.Header); err != nil {
+		e.refuseEarly(w, err)
+		return
+	}
+	asked := struct {
+		Count int `json:"count"`
+	}{1}
+	body, err := e.readBody(w, r)
+	if err == nil && len(body) > 0 && json.Unmarshal(body, &asked) != nil || asked.Count < 1 || asked.Count > maxIssued {
+		err = errkind.New(errkind.BadRequest, "expected {\"count\": n} with n from 1 to %d", maxIssued)
+	}
+	if err != nil {
+		e.refuseEarly(w, err)
+		return
+	}
+	ids := make([]string, asked.Count)
+	for i := range ids {
+		ids[i] = e.Claimer.NewID()
+	}
+	writeJSON(w, map[string]any{"ids": ids})
+}
+
+const requestsPrefix = "/v1/requests/"
+
+// runStateBody is the answer of GET /v1/requests/{id}.
+type runStateBody struct {
+	ID       string           `json:"id"`
+	RunState errkind.RunState `json:"run_state"`
+	// Final is false while the run state may still change.
+	Final    bool        `json:"final"`
+	State    chart.State `json:"state,omitempty"`
+	Upstream string      `json:"upstream,omitempty"`
+}
+
+func (e *Entry) serveRunState(w http.ResponseWriter, r *http.Request) {
+	team, err := e.resolveTeam(e.Config.Snapshot(), r.Header)
+	if err != nil {
+		e.refuseEarly(w, err)
+		return
+	}
+	asked := strings.TrimPrefix(r.URL.Path, requestsPrefix)
+	for _, id := range []string{asked, e.requestID(team.Name, asked)} {
+		if q := e.find(id); q != nil && q.team.Name == team.Name {
+			writeJSON(w, runStateBody{ID: id, RunState: q.runState(), Final: q.machine.Final(), State: q.machine.State(), Upstream: q.upstreamName()})
+			return
+		}
+	}
+	reader, ok := e.Claimer.(StatusReader)
+	if !ok {
+		e.refuseEarly(w, errkind.New(errkind.IssuerLost, "the request is not known here"))
+		return
+	}
+	phase, upstreamName, failure := reader.Status(r.Context(), team.Name, asked)
+	if failure != nil {
+		e.refuseEarly(w, errkind.New(errkind.IssuerLost, "the request is not known"))
+		return
+	}
+	writeJSON(w, statusOf(asked, phase, upstreamName))
+}
+
+func statusOf(id string, phase claim.Phase, upstreamName string) runStateBody {
+	body := runStateBody{ID: id, RunState: errkind.Unknown, Upstream: upstreamName}
+	switch phase {
+	case claim.Held, claim.Abandoned:
+		body.RunState, body.Final = errkind.NotRun, phase == claim.Abandoned
+	case claim.Finished:
+		body.RunState, body.Final = errkind.Ran, true
+	}
+	return body
+}
+
+func (e *Entry) serveConfig(w http.ResponseWriter, _ *http.Request) {
+	snapshot := e.Config.Snapshot()
+	writeJSON(w, map[string]any{
+		"instance":      e.Settings.Instance.ID,
+		"domain":        e.Settings.Instance.Domain,
+		"usable":        snapshot.Usable,
+		"digest":        fmt.Sprintf("%016x", snapshot.Digest),
+		"newestVersion": snapshot.NewestVersion,
+	})
+}
+
+func (e *Entry) serveMembers(w http.ResponseWriter, _ *http.Request) {
+	type memberBody struct {
+		ID           string `json:"id"`
+		Incarnation  string `json:"incarnation"`
+		Address      string `json:"address"`
+		AdminAddress string `json:"adminAddress"`
+		Status       int    `json:"status"`
+	}
+	list := []memberBody{}
+	if e.Members != nil {
+		for _, m := range e.Members.Live() {
+			list = append(list, memberBody{m.ID, strconv.FormatUint(m.Incarnation, 10), m.Address, m.AdminAddress, int(m.Status)})
+		}
+	}
+	writeJSON(w, map[string]any{"members": list})
+}
+
+// count counts a request by outcome and tier.
+func (e *Entry) count(outcome, tier string) {
+	name := "rosemarywing_requests_total{outcome=\"" + outcome + "\",tier=\"" + tier + "\"}"
+	metrics.GetOrRegisterCounter(name, e.Metrics).Inc(1)
+}
+
+// serveMetrics writes the registry as text, one value per line.
+func (e *Entry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	var lines []string
+	e.Metrics.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
+		case metrics.GaugeFloat64:
+			lines = append(lines, fmt.Sprintf("%s %g", name, m.Value()))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()), fmt.Sprintf("%s_p50 %g", name, s.Percentile(0.5)),
+				fmt.Sprintf("%s_p99 %g", name, s.Percentile(0.99)))
+		}
+	})
+	e.mu.Lock()
+	lines = append(lines, fmt.Sprintf("rosemarywing_requests_held %d", len(e.held)))
+	e.mu.Unlock()
+	sort.Strings(lines)
+	w.Header().Set(headerContentType, "text/plain; charset=utf-8")
+	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n")
+}
+
+// logEnd writes the line of a request that has ended. Neither its body nor the
+// caller's key is part of it.
+func (e *Entry) logEnd(q *request, err *errkind.Error) {
+	outcome, tier, team := "completed", "", ""
+	if err != nil {
+		outcome = string(err.Kind)
+	}
+	if q.tier != nil {
+		tier = q.tier.Name
+	}
+	if q.team != nil {
+		team = q.team.Name
+	}
+	e.count(outcome, tier)
+	fields := []any{"request", q.id, "team", team, "tier", tier, "target", q.target.name, "outcome", outcome,
+		"state", q.machine.State(), "upstream", q.upstreamName(), "duration", e.Clock.Since(q.received).String(),
+		"output_tokens", q.outputTokens, "cached_tokens", q.cachedTokens}
+	if err == nil {
+		e.Log.Info("request ended", fields...)
+		return
+	}
+	switch errkind.AnswerFor(err.Kind).Level {
+	case errkind.LogError:
+		e.Log.Error(err, "request ended", fields...)
+	case errkind.LogInfo:
+		e.Log.Info("request ended", append(fields, "error", err.Error())...)
+	default:
+		e.Log.V(1).Info("request ended", append(fields, "error", err.Error())...)
+	}
+}
--- /dev/null
+++ b/pkg/entry/stream.go
@@ -0,0 +1,379 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
+)
+
+// event is one server-sent event of an engine.
+type event struct {
+	name string
+	// requestID is empty when the engine sent a bare sequence number.
+	requestID string
+	// sequence is zero when the engine sent no ID.
+	sequence uint64
+	data     []byte
+}
+
+var lastData = []byte("[DONE]")
+
+func (v event) last() bool { return bytes.Equal(bytes.TrimSpace(v.data), lastData) }
+
+// errEnded means that a body ended whole; in an engine's stream the last event
+// is missing then.
+var errEnded error = errkind.New(errkind.AnswerIncomplete, "the stream ended without its last event")
+
+// eventReader reads server-sent events.
+type eventReader struct{ scanner *bufio.Scanner }
+
+func newEventReader(body io.Reader, limit int64) *eventReader {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), int(limit))
+	return &eventReader{scanner}
+}
+
+// next returns the next event that has data. An event without the empty line
+// at its end was cut and is not returned.
+func (r *eventReader) next() (event, error) {
+	var current event
+	hasData := false
+	for r.scanner.Scan() {
+		line := r.scanner.Bytes()
+		if len(line) == 0 {
+			if hasData {
+				return current, nil
+			}
+			current = event{}
+			continue
+		}
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "id":
+			if err := current.setID(string(value)); err != nil {
+				return current, err
+			}
+		case "event":
+			current.name = string(value)
+		case "data":
+			if hasData {
+				current.data = append(current.data, '\n')
+			}
+			current.data = append(current.data, value...)
+			hasData = true
+		}
+	}
+	if err := r.scanner.Err(); err != nil {
+		return current, err
+	}
+	return current, errEnded
+}
+
+// setID reads "upstream/request/sequence", or a bare sequence number.
+func (v *event) setID(text string) error {
+	id, sequence := "", text
+	if cut := strings.LastIndexByte(text, '/'); cut >= 0 {
+		id, sequence = text[:cut], text[cut+1:]
+		_, id, _ = strings.Cut(id, "/")
+	}
+	number, err := strconv.ParseUint(sequence, 10, 64)
+	if err != nil {
+		return errkind.New(errkind.AnswerIncomplete, "the engine sent an event with a malformed ID")
+	}
+	v.requestID, v.sequence = id, number
+	return nil
+}
+
+// stream passes an engine's stream on from the event after last, and resumes
+// it from the engine as often as it breaks and goes on.
+func (e *Entry) stream(w http.ResponseWriter, q *request, answer *upstream.Answer, last uint64) {
+	out := &eventWriter{w: w, q: q}
+	tries := 0
+	for {
+		before := last
+		err := e.copyEvents(out, q, answer, &last)
+		if err == nil {
+			e.endComplete(q)
+			return
+		}
+		if last > before {
+			tries = 0
+		}
+		var failure *errkind.Error
+		if answer, failure = e.resume(q, last+1, &tries, err); failure != nil {
+			e.failStream(out, failure)
+			return
+		}
+	}
+}
+
+// resume gets the stream again from the engine. cause is why it broke.
+func (e *Entry) resume(q *request, from uint64, tries *int, cause error) (*upstream.Answer, *errkind.Error) {
+	broken := brokenBy(cause)
+	for ; *tries < e.Settings.Limits.ResumeTries; *tries++ {
+		if err := e.backoff(q.ctx, *tries); err != nil {
+			return nil, typed(err, "the request was ended")
+		}
+		answer, err := e.Engine.Resume(q.ctx, q.address, q.id, from)
+		if err != nil {
+			continue
+		}
+		if answer.Status == http.StatusOK {
+			*tries++
+			e.Log.V(1).Info("stream resumed", "request", q.id, "upstream", q.upstreamName(), "from", from)
+			return answer, nil
+		}
+		_ = answer.Body.Close()
+		if answer.Status == http.StatusNotFound {
+			return nil, errkind.New(errkind.UpstreamBroken, "the engine does not know the request any more")
+		}
+	}
+	return nil, broken
+}
+
+// copyEvents passes events on until the last one. Duplicates are dropped; a
+// gap or an event of another request ends the connection with an error.
+func (e *Entry) copyEvents(out *eventWriter, q *request, answer *upstream.Answer, last *uint64) error {
+	defer func() { _ = answer.Body.Close() }()
+	if id := answer.Header.Get(headerUpstreamID); id != "" && id != q.id {
+		return errkind.New(errkind.CrossedAnswer, "the engine answered another request")
+	}
+	reader := newEventReader(answer.Body, e.Settings.Limits.EventBytes)
+	for {
+		received, err := reader.next()
+		if err != nil {
+			return err
+		}
+		if received.requestID != "" && received.requestID != q.id {
+			return errkind.New(errkind.CrossedAnswer, "the engine sent an event of another request")
+		}
+		if received.sequence == 0 {
+			received.sequence = *last + 1
+		}
+		if received.sequence <= *last {
+			continue
+		}
+		if received.sequence != *last+1 {
+			return errkind.New(errkind.AnswerIncomplete, "the events after number %d are missing", *last)
+		}
+		*last = received.sequence
+		e.observe(q, received)
+		out.write(received)
+		if received.last() {
+			return nil
+		}
+	}
+}
+
+func (e *Entry) observe(q *request, received event) {
+	if q.firstToken.IsZero() {
+		q.firstToken = e.Clock.Now()
+	}
+	if received.last() {
+		return
+	}
+	q.outputTokens++
+	if bytes.Contains(received.data, []byte(`"usage"`)) {
+		q.readUsage(received.data)
+	}
+}
+
+// eventWriter writes events to the caller. Once the caller is gone, events are
+// dropped, since the caller may resume.
+type eventWriter struct {
+	w       http.ResponseWriter
+	q       *request
+	started bool
+	failed  bool
+}
+
+func (o *eventWriter) start() {
+	if o.started {
+		return
+	}
+	o.started = true
+	header := o.w.Header()
+	header.Set(headerContentType, typeEvents)
+	header.Set("Cache-Control", "no-cache")
+	header.Set("X-Accel-Buffering", "no")
+	header.Set(headerUpstream, o.q.upstreamName())
+	header.Set(headerRequestID, o.q.id)
+	o.w.WriteHeader(http.StatusOK)
+}
+
+func (o *eventWriter) write(v event) {
+	if o.failed || o.q.callerGone() {
+		return
+	}
+	o.start()
+	var text bytes.Buffer
+	if v.sequence > 0 {
+		fmt.Fprintf(&text, "id: %s/%s/%d\n", o.q.upstreamName(), o.q.id, v.sequence)
+	}
+	if v.name != "" {
+		fmt.Fprintf(&text, "event: %s\n", v.name)
+	}
+	for line := range bytes.SplitSeq(v.data, []byte("\n")) {
+		text.WriteString("data: ")
+		text.Write(line)
+		text.WriteByte('\n')
+	}
+	text.WriteByte('\n')
+	if _, err := o.w.Write(text.Bytes()); err != nil {
+		o.failed = true
+		return
+	}
+	o.failed = http.NewResponseController(o.w).Flush() != nil
+}
+
+// failStream ends a stream that cannot be completed with an error event, or
+// with a refusal if nothing was sent yet.
+func (e *Entry) failStream(out *eventWriter, err *errkind.Error) {
+	if !out.started {
+		e.finishBroken(out.w, out.q, err)
+		return
+	}
+	err = e.endBroken(out.q, err)
+	out.write(event{name: "error", data: errorBody(err)})
+}
+
+// pass copies a service's stream, which cannot be resumed.
+func (e *Entry) pass(w http.ResponseWriter, q *request, answer *upstream.Answer) {
+	defer func() { _ = answer.Body.Close() }()
+	out := &eventWriter{w: w, q: q}
+	reader := newEventReader(answer.Body, e.Settings.Limits.EventBytes)
+	for {
+		received, err := reader.next()
+		switch {
+		case err == nil:
+			// IDs of a service are not those of an engine's stream.
+			received.sequence = 0
+			out.write(received)
+		case errors.Is(err, errEnded):
+			e.endComplete(q)
+			return
+		default:
+			e.failStream(out, errkind.Wrap(errkind.AnswerIncomplete, err, "the service's stream was cut"))
+			return
+		}
+	}
+}
+
+// follow answers an attempt whose identity was dispatched before: an engine's
+// answer is fetched from the engine, a service's is not known here.
+func (e *Entry) follow(w http.ResponseWriter, q *request, reply claim.Reply) {
+	refusal := errkind.New(errkind.InProgress, "an earlier attempt is in progress")
+	if reply.Result == claim.AlreadyFinished {
+		refusal = errkind.New(errkind.AlreadyRan, "an earlier attempt already ran")
+	}
+	target := e.Config.Snapshot().Upstreams[reply.Upstream]
+	if !q.target.engine() || target == nil || !q.machine.Fire(eventAttach) {
+		e.finishRefused(w, q, q.refused(refusal))
+		return
+	}
+	q.upstream.Store(&reply.Upstream)
+	q.address = target.Address
+	e.announceResumed(q)
+	if q.target.stream {
+		e.attach(w, q, 0)
+		return
+	}
+	answer, body, err := e.fetchAgain(q, refusal)
+	if err != nil {
+		q.machine.Fire(eventBreak)
+		e.logEnd(q, refusal)
+		writeRefusal(w, q.id, refusal)
+		return
+	}
+	e.sendWhole(w, q, answer, body)
+}
+
+// attach streams a dispatched request from the event after last.
+func (e *Entry) attach(w http.ResponseWriter, q *request, last uint64) {
+	tries := 0
+	answer, err := e.resume(q, last+1, &tries, errkind.New(errkind.UpstreamBroken, "the engine is unreachable"))
+	if err != nil {
+		e.finishBroken(w, q, err)
+		return
+	}
+	e.stream(w, q, answer, last)
+}
+
+// announceResumed keeps the instance that lost the caller from cancelling.
+func (e *Entry) announceResumed(q *request) {
+	e.Resumed(q.id)
+	if e.NotifyResumed != nil {
+		e.NotifyResumed(q.id, q.upstreamName())
+	}
+}
+
+// serveResume serves GET /v1/streams.
+func (e *Entry) serveResume(w http.ResponseWriter, r *http.Request) {
+	snapshot := e.Config.Snapshot()
+	team, err := e.resolveTeam(snapshot, r.Header)
+	if err == nil && !snapshot.Usable {
+		err = errkind.New(errkind.NotReady, "the configuration is not known yet")
+	}
+	if err != nil {
+		e.refuseEarly(w, err)
+		return
+	}
+	name, id, last, err := parseEventID(r.Header.Get(headerLastEventID))
+	if err != nil {
+		e.refuseEarly(w, err)
+		return
+	}
+	if held := e.find(id); held != nil && held.team.Name != team.Name {
+		e.refuseEarly(w, errkind.New(errkind.Unauthorized, "the request is another team's"))
+		return
+	}
+	target := snapshot.Upstreams[name]
+	if target == nil {
+		e.refuseEarly(w, errkind.New(errkind.IssuerLost, "the upstream is not known any more"))
+		return
+	}
+	q := &request{
+		id: id, team: team, received: e.Clock.Now(), machine: e.requestChart.New(), gone: make(chan struct{}),
+		address: target.Address, idempotent: true, method: r.Method,
+	}
+	q.tier = lowestTier(snapshot)
+	q.target = resumed
+	q.ctx, q.cancel = context.WithCancelCause(context.Background())
+	q.upstream.Store(&name)
+	if err := e.admit(q, true); err != nil {
+		e.refuseEarly(w, err)
+		return
+	}
+	defer e.drop(q)
+	q.machine.Fire(eventClaim)
+	q.machine.Fire(eventAttach)
+	stop := context.AfterFunc(r.Context(), func() { e.onCallerGone(q) })
+	defer stop()
+	e.announceResumed(q)
+	e.attach(w, q, last)
+}
+
+// parseEventID reads "upstream/request/sequence".
+func parseEventID(text string) (upstreamName, requestID string, sequence uint64, err *errkind.Error) {
+	first, last := strings.IndexByte(text, '/'), strings.LastIndexByte(text, '/')
+	if first > 0 && last > first+1 {
+		if number, parseErr := strconv.ParseUint(text[last+1:], 10, 64); parseErr == nil {
+			return text[:first], text[first+1 : last], number, nil
+		}
+	}
+	return "", "", 0, errkind.New(errkind.BadRequest, "%s: expected upstream/request/sequence", headerLastEventID)
+}
+
+// resumed is the target of a request that is only known by its last event.
+var resumed = target{name: "stream", model: "-", stream: true}
