--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -48,8 +48,7 @@
 			Gunzip: false,
 			// The panic handler answers 500 without a run state; recovered replaces it.
 			Recover: false,
-			// These wrap the response writer, and the first does not pass on an
-			// early 103 response.
+			// The entry has a log, metrics and a panic handler of its own.
 			Log: false, Trace: false, Prometheus: false, Metrics: false,
 		},
 	}
