--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +20,9 @@
 // startTimeout bounds the start of a process; a test that reaches it fails.
 const startTimeout = 30 * time.Second
 
+// maxLine bounds a line of output in bytes.
+const maxLine = 1 << 20
+
 // Build compiles the named commands below cmd/ into dir. root is the root of
 // the repository.
 func Build(root, dir string, commands ...string) error {
@@ -37,7 +41,8 @@
 // Process is a running program.
 type Process struct {
 	Name string
-	// Ready holds the fields of the JSON line that the program prints when it listens.
+	// Ready holds the fields of the JSON line with the addresses that the
+	// program prints or logs when it listens.
 	Ready map[string]string
 
 	cmd    *exec.Cmd
@@ -47,21 +52,24 @@
 	frozen bool
 }
 
-// Start runs a program and waits for its JSON line on standard output.
+// Start runs a program and waits for its JSON line with the addresses.
 func Start(name, path string, args ...string) (*Process, error) {
 	p := &Process{Name: name, cmd: exec.Command(path, args...), exited: make(chan struct{})}
-	p.cmd.Stderr = writer{p}
 	// The programs end with the test process, even if it is killed.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	stdout, err := p.cmd.StdoutPipe()
+	output, input, err := os.Pipe()
 	if err != nil {
 		return nil, err
 	}
-	if err := p.cmd.Start(); err != nil {
+	p.cmd.Stdout, p.cmd.Stderr = input, input
+	err = p.cmd.Start()
+	_ = input.Close()
+	if err != nil {
+		_ = output.Close()
 		return nil, fmt.Errorf("start %s: %w", name, err)
 	}
 	ready := make(chan map[string]string, 1)
-	go p.read(bufio.NewScanner(stdout), ready)
+	go p.read(output, ready)
 	select {
 	case p.Ready = <-ready:
 		return p, nil
@@ -72,26 +80,31 @@
 	return nil, fmt.Errorf("%s did not start: %s", name, p.Output())
 }
 
-func (p *Process) read(lines *bufio.Scanner, ready chan<- map[string]string) {
-	lines.Buffer(nil, 1<<20)
+func (p *Process) read(output io.ReadCloser, ready chan<- map[string]string) {
+	lines := bufio.NewScanner(output)
+	lines.Buffer(nil, maxLine)
 	told := false
 	for lines.Scan() {
-		_, _ = writer{p}.Write(append(bytes.Clone(lines.Bytes()), '\n'))
-		if told {
-			continue
+		p.record(lines.Bytes())
+		if fields := addressFields(lines.Bytes()); fields != nil && !told {
+			ready <- fields
+			told = true
 		}
-		fields := map[string]any{}
-		if json.Unmarshal(lines.Bytes(), &fields) != nil {
-			continue
-		}
-		ready <- stringFields(fields)
-		told = true
 	}
+	_ = output.Close()
 	_ = p.cmd.Wait()
 	close(p.exited)
 }
 
-func stringFields(fields map[string]any) map[string]string {
+// addressFields returns the fields of a line that names addresses, or nil.
+func addressFields(line []byte) map[string]string {
+	fields := map[string]any{}
+	if json.Unmarshal(line, &fields) != nil {
+		return nil
+	}
+	if fields["address"] == nil && fields["callers"] == nil {
+		return nil
+	}
 	out := map[string]string{}
 	for key, value := range fields {
 		out[key] = fmt.Sprint(value)
@@ -99,13 +112,11 @@
 	return out
 }
 
-type writer struct{ p *Process }
-
-// Write appends to the output of the process.
-func (w writer) Write(b []byte) (int, error) {
-	w.p.mu.Lock()
-	defer w.p.mu.Unlock()
-	return w.p.output.Write(b)
+func (p *Process) record(line []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.output.Write(line)
+	p.output.WriteByte('\n')
 }
 
 // Output returns what the program has printed on both streams.
