--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,62 @@
+// Command standin-platform runs the stand-in of the platform for tests.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
+
+	standin "github.com/rosemarywing/rosemarywing/internal/standin/platform"
+)
+
+type options struct {
+	Listen string `long:"listen" default:"127.0.0.1:0" description:"host and port to listen on; port 0 takes a free one"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(opts); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(opts options) error {
+	listener, err := net.Listen("tcp", opts.Listen)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", opts.Listen, err)
+	}
+	line := map[string]string{"program": "standin-platform", "address": listener.Addr().String()}
+	if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: standin.NewServer(clockwork.NewRealClock()),
+		// Connections that faults abort are not worth a log line each.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
