--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -20,10 +19,6 @@
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 )
 
-// ErrNotFound is wrapped by the error for an object that does not exist; the
-// error has the kind BadRequest.
-var ErrNotFound = errors.New("object does not exist")
-
 // eventProgress is the type of a line that an idle watch receives. It is not
 // passed on.
 const eventProgress EventType = "progress"
@@ -89,8 +84,7 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Get returns an object. The error for an object that does not exist wraps
-// ErrNotFound.
+// Get implements Store.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var object Object
 	err := c.call(ctx, opGet, http.MethodGet, objectPath(kind, name), nil, &object)
@@ -117,8 +111,8 @@
 	return result.Version, err
 }
 
-// Delete implements Store. The error for an object that does not exist wraps
-// ErrNotFound, unless a version was required: then it is of kind Conflict.
+// Delete implements Store. The error for an object that does not exist has the
+// kind NotFound, unless a version was required: then it has the kind Conflict.
 func (c *Client) Delete(ctx context.Context, kind, name string, pre Precondition) (uint64, error) {
 	path := objectPath(kind, name) + preconditionQuery(pre)
 	var result written
@@ -197,7 +191,7 @@
 	case http.StatusGone:
 		return errkind.New(errkind.Conflict, "%s %s: the version is compacted", operation, path)
 	case http.StatusNotFound:
-		return errkind.Wrap(errkind.BadRequest, ErrNotFound, "%s %s", operation, path)
+		return errkind.New(errkind.NotFound, "%s %s: the object does not exist", operation, path)
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
 		return errkind.New(errkind.BadRequest, "%s %s: status %d", operation, path, status)
 	default:
--- a/pkg/platform/contract_test.go
+++ b/pkg/platform/contract_test.go
@@ -68,7 +68,7 @@
 		{"delete an old version", del("a", at(2)), 0, errkind.Conflict},
 		{"delete the version read", del("a", at(3)), 4, ""},
 		{"delete again", del("a", at(3)), 0, errkind.Conflict},
-		{"delete what does not exist", del("a", any), 0, errkind.BadRequest},
+		{"delete what does not exist", del("a", any), 0, errkind.NotFound},
 		{"create after the deletion", put("a", "5", absent), 5, ""},
 		{"value above the limit", put("a", string(make([]byte, 1<<20+1)), any), 0, errkind.BadRequest},
 	}
--- a/pkg/platform/resolve.go
+++ b/pkg/platform/resolve.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 )
@@ -30,7 +29,7 @@
 			return version, err
 		}
 		current, getErr := store.Get(ctx, object.Kind, object.Name)
-		absent := errors.Is(getErr, ErrNotFound)
+		absent := errkind.KindOf(getErr) == errkind.NotFound
 		if getErr != nil && !absent {
 			return 0, errkind.Wrap(errkind.PlatformUnavailable, err, "outcome of the write of %s %s is unknown", object.Kind, object.Name)
 		}
@@ -61,7 +60,7 @@
 			return deleted, err
 		}
 		current, getErr := store.Get(ctx, kind, name)
-		if errors.Is(getErr, ErrNotFound) {
+		if errkind.KindOf(getErr) == errkind.NotFound {
 			return 0, nil
 		}
 		if getErr != nil {
