--- a/test/failure/dispatch_test.go
+++ b/test/failure/dispatch_test.go
@@ -83,7 +83,7 @@
 			c, booking := bookingCluster()
 			setServiceFaults(booking, service.Faults{Mode: service.Hang})
 			id := identity(kind, c.Entries[0])
-			occupied := int(serviceSpec("", "").Record.MaxRequests)
+			occupied := serviceSpec("", "").Record.MaxRequests
 			for i := range occupied {
 				go lock(fmt.Sprintf("other-%d", i)).do(c.Entries[2])
 			}
