--- /dev/null
+++ b/pkg/member/view.go
@@ -0,0 +1,56 @@
+package member
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+)
+
+// snapshot is an immutable list of members.
+type snapshot struct {
+	self    Member
+	byID    map[string]Member
+	live    []Member
+	changed chan struct{}
+	// owners caches the rendezvous order by key. Keys are the names of pools
+	// and roles, of which there are a few dozen.
+	owners sync.Map
+}
+
+func newSnapshot(self Member, members []Member) *snapshot {
+	s := &snapshot{self: self, byID: map[string]Member{}, changed: make(chan struct{})}
+	for _, m := range members {
+		s.byID[m.ID] = m
+		if m.Status == Alive || m.Status == Suspect {
+			s.live = append(s.live, m)
+		}
+	}
+	return s
+}
+
+// order returns the live members in rendezvous order for the key. The library
+// returns only the first, so the rest is found by leaving out what was found.
+func (s *snapshot) order(key string) []Member {
+	if found, ok := s.owners.Load(key); ok {
+		return found.([]Member)
+	}
+	names := make([]string, 0, len(s.live))
+	for _, m := range s.live {
+		names = append(names, m.ID)
+	}
+	ordered := make([]Member, 0, len(names))
+	for len(names) > 0 {
+		first := rendezvous.New(names, xxhash.Sum64String).Lookup(key)
+		ordered = append(ordered, s.byID[first])
+		rest := names[:0]
+		for _, name := range names {
+			if name != first {
+				rest = append(rest, name)
+			}
+		}
+		names = rest
+	}
+	s.owners.Store(key, ordered)
+	return ordered
+}
