--- a/cmd/rosemarywing-entry/main.go
+++ b/cmd/rosemarywing-entry/main.go
@@ -69,7 +69,7 @@
 		Settings: loaded,
 		Log:      log,
 		Clock:    clockwork.NewRealClock(),
-		Build:    build,
+		Build:    instance.Build,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/pkg/instance/build.go
@@ -0,0 +1,314 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/member"
+	"github.com/rosemarywing/rosemarywing/pkg/order"
+	"github.com/rosemarywing/rosemarywing/pkg/peer"
+	"github.com/rosemarywing/rosemarywing/pkg/platform"
+	"github.com/rosemarywing/rosemarywing/pkg/pool"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+	"github.com/rosemarywing/rosemarywing/pkg/sched"
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
+)
+
+const (
+	// watchers is the number of instances per failure domain that watch the
+	// platform. Two survive the loss of one without a gap.
+	watchers = 2
+	// listInterval is how often an instance reads the platform's instance
+	// list: 360 instances make 12 calls/s.
+	listInterval = 30 * time.Second
+
+	peerDialTimeout = time.Second
+	peerCallTimeout = 2 * time.Second
+	// askTimeout is below peerCallTimeout, so that an issuer answers before its
+	// asker gives up.
+	askTimeout = time.Second
+
+	// maxClaims and maxEnded bound the claim tables: at 5.3 requests/s an hour
+	// of requests is 19,000.
+	maxClaims = 50_000
+	maxEnded  = 50_000
+	// claimAge is how long a resent identity is recognized.
+	claimAge = time.Hour
+
+	janitorInterval = 5 * time.Minute
+	// janitorPause bounds the deletions to 20 writes/s per domain.
+	janitorPause = 50 * time.Millisecond
+
+	notifyFanout   = 4
+	backoffMin     = 200 * time.Millisecond
+	backoffMax     = 5 * time.Second
+	roleInterval   = time.Second
+	relistInterval = time.Minute
+	// applyInterval bounds the snapshots that a burst of changes causes, well
+	// within the 5 s in which a change must be in force.
+	applyInterval = 250 * time.Millisecond
+
+	leaseDuration = 15 * time.Second
+	orderPeriod   = 3 * time.Second
+	maxOrders     = 4
+
+	// watchIdle is the silence after which a watch counts as broken.
+	watchIdle = 5 * time.Second
+)
+
+// Keys of the roles that members share out by rendezvous order.
+const (
+	watcherKey = "role/watcher"
+	orderKey   = "role/orders"
+	janitorKey = "role/claims"
+)
+
+// builder holds the parts while they are assembled.
+type builder struct {
+	env       Env
+	address   string
+	traffic   *peer.Traffic
+	dialer    *peer.Dialer
+	platform  *platform.Client
+	directory *directory
+	cache     *conf.Cache
+	syncer    *conf.Syncer
+	members   *member.Runner
+	claims    *claim.Node
+	engines   *upstream.Client
+	server    *pool.Server
+	client    *pool.EntryClient
+	orders    *order.Manager
+	peers     *peer.Server
+}
+
+// Build makes the parts of an instance that works with the platform and with
+// other instances.
+func Build(env Env) (Parts, error) {
+	b := &builder{env: env, address: env.Settings.Peer.Advertise}
+	if b.address == "" {
+		b.address = env.Peer.Addr().String()
+	}
+	b.network()
+	b.configuration()
+	b.membership()
+	if err := b.claiming(); err != nil {
+		return Parts{}, err
+	}
+	b.scheduling()
+	if err := b.ordering(); err != nil {
+		return Parts{}, err
+	}
+	if err := b.serving(); err != nil {
+		return Parts{}, err
+	}
+	return Parts{
+		Config: b.cache, Members: b.members, Claimer: b.claims, Pool: b.client,
+		Engine: b.engines, Service: b.engines,
+		IsIssued: func(identity string) bool { _, ok := claim.ParseID(identity); return ok },
+		Run:      b.run,
+		Leave:    b.members.Leave,
+	}, nil
+}
+
+func (b *builder) network() {
+	b.traffic = peer.NewTraffic(b.env.Metrics)
+	b.dialer = peer.NewDialer(peer.DialerOptions{DialTimeout: peerDialTimeout, CallTimeout: peerCallTimeout, Traffic: b.traffic})
+	b.platform = platform.NewClient(platform.Options{
+		BaseURL: "http://" + b.env.Settings.Platform.Address, Timeout: b.env.Settings.Platform.Timeout,
+		WatchIdle: watchIdle, Registry: b.env.Metrics, Clock: b.env.Clock,
+	})
+	b.engines = upstream.NewClient(upstream.Options{})
+	b.directory = &directory{
+		platform: b.platform, domain: b.env.Settings.Instance.Domain,
+		view: func() member.View { return b.members },
+	}
+}
+
+func (b *builder) random(purpose uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed(b.env.Self.ID)^b.env.Self.Incarnation, purpose))
+}
+
+func (b *builder) configuration() {
+	b.cache = conf.NewCache()
+	carrier := &exchange{dialer: b.dialer, directory: b.directory, syncer: func() *conf.Syncer { return b.syncer }}
+	b.syncer = conf.NewSyncer(b.cache, b.platform, carrier, conf.Options{
+		Address:    b.address,
+		IsWatcher:  func() bool { return owns(b.members, watcherKey, watchers) },
+		Fanout:     notifyFanout,
+		BackoffMin: backoffMin, BackoffMax: backoffMax,
+		RoleInterval: roleInterval, RelistInterval: relistInterval, ApplyInterval: applyInterval,
+		CallTimeout: peerCallTimeout, Clock: b.env.Clock, Random: b.random(1), Log: b.env.Log,
+	})
+}
+
+func (b *builder) membership() {
+	chosen := b.env.Settings
+	admin := chosen.Peer.AdvertiseAdmin
+	if admin == "" {
+		admin = chosen.Listen.Admin
+	}
+	b.members = member.NewRunner(member.Options{
+		Self:   member.Member{ID: b.env.Self.ID, Incarnation: b.env.Self.Incarnation, Address: b.address, AdminAddress: admin},
+		Domain: chosen.Instance.Domain, Seeds: chosen.Peer.Seeds,
+		Instances: b.directory, ListInterval: listInterval,
+		Dial:   func(address string) member.Transport { return b.dialer.Client(address) },
+		Clock:  b.env.Clock,
+		Random: b.random(2),
+		Digest: func() uint64 { return b.cache.Snapshot().Digest },
+		OnDigest: func(from member.Member, digest uint64) {
+			b.syncer.ObserveDigest(from.Address, digest)
+		},
+		Log: b.env.Log,
+	})
+}
+
+func (b *builder) claiming() error {
+	var err error
+	b.claims, err = claim.New(claim.Options{
+		Domain: b.env.Settings.Instance.Domain, Self: b.env.Self, Address: b.address,
+		Find:  b.directory.find,
+		Dial:  func(address string) claim.Transport { return b.dialer.Client(address) },
+		Store: b.platform, Clock: b.env.Clock, AskTimeout: askTimeout,
+		MaxClaims: maxClaims, MaxEnded: maxEnded, MaxAge: claimAge, Log: b.env.Log,
+	})
+	return err
+}
+
+func (b *builder) scheduling() {
+	domain := b.env.Settings.Instance.Domain
+	b.server = pool.NewServer(pool.ServerOptions{
+		Domain: domain, View: b.members, Config: b.cache,
+		NewScheduler:  b.newScheduler,
+		ReadLoad:      b.readLoad,
+		StrikeTargets: b.strikeTargets,
+		DialStrikes:   func(address string) pool.StrikeTransport { return b.dialer.Client(address) },
+		Clock:         b.env.Clock, Log: b.env.Log,
+	})
+	b.client = pool.NewClient(pool.ClientOptions{
+		Domain: domain, Region: b.env.Settings.Instance.Region, View: b.members,
+		Lookup: func(name string) []string {
+			other, _, _ := strings.Cut(name, "/")
+			return b.directory.addresses(other, name)
+		},
+		Dial: func(ctx context.Context, address string) (pool.Stream, error) {
+			return b.dialer.Client(address).Session(ctx)
+		},
+		Local: b.server, Clock: b.env.Clock, Log: b.env.Log,
+	})
+}
+
+// newScheduler returns the decision logic of a pool. Weights of teams are read
+// from the configuration in force.
+func (b *builder) newScheduler(string) sched.Scheduler {
+	return sched.New(sched.Config{
+		Weight: func(team string) int {
+			if found := b.cache.Snapshot().Teams[team]; found != nil {
+				return found.Weight
+			}
+			return 1
+		},
+		Random: b.random(3),
+	})
+}
+
+// readLoad reads an engine's report. A plain service has none; its accounts
+// are those of the scheduler.
+func (b *builder) readLoad(ctx context.Context, up record.Upstream) (sched.Load, error) {
+	if up.Type != record.TypeEngine {
+		return sched.Load{ReportedAt: b.env.Clock.Now()}, nil
+	}
+	load, err := b.engines.Load(ctx, up.Address)
+	if err != nil {
+		return sched.Load{}, err
+	}
+	return sched.Load{
+		Running: load.Running, Waiting: load.Waiting, TokensInUse: load.TokensInUse, Leaving: load.Leaving,
+		Incarnation: load.Incarnation, LoadedModels: load.LoadedModels, ReportedAt: load.At,
+	}, nil
+}
+
+// strikeTargets returns the address of the likely scheduler of each pool in
+// another domain that serves the model.
+func (b *builder) strikeTargets(model string) []string {
+	var addresses []string
+	for name, found := range b.cache.Snapshot().Pools {
+		if found.Domain == b.env.Settings.Instance.Domain || !serves(found, "model:"+model) {
+			continue
+		}
+		if owners := b.directory.addresses(found.Domain, name); len(owners) > 0 {
+			addresses = append(addresses, owners[0])
+		}
+	}
+	return addresses
+}
+
+func serves(found *conf.Pool, target string) bool {
+	for _, served := range found.Targets {
+		if served == target {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *builder) ordering() error {
+	domain := b.env.Settings.Instance.Domain
+	lease, err := order.NewLease(order.LeaseConfig{
+		Store: b.platform, Clock: b.env.Clock, Name: "orders-" + domain,
+		Holder: b.env.Self.ID, Incarnation: b.env.Self.Incarnation, Duration: leaseDuration,
+	})
+	if err != nil {
+		return err
+	}
+	b.orders = order.NewManager(order.Config{
+		Domain: domain, Lease: lease, Source: b.cache,
+		IsCandidate: func() bool { return owns(b.members, orderKey, 1) },
+		Refresh: func(ctx context.Context) error {
+			_, err := b.syncer.List(ctx)
+			return err
+		},
+		Engines: b.engines, Clock: b.env.Clock, Log: b.env.Log,
+		Period: orderPeriod, CallTimeout: peerCallTimeout, MaxOrders: maxOrders,
+	})
+	return nil
+}
+
+func (b *builder) serving() error {
+	var err error
+	b.peers, err = peer.NewServer(peer.Handlers{
+		Claims: b.claims.Handler(), Members: b.members,
+		Config:   exchangeHandler{&exchange{dialer: b.dialer, directory: b.directory, syncer: func() *conf.Syncer { return b.syncer }}},
+		Sessions: b.server, Strikes: b.server,
+	}, b.traffic, b.env.Log)
+	return err
+}
+
+// run does the background work of all parts until ctx ends.
+func (b *builder) run(ctx context.Context) error {
+	var group sync.WaitGroup
+	for _, work := range []func(context.Context){
+		b.members.Run, b.syncer.Run, b.claims.Run, b.server.Run, b.client.Run, b.orders.Run, b.clean,
+	} {
+		group.Go(func() { work(ctx) })
+	}
+	err := b.peers.Serve(ctx, b.env.Peer)
+	group.Wait()
+	b.platform.Close()
+	b.engines.Close()
+	return errors.Join(err, b.dialer.Close())
+}
+
+// clean deletes old claims while this instance is in charge of it.
+func (b *builder) clean(ctx context.Context) {
+	b.claims.RunJanitor(ctx, claim.JanitorOptions{
+		Interval: janitorInterval, MaxAge: claimAge, Pause: janitorPause,
+		Owner: func() bool { return owns(b.members, janitorKey, 1) },
+	})
+}
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -29,20 +29,29 @@
 	return s
 }
 
-// order returns the live members in rendezvous order for the key. The library
-// returns only the first, so the rest is found by leaving out what was found.
+// order returns the live members in rendezvous order for the key.
 func (s *snapshot) order(key string) []Member {
 	if found, ok := s.owners.Load(key); ok {
 		return found.([]Member)
 	}
-	names := make([]string, 0, len(s.live))
-	for _, m := range s.live {
+	ordered := Order(s.live, key)
+	s.owners.Store(key, ordered)
+	return ordered
+}
+
+// Order returns members in rendezvous order for a key. The library returns
+// only the first, so the rest is found by leaving out what was found.
+func Order(members []Member, key string) []Member {
+	names := make([]string, 0, len(members))
+	byID := make(map[string]Member, len(members))
+	for _, m := range members {
 		names = append(names, m.ID)
+		byID[m.ID] = m
 	}
 	ordered := make([]Member, 0, len(names))
 	for len(names) > 0 {
 		first := rendezvous.New(names, xxhash.Sum64String).Lookup(key)
-		ordered = append(ordered, s.byID[first])
+		ordered = append(ordered, byID[first])
 		rest := names[:0]
 		for _, name := range names {
 			if name != first {
@@ -51,6 +60,5 @@
 		}
 		names = rest
 	}
-	s.owners.Store(key, ordered)
 	return ordered
 }
--- a/pkg/order/manager.go
+++ b/pkg/order/manager.go
@@ -27,6 +27,9 @@
 	Domain string
 	Lease  *Lease
 	Source conf.Source
+	// IsCandidate tells whether this instance should try to get the lease, so
+	// that not every member of the domain polls it. Nil means always.
+	IsCandidate func() bool
 	// Refresh brings the configuration up to the platform's current state.
 	Refresh func(ctx context.Context) error
 	Engines Engines
@@ -84,7 +87,7 @@
 
 // Round renews the lease and, if it is held, reconciles every engine once.
 func (m *Manager) Round(ctx context.Context) {
-	if !m.renew(ctx) {
+	if !m.isCandidate() || !m.renew(ctx) {
 		return
 	}
 	if !m.refresh(ctx) {
@@ -102,6 +105,10 @@
 	}
 }
 
+func (m *Manager) isCandidate() bool {
+	return m.config.IsCandidate == nil || m.config.IsCandidate()
+}
+
 func (m *Manager) renew(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, m.config.CallTimeout)
 	defer cancel()
@@ -178,8 +185,11 @@
 	return order
 }
 
+// matches reports whether the engine's state is the desired one. A record
+// without a role leaves the role to the engine.
 func matches(load upstream.Load, wanted upstream.Order) bool {
 	loaded := slices.Clone(load.LoadedModels)
 	sort.Strings(loaded)
-	return load.Role == wanted.Role && slices.Equal(loaded, wanted.Models)
+	sameRole := wanted.Role == "" || load.Role == wanted.Role
+	return sameRole && slices.Equal(loaded, wanted.Models)
 }
