Add the configuration cache and its syncer

A floor (the version of the newest complete listing) keeps late messages from bringing back objects whose tombstone is not known.

A delta is fetched first; all versions are compared only when the same pair of digests differs twice, because the list of versions is large.

--- a/pkg/conf/conf.go
+++ b/pkg/conf/conf.go
@@ -46,6 +46,9 @@
 	Pools map[string]*Pool
 	// PoolOf gives the pool of an upstream.
 	PoolOf map[string]string
+
+	// withdrawals holds the withdrawals by name, for the next snapshot.
+	withdrawals map[string]*record.Withdrawal
 }
 
 // Pool is a set of upstreams of one failure domain that share models, or
--- /dev/null
+++ b/pkg/conf/conf_test.go
@@ -0,0 +1,265 @@
+package conf_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	metrics "github.com/rcrowley/go-metrics"
+
+	standin "github.com/rosemarywing/rosemarywing/internal/standin/platform"
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/platform"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+)
+
+func object(kind record.Kind, name string, version uint64, spec string) conf.Object {
+	body := fmt.Appendf(nil, `{"schema":"rosemarywing/v2","kind":%q,"name":%q,"spec":%s}`, kind, name, spec)
+	return conf.Object{Key: conf.Key{Kind: kind, Name: name}, Version: version, Body: body}
+}
+
+func engine(name string, version uint64, domain, batch, models string) conf.Object {
+	return object(record.KindUpstream, name, version, fmt.Sprintf(
+		`{"type":"engine","address":"h:1","domain":%q,"batch":%q,"models":[%s],"maxRequests":1}`, domain, batch, models))
+}
+
+// Guards against pools that differ between instances, join failure domains, or
+// miss that two models are joined by a third upstream; and against an engine
+// pool and a service pool of one name.
+func TestPools(t *testing.T) {
+	g := NewWithT(t)
+	service := func(name, of string) conf.Object {
+		return object(record.KindUpstream, name, 9, fmt.Sprintf(
+			`{"type":"service","address":"h:1","domain":"north","service":%q,"maxRequests":1}`, of))
+	}
+	cache := conf.NewCache()
+	cache.Merge([]conf.Object{
+		engine("e1", 1, "north", "", `"m@1"`),
+		engine("e2", 2, "north", "", `"k@1","m@2"`),
+		engine("e3", 3, "north", "", `"k@1"`),
+		engine("e4", 4, "north", "", `"z@1"`),
+		engine("e5", 5, "south", "", `"m@1"`),
+		service("s1", "z"), service("s2", "cutting"),
+	}, true)
+	pools := map[string][]string{}
+	for name, pool := range cache.Snapshot().Pools {
+		pools[name] = pool.Upstreams
+	}
+	g.Expect(pools).To(Equal(map[string][]string{
+		"north/k": {"e1", "e2", "e3"}, "north/z": {"e4"}, "south/m": {"e5"},
+		"north/service:z": {"s1"}, "north/cutting": {"s2"},
+	}))
+	cache.Merge([]conf.Object{engine("e2", 10, "north", "", `"m@2"`)}, false)
+	g.Expect(cache.Snapshot().PoolOf).To(HaveKeyWithValue("e3", "north/k"))
+	g.Expect(cache.Snapshot().PoolOf).To(HaveKeyWithValue("e2", "north/m"))
+}
+
+// Guards against a withdrawal that misses an upstream that joins the batch
+// later, that takes effect in parts, or that changes a snapshot in use.
+func TestWithdrawalAppliesAsAWhole(t *testing.T) {
+	g := NewWithT(t)
+	cache := conf.NewCache()
+	cache.Merge([]conf.Object{
+		engine("e1", 1, "north", "b", `"m@1"`), engine("e2", 2, "north", "b", `"m@1"`),
+		engine("e3", 3, "north", "", `"m@1"`),
+	}, true)
+	before := cache.Snapshot()
+	cache.Merge([]conf.Object{object(record.KindWithdrawal, "w", 4, `{"batch":"b","modelVersion":"m@2"}`)}, false)
+	cache.Merge([]conf.Object{engine("e4", 5, "north", "b", `"m@1"`)}, false)
+	after := cache.Snapshot()
+	g.Expect(before.Withdrawn).To(BeEmpty())
+	g.Expect(after.Withdrawn).To(Equal(map[string]bool{"e1": true, "e2": true, "e4": true}))
+	g.Expect(after.Servable("e3", "m@1")).To(BeTrue())
+	g.Expect(after.Servable("e3", "m@2")).To(BeFalse())
+	cache.Merge([]conf.Object{{Key: conf.Key{Kind: record.KindWithdrawal, Name: "w"}, Version: 6, Deleted: true}}, false)
+	g.Expect(cache.Snapshot().Withdrawn).To(BeEmpty())
+}
+
+// Guards against a record of a newer schema version that takes a working
+// record out of effect, or that is not passed on to peers.
+func TestRecordsThatAreNotUnderstood(t *testing.T) {
+	g := NewWithT(t)
+	cache := conf.NewCache()
+	cache.Merge([]conf.Object{engine("e1", 1, "north", "", `"m@1"`)}, true)
+	newer := engine("e1", 2, "north", "", `"m@1"],"shape":["x"`)
+	g.Expect(cache.Merge([]conf.Object{newer}, false)).To(BeTrue())
+	g.Expect(cache.Snapshot().Upstreams).To(HaveKey("e1"))
+	g.Expect(cache.Snapshot().NewestVersion).To(BeEquivalentTo(2))
+	g.Expect(cache.Delta(1)).To(ConsistOf(newer))
+	cache.MergeComplete(nil, 2, true)
+	g.Expect(cache.Snapshot().Upstreams).To(BeEmpty())
+}
+
+// Guards against a key that still admits callers after it moved or its team
+// was changed, and against instances that disagree on a key of two teams.
+func TestTeamKeys(t *testing.T) {
+	g := NewWithT(t)
+	team := func(name string, version uint64, sum int) conf.Object {
+		return object(record.KindTeam, name, version, fmt.Sprintf(
+			`{"keySHA256":["%064x"],"weight":1,"defaultTier":"t","highestTier":"t"}`, sum))
+	}
+	owner := func(c *conf.Cache, sum int) string {
+		if found := c.Snapshot().TeamByKey[fmt.Sprintf("%064x", sum)]; found != nil {
+			return found.Name
+		}
+		return ""
+	}
+	cache := conf.NewCache()
+	cache.Merge([]conf.Object{team("a", 1, 1), team("b", 2, 2)}, true)
+	cache.Merge([]conf.Object{team("b", 3, 1)}, false)
+	g.Expect([]string{owner(cache, 1), owner(cache, 2)}).To(Equal([]string{"a", ""}))
+	cache.Merge([]conf.Object{team("a", 4, 3)}, false)
+	g.Expect([]string{owner(cache, 1), owner(cache, 3)}).To(Equal([]string{"b", "a"}))
+}
+
+// pauses is a clock whose pauses end at once and are recorded.
+type pauses struct {
+	*clockwork.FakeClock
+	taken chan time.Duration
+}
+
+func (p *pauses) After(pause time.Duration) <-chan time.Time {
+	if pause > 0 {
+		p.taken <- pause
+	}
+	over := make(chan time.Time, 1)
+	over <- p.Now()
+	return over
+}
+
+// Guards against a watcher that does not apply events, that does not list
+// again after a broken watch, or that hammers the platform while watches break.
+func TestWatcherListsAgainAfterABrokenWatch(t *testing.T) {
+	g := NewWithT(t)
+	const never = time.Hour
+	server := standin.NewServer(clockwork.NewFakeClock())
+	listener := httptest.NewServer(server)
+	defer listener.Close()
+	clock := &pauses{FakeClock: clockwork.NewFakeClock(), taken: make(chan time.Duration)}
+	client := platform.NewClient(platform.Options{
+		BaseURL: listener.URL, Timeout: time.Minute, WatchIdle: never,
+		Registry: metrics.NewRegistry(), Clock: clock,
+	})
+	defer client.Close()
+	put := func(name string) {
+		_, err := client.Put(context.Background(), platform.Object{Kind: "Tier", Name: name, Body: tierBody(name, 1)}, platform.Precondition{})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	cache := conf.NewCache()
+	waitFor := func(name string) {
+		for {
+			changed := cache.Changed()
+			if cache.Snapshot().Tiers[name] != nil {
+				return
+			}
+			<-changed
+		}
+	}
+	syncer := conf.NewSyncer(cache, client, &node{}, conf.Options{
+		IsWatcher: func() bool { return true }, BackoffMin: time.Second, BackoffMax: 8 * time.Second,
+		RoleInterval: never, RelistInterval: never, CallTimeout: time.Minute,
+		Clock: clock, Random: rand.New(rand.NewPCG(1, 2)), Log: logr.Discard(),
+	})
+	put("listed")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); syncer.Run(ctx) }()
+	waitFor("listed")
+	put("watched")
+	waitFor("watched")
+	server.SetFaults(standin.Faults{EndWatches: true})
+	for i, backoff := range []time.Duration{1, 2, 4, 8, 8, 8} {
+		pause := <-clock.taken
+		g.Expect(pause).To(BeNumerically(">=", backoff*time.Second/2))
+		g.Expect(pause).To(BeNumerically("<=", backoff*time.Second))
+		put(fmt.Sprint("during-", i))
+	}
+	waitFor("during-4")
+	cancel()
+	for {
+		select {
+		case <-clock.taken:
+		case <-done:
+			return
+		}
+	}
+}
+
+// target is the configuration of the target scale: 600 upstreams in 6 domains,
+// 36 models, 6,300 teams and 3 tiers.
+func target() []conf.Object {
+	var objects []conf.Object
+	add := func(o conf.Object) {
+		o.Version = uint64(len(objects) + 1)
+		objects = append(objects, o)
+	}
+	for i := range 3 {
+		add(object(record.KindTier, fmt.Sprint("tier-", i), 0, fmt.Sprintf(`{"priority":%d,"deadlineMs":1000}`, i)))
+	}
+	for i := range 36 {
+		add(object(record.KindModel, fmt.Sprint("model-", i), 0, `{"versions":["1","2"]}`))
+	}
+	for i := range 6300 {
+		add(object(record.KindTeam, fmt.Sprint("team-", i), 0, fmt.Sprintf(
+			`{"keySHA256":["%064x"],"weight":1,"defaultTier":"tier-0","highestTier":"tier-2"}`, i)))
+	}
+	for i := range 600 {
+		add(engine(fmt.Sprint("engine-", i), 0, fmt.Sprint("domain-", i%6), fmt.Sprint("batch-", i%20),
+			fmt.Sprintf(`"model-%d@1"`, i/6%36)))
+	}
+	return objects
+}
+
+func BenchmarkLoadTarget(b *testing.B) {
+	objects := target()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	caches := make([]*conf.Cache, 0, b.N)
+	for b.Loop() {
+		cache := conf.NewCache()
+		cache.MergeComplete(objects, uint64(len(objects)), true)
+		caches = append(caches[:0], cache)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB/cache")
+	runtime.KeepAlive(caches)
+	runtime.KeepAlive(objects)
+}
+
+func BenchmarkOneChange(b *testing.B) {
+	changes := map[string]func(i int) conf.Object{
+		"upstream": func(i int) conf.Object { return engine("engine-1", 0, "domain-1", "batch-1", `"model-0@1"`) },
+		"team": func(i int) conf.Object {
+			return object(record.KindTeam, "team-1", 0, fmt.Sprintf(
+				`{"keySHA256":["%064x"],"weight":1,"defaultTier":"tier-0","highestTier":"tier-2"}`, 7000+i%2))
+		},
+		"pool": func(i int) conf.Object {
+			return engine("engine-1", 0, "domain-1", "batch-1", fmt.Sprintf(`"model-%d@1"`, i%36))
+		},
+		"withdrawal": func(i int) conf.Object {
+			return object(record.KindWithdrawal, "w", 0, fmt.Sprintf(`{"batch":"batch-%d"}`, i%20))
+		},
+	}
+	for name, change := range changes {
+		b.Run(name, func(b *testing.B) {
+			cache := conf.NewCache()
+			cache.MergeComplete(target(), 10_000, true)
+			version := uint64(10_000)
+			for b.Loop() {
+				version++
+				o := change(int(version))
+				o.Version = version
+				cache.Merge([]conf.Object{o}, false)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/conf/syncer.go
@@ -0,0 +1,462 @@
+package conf
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/rosemarywing/rosemarywing/pkg/platform"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+)
+
+// FetchRequest asks a peer for objects.
+type FetchRequest struct {
+	// Known lists what the asker has, without bodies; if it is not empty, the
+	// peer answers with what is missing.
+	Known []Object
+	// After asks only for objects with a version above it.
+	After uint64
+}
+
+// FetchReply is one page of the answer to a FetchRequest.
+type FetchReply struct {
+	Objects []Object
+	Usable  bool
+	Digest  uint64
+	// Complete is the version at which the peer's cache is complete, 0 if the
+	// peer cannot tell.
+	Complete uint64
+	// More is true when the page was cut at the size limit.
+	More bool
+}
+
+// Notice says that a peer has newer configuration.
+type Notice struct {
+	SenderAddress string
+	Digest        uint64
+	NewestVersion uint64
+}
+
+// Peers carries calls to other instances.
+type Peers interface {
+	FetchConfig(ctx context.Context, address string, request FetchRequest) (FetchReply, error)
+	NotifyConfig(ctx context.Context, address string, notice Notice) error
+	// Addresses returns the live members of the domain without this instance.
+	Addresses() []string
+}
+
+// maxPageBytes is below the limit of 4 MiB on a message between instances.
+const maxPageBytes = 3 << 20
+
+// objectOverhead is an allowance for the encoding of one object.
+const objectOverhead = 64
+
+// Answer answers a peer's request with one page. A page ends only between two
+// versions, so that the asker can go on after the last version that it got.
+func (c *Cache) Answer(request FetchRequest) FetchReply {
+	// The floor is read before the objects: they are complete at least at it.
+	floor := c.Floor()
+	snapshot := c.Snapshot()
+	var objects []Object
+	if len(request.Known) > 0 {
+		objects = c.Missing(request.Known)
+	} else {
+		objects = c.Delta(request.After)
+	}
+	reply := FetchReply{Usable: snapshot.Usable, Digest: snapshot.Digest, Complete: floor}
+	size := 0
+	for i, object := range objects {
+		size += len(object.Body) + len(object.Key.Kind) + len(object.Key.Name) + objectOverhead
+		if size > maxPageBytes && i > 0 && object.Version != objects[i-1].Version {
+			reply.Objects, reply.More = objects[:i], true
+			return reply
+		}
+	}
+	reply.Objects = objects
+	return reply
+}
+
+// Options are the settings and collaborators of a Syncer.
+type Options struct {
+	// Address is the host and port at which peers reach this instance.
+	Address string
+	// IsWatcher tells whether this instance is a watcher of its domain.
+	IsWatcher func() bool
+	// Fanout is the number of members that are notified of a change.
+	Fanout int
+	// BackoffMin and BackoffMax bound the time before the platform is listed
+	// again after a broken watch.
+	BackoffMin, BackoffMax time.Duration
+	// RoleInterval is the time between checks of IsWatcher.
+	RoleInterval time.Duration
+	// RelistInterval is the time between full listings by a watcher: the only
+	// repair of an event that both watchers of a domain missed.
+	RelistInterval time.Duration
+	// ApplyInterval is the least time between two applications of watch events,
+	// so that a burst of changes costs few snapshots.
+	ApplyInterval time.Duration
+	// CallTimeout limits a call to a peer.
+	CallTimeout time.Duration
+	Clock       clockwork.Clock
+	Random      *rand.Rand
+	Log         logr.Logger
+}
+
+// Syncer keeps a cache up to date from the platform and from peers.
+type Syncer struct {
+	opts  Options
+	cache *Cache
+	store platform.Store
+	peers Peers
+	// queue holds addresses to fetch from.
+	queue chan string
+
+	mu sync.Mutex
+	// queued holds the addresses in the queue.
+	queued map[string]bool
+	// differing holds, by peer, the pair of digests that a delta did not settle.
+	differing map[string]digestPair
+}
+
+type digestPair struct{ own, peer uint64 }
+
+// maxQueued bounds the fetches that wait. What does not fit is repaired by the
+// digests of later pings.
+const maxQueued = 64
+
+// NewSyncer returns a syncer; Run starts it.
+func NewSyncer(cache *Cache, store platform.Store, peers Peers, opts Options) *Syncer {
+	return &Syncer{
+		opts: opts, cache: cache, store: store, peers: peers,
+		queue:     make(chan string, maxQueued),
+		queued:    map[string]bool{},
+		differing: map[string]digestPair{},
+	}
+}
+
+// HandleFetch answers FetchConfig.
+func (s *Syncer) HandleFetch(request FetchRequest) FetchReply { return s.cache.Answer(request) }
+
+// HandleNotify handles NotifyConfig: it fetches from the sender unless this
+// instance is ahead; then the digests of pings settle what differs.
+func (s *Syncer) HandleNotify(notice Notice) {
+	snapshot := s.cache.Snapshot()
+	if notice.Digest == snapshot.Digest && snapshot.Usable || notice.NewestVersion < snapshot.NewestVersion {
+		return
+	}
+	s.enqueue(notice.SenderAddress)
+}
+
+// ObserveDigest handles the digest in a ping or its reply.
+func (s *Syncer) ObserveDigest(address string, digest uint64) {
+	snapshot := s.cache.Snapshot()
+	if digest != snapshot.Digest || !snapshot.Usable {
+		s.enqueue(address)
+	}
+}
+
+func (s *Syncer) enqueue(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.queued[address] {
+		return
+	}
+	select {
+	case s.queue <- address:
+		s.queued[address] = true
+	default:
+	}
+}
+
+// Exchange fetches from one peer what this instance lacks, and notifies others
+// of a change.
+func (s *Syncer) Exchange(ctx context.Context, address string) error {
+	var changed bool
+	var err error
+	if s.cache.Snapshot().Usable {
+		changed, err = s.fetchDelta(ctx, address)
+	} else {
+		changed, err = s.fetchAll(ctx, address)
+	}
+	if changed {
+		s.notify(ctx)
+	}
+	return err
+}
+
+// fetchAll fetches the whole configuration. It takes effect as usable only
+// once every page has arrived.
+func (s *Syncer) fetchAll(ctx context.Context, address string) (bool, error) {
+	objects, first, err := s.fetchPages(ctx, address, FetchRequest{}, nil)
+	if err != nil {
+		return false, err
+	}
+	if !first.Usable {
+		return s.cache.Merge(objects, false), nil
+	}
+	return s.cache.MergeComplete(objects, first.Complete, true), nil
+}
+
+func (s *Syncer) fetchDelta(ctx context.Context, address string) (bool, error) {
+	request := FetchRequest{After: s.cache.Snapshot().NewestVersion}
+	objects, reply, err := s.fetchPages(ctx, address, request, nil)
+	if err != nil {
+		return false, err
+	}
+	changed := s.cache.Merge(objects, false)
+	if !s.stillDiffers(address, reply.Digest) {
+		return changed, nil
+	}
+	known := s.cache.Known()
+	objects, _, err = s.fetchPages(ctx, address, FetchRequest{Known: known}, known)
+	if err != nil {
+		return changed, err
+	}
+	return s.cache.Merge(objects, false) || changed, nil
+}
+
+// stillDiffers reports whether the digests differ in the same way as after the
+// last exchange with this peer. Only then is the list of all versions sent,
+// which is large: most differences pass while a change is spreading.
+func (s *Syncer) stillDiffers(address string, digest uint64) bool {
+	pair := digestPair{own: s.cache.Snapshot().Digest, peer: digest}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pair.own == pair.peer {
+		delete(s.differing, address)
+		return false
+	}
+	if s.differing[address] != pair {
+		s.differing[address] = pair
+		return false
+	}
+	delete(s.differing, address)
+	return true
+}
+
+// fetchPages fetches until no page is left and returns the objects of all
+// pages, and the first page, whose Complete holds for all of them.
+func (s *Syncer) fetchPages(ctx context.Context, address string, request FetchRequest, known []Object) ([]Object, FetchReply, error) {
+	var objects []Object
+	var first FetchReply
+	for page := 0; ; page++ {
+		callCtx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+		reply, err := s.peers.FetchConfig(callCtx, address, request)
+		cancel()
+		if err != nil {
+			return nil, FetchReply{}, err
+		}
+		if page == 0 {
+			first = reply
+		}
+		objects = append(objects, reply.Objects...)
+		if !reply.More || len(reply.Objects) == 0 {
+			return objects, first, nil
+		}
+		if known != nil {
+			request.Known = append(request.Known, reply.Objects...)
+		} else {
+			request.After = reply.Objects[len(reply.Objects)-1].Version
+		}
+	}
+}
+
+// notify tells random members that this instance has newer configuration.
+func (s *Syncer) notify(ctx context.Context) {
+	snapshot := s.cache.Snapshot()
+	notice := Notice{SenderAddress: s.opts.Address, Digest: snapshot.Digest, NewestVersion: snapshot.NewestVersion}
+	addresses := append([]string(nil), s.peers.Addresses()...)
+	s.mu.Lock()
+	s.opts.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	s.mu.Unlock()
+	for _, address := range addresses[:min(s.opts.Fanout, len(addresses))] {
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+			defer cancel()
+			if err := s.peers.NotifyConfig(callCtx, address, notice); err != nil {
+				s.opts.Log.V(1).Info("notification of a configuration change failed", "peer", address, "error", err.Error())
+			}
+		}()
+	}
+}
+
+// Run keeps the cache up to date until ctx ends.
+func (s *Syncer) Run(ctx context.Context) {
+	var workers sync.WaitGroup
+	workers.Go(func() { s.fetchQueued(ctx) })
+	workers.Go(func() { s.watchPlatform(ctx) })
+	workers.Wait()
+}
+
+func (s *Syncer) fetchQueued(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-s.queue:
+			s.mu.Lock()
+			delete(s.queued, address)
+			s.mu.Unlock()
+			if err := s.Exchange(ctx, address); err != nil {
+				s.opts.Log.V(1).Info("fetching configuration failed", "peer", address, "error", err.Error())
+			}
+		}
+	}
+}
+
+// watchPlatform lists and watches while this instance is a watcher.
+func (s *Syncer) watchPlatform(ctx context.Context) {
+	backoff := s.opts.BackoffMin
+	for ctx.Err() == nil {
+		pause := s.opts.RoleInterval
+		if s.opts.IsWatcher() {
+			started := s.opts.Clock.Now()
+			err := s.follow(ctx)
+			// A watch that breaks soon after each listing must not reset the
+			// backoff: a listing is the whole configuration.
+			if s.opts.Clock.Since(started) > s.opts.BackoffMax {
+				backoff = s.opts.BackoffMin
+			}
+			// Half of the pause is random, so that the watchers of all domains do
+			// not return at the same time after an outage.
+			pause = backoff/2 + s.random(backoff/2)
+			backoff = min(2*backoff, s.opts.BackoffMax)
+			if err == nil {
+				continue
+			}
+			s.opts.Log.Info("watch of the platform ended", "error", err.Error(), "pause", pause.String())
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.opts.Clock.After(pause):
+		}
+	}
+}
+
+func (s *Syncer) random(limit time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.opts.Random.Int64N(int64(limit) + 1))
+}
+
+// List merges a complete listing of the platform.
+func (s *Syncer) List(ctx context.Context) (uint64, error) {
+	list, err := s.store.List(ctx, platformKinds()...)
+	if err != nil {
+		return 0, err
+	}
+	objects := make([]Object, 0, len(list.Objects))
+	for _, object := range list.Objects {
+		objects = append(objects, fromPlatform(object))
+	}
+	if s.cache.MergeComplete(objects, list.Version, true) {
+		s.notify(ctx)
+	}
+	return list.Version, nil
+}
+
+// follow lists the platform and applies a watch until it breaks, a listing is
+// due, or this instance is no longer a watcher; the last two give no error.
+func (s *Syncer) follow(ctx context.Context) error {
+	version, err := s.List(ctx)
+	if err != nil {
+		return err
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch, err := s.store.Watch(watchCtx, version, platformKinds()...)
+	if err != nil {
+		return err
+	}
+	defer watch.Close()
+	events, failed := receive(watchCtx, watch)
+	relist := s.opts.Clock.NewTimer(s.opts.RelistInterval)
+	defer relist.Stop()
+	role := s.opts.Clock.NewTicker(s.opts.RoleInterval)
+	defer role.Stop()
+	var pending []Object
+	var due <-chan time.Time
+	defer func() { s.apply(ctx, pending) }()
+	for {
+		select {
+		case event := <-events:
+			pending = append(pending, fromEvent(event))
+			if due == nil {
+				// The first change is applied at once; those that follow within the
+				// interval are applied together.
+				s.apply(ctx, pending)
+				pending = nil
+				due = s.opts.Clock.After(s.opts.ApplyInterval)
+			}
+		case <-due:
+			due = nil
+			if len(pending) > 0 {
+				s.apply(ctx, pending)
+				pending = nil
+				due = s.opts.Clock.After(s.opts.ApplyInterval)
+			}
+		case err := <-failed:
+			return err
+		case <-relist.Chan():
+			return nil
+		case <-role.Chan():
+			if !s.opts.IsWatcher() {
+				return nil
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Syncer) apply(ctx context.Context, objects []Object) {
+	if s.cache.Merge(objects, false) {
+		s.notify(ctx)
+	}
+}
+
+// receive reads a watch in its own goroutine, which ends when ctx ends or the watch is closed.
+func receive(ctx context.Context, watch platform.Watch) (<-chan platform.Event, <-chan error) {
+	events, failed := make(chan platform.Event), make(chan error, 1)
+	go func() {
+		for {
+			event, err := watch.Next()
+			if err != nil {
+				failed <- err
+				return
+			}
+			select {
+			case events <- event:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return events, failed
+}
+
+func platformKinds() []string {
+	var kinds []string
+	for _, kind := range record.Kinds() {
+		kinds = append(kinds, string(kind))
+	}
+	return kinds
+}
+
+func fromPlatform(object platform.Object) Object {
+	return Object{
+		Key:     Key{Kind: record.Kind(object.Kind), Name: object.Name},
+		Version: object.Version,
+		Body:    object.Body,
+	}
+}
+
+func fromEvent(event platform.Event) Object {
+	object := fromPlatform(event.Object)
+	object.Deleted = event.Type == platform.EventDelete
+	return object
+}
