Add the operators' command-line tool

apply and validate check all records and their references before the first write; each write requires the version that was read. A withdrawal is one conditional write and checks no references, so that it needs no listing. inforce exits as not_ready when an instance could not be asked.

Seen to fail: TestCommands without preconditions (race), without reading back (lost answer), without the check of references; TestInforceShowsSilentInstances without the exit code for silent instances.

--- /dev/null
+++ b/pkg/cli/cli.go
@@ -0,0 +1,144 @@
+// Package cli implements the operators' command-line tool.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/platform"
+)
+
+// globalOptions apply to every command.
+type globalOptions struct {
+	Platform string        `long:"platform" env:"ROSEMARYWING_PLATFORM" description:"URL of the platform"`
+	Output   string        `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"form of the output"`
+	Timeout  time.Duration `long:"timeout" default:"5s" description:"time-out of each call"`
+}
+
+// app carries what the commands share.
+type app struct {
+	globalOptions
+	ctx      context.Context
+	in       io.Reader
+	out      io.Writer
+	errors   io.Writer
+	platform *platform.Client
+	http     *http.Client
+}
+
+// Run runs one command and returns its exit code: 0, or that of the error's
+// kind in errkind.
+func Run(ctx context.Context, args []string, in io.Reader, out, errors io.Writer) int {
+	a := &app{ctx: ctx, in: in, out: out, errors: errors}
+	parser := flags.NewNamedParser("rosemarywing", flags.HelpFlag|flags.PassDoubleDash)
+	if err := a.register(parser); err != nil {
+		return a.fail(errkind.Wrap(errkind.Internal, err, "register commands"))
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return errkind.New(errkind.BadRequest, "unexpected arguments %q", rest)
+		}
+		validate, ok := command.(*validateCommand)
+		if offline := ok && validate.Offline; a.Platform == "" && !offline {
+			return errkind.New(errkind.BadRequest, "--platform is required")
+		}
+		a.connect()
+		return command.Execute(rest)
+	}
+	_, err := parser.ParseArgs(args)
+	if a.platform != nil {
+		a.platform.Close()
+		a.http.CloseIdleConnections()
+	}
+	if flags.WroteHelp(err) {
+		// Help that cannot be written leaves nothing to report to.
+		_, _ = fmt.Fprintln(out, err)
+		return 0
+	}
+	if _, ok := err.(*flags.Error); ok { //nolint:errorlint // go-flags returns its own errors unwrapped.
+		err = errkind.Wrap(errkind.BadRequest, err, "arguments")
+	}
+	return a.fail(err)
+}
+
+func (a *app) register(parser *flags.Parser) error {
+	if _, err := parser.AddGroup("Global options", "", &a.globalOptions); err != nil {
+		return err
+	}
+	commands := []struct {
+		name, help string
+		data       any
+	}{
+		{"apply", "create or update records", &applyCommand{app: a}},
+		{"validate", "check records without writing", &validateCommand{app: a}},
+		{"withdraw", "take upstreams or a model version out of service in one write", &withdrawCommand{app: a}},
+		{"restore", "end a withdrawal", &restoreCommand{app: a}},
+		{"list", "list records", &listCommand{app: a}},
+		{"describe", "show one record", &describeCommand{app: a}},
+		{"inforce", "show the configuration in effect on each instance", &inforceCommand{app: a}},
+	}
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.help, "", c.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *app) connect() {
+	a.platform = platform.NewClient(platform.Options{
+		BaseURL: a.Platform, Timeout: a.Timeout, WatchIdle: a.Timeout,
+		Registry: metrics.NewRegistry(), Clock: clockwork.NewRealClock(),
+	})
+	a.http = &http.Client{
+		Timeout: a.Timeout,
+		Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: a.Timeout}).DialContext,
+		},
+	}
+}
+
+// fail prints an error and returns the exit code.
+func (a *app) fail(err error) int {
+	if err == nil {
+		return 0
+	}
+	kind := errkind.KindOf(err)
+	if a.Output == "json" {
+		_ = json.NewEncoder(a.errors).Encode(map[string]string{"error": string(kind), "message": err.Error()})
+	} else {
+		_, _ = fmt.Fprintln(a.errors, "error:", err)
+	}
+	return errkind.AnswerFor(kind).ExitCode
+}
+
+// print writes value as JSON, or the rows as a table whose first row is the header.
+func (a *app) print(value any, rows [][]string) error {
+	if a.Output == "json" {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				_, _ = fmt.Fprint(table, "\t")
+			}
+			_, _ = fmt.Fprint(table, cell)
+		}
+		_, _ = fmt.Fprintln(table)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/pkg/cli/cli_test.go
@@ -0,0 +1,146 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	standin "github.com/rosemarywing/rosemarywing/internal/standin/platform"
+	"github.com/rosemarywing/rosemarywing/pkg/cli"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/platform"
+)
+
+type fixture struct {
+	server *standin.Server
+	url    string
+	mu     sync.Mutex
+	// race, if not nil, runs once before the next write reaches the platform.
+	race func()
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{server: standin.NewServer(clockwork.NewFakeClock())}
+	listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		race := f.race
+		if r.Method == http.MethodPut {
+			f.race = nil
+		}
+		f.mu.Unlock()
+		if r.Method == http.MethodPut && race != nil {
+			race()
+		}
+		f.server.ServeHTTP(w, r)
+	}))
+	t.Cleanup(listener.Close)
+	f.url = listener.URL
+	return f
+}
+
+func (f *fixture) run(input string, args ...string) (code int, output string) {
+	var out, errors bytes.Buffer
+	code = cli.Run(context.Background(), append([]string{"--platform", f.url}, args...), strings.NewReader(input), &out, &errors)
+	return code, out.String() + errors.String()
+}
+
+func tier(name string, priority int) string {
+	return fmt.Sprintf(`{"schema":"rosemarywing/v2","kind":"Tier","name":%q,"spec":{"priority":%d,"deadlineMs":1000}}`, name, priority)
+}
+
+func team(highest string) string {
+	return fmt.Sprintf(`{"schema":"rosemarywing/v2","kind":"Team","name":"a","spec":{"weight":1,"defaultTier":"low","highestTier":%q}}`, highest)
+}
+
+func exit(kind errkind.Kind) int { return errkind.AnswerFor(kind).ExitCode }
+
+// Guards against a command that reports success without a write, or a failure
+// after a write that took effect; against two operators who overwrite each
+// other; and against an invalid record that reaches the platform.
+func TestCommands(t *testing.T) {
+	const e1 = `{"schema":"rosemarywing/v1","kind":"Upstream","name":"e1","spec":{"address":"h:1","domain":"d","model":"m@1","limit":1}}`
+	apply := []string{"apply", "-f", "-"}
+	withdraw := []string{"withdraw", "--name", "w", "--batch", "b"}
+	table := []struct {
+		name, before, input string
+		args                []string
+		faults              standin.Faults
+		race                bool
+		code                int
+		output              string
+		objects             int
+	}{
+		{"apply several records", "", tier("low", 1) + tier("high", 2) + team("high"), apply, standin.Faults{}, false, 0, "created", 3},
+		{"apply again", tier("low", 1), tier("low", 2), apply, standin.Faults{}, false, 0, "updated", 1},
+		{"apply, lost answer", "", tier("low", 1), apply, standin.Faults{LoseAnswers: 1}, false, 0, "created", 1},
+		{"apply, race", "", tier("low", 1), apply, standin.Faults{}, true, exit(errkind.Conflict), "conflict", 1},
+		{"apply, outage", "", tier("low", 1), apply, standin.Faults{Outage: standin.Outage503}, false, exit(errkind.PlatformUnavailable), "platform_unavailable", 0},
+		{"apply, dangling reference", tier("low", 1), team("high"), apply, standin.Faults{}, false, exit(errkind.InvalidRecord), "highestTier", 1},
+		{"apply, second record invalid", "", tier("low", 1) + e1, apply, standin.Faults{}, false, exit(errkind.InvalidRecord), "m@1", 0},
+		{"validate", "", tier("low", 1), []string{"validate", "-f", "-"}, standin.Faults{}, false, 0, "valid", 0},
+		{"validate offline", "", e1, []string{"validate", "--offline", "-f", "-"}, standin.Faults{Outage: standin.Outage503}, false, 0, "valid", 0},
+		{"withdraw", "", "", withdraw, standin.Faults{}, false, 0, "created", 1},
+		{"withdraw, lost answer", "", "", withdraw, standin.Faults{LoseAnswers: 1}, false, 0, "created", 1},
+		{"withdraw nothing", "", "", []string{"withdraw", "--name", "w"}, standin.Faults{}, false, exit(errkind.InvalidRecord), "batch", 0},
+		{"restore", `{"schema":"rosemarywing/v2","kind":"Withdrawal","name":"w","spec":{"batch":"b"}}`, "",
+			[]string{"restore", "w"}, standin.Faults{LoseAnswers: 1}, false, 0, "deleted", 0},
+		{"restore what does not exist", "", "", []string{"restore", "w"}, standin.Faults{}, false, exit(errkind.NotFound), "not_found", 0},
+		{"list as JSON", tier("low", 1), "", []string{"list", "--output", "json"}, standin.Faults{}, false, 0, `"name": "low"`, 1},
+		{"describe", tier("low", 7), "", []string{"describe", "Tier", "low"}, standin.Faults{}, false, 0, `"priority": 7`, 1},
+		{"unknown command", "", "", []string{"erase"}, standin.Faults{}, false, exit(errkind.BadRequest), "erase", 0},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(t)
+			if row.before != "" {
+				code, output := f.run(row.before, "apply", "-f", "-")
+				g.Expect(code).To(Equal(0), output)
+			}
+			if row.race {
+				f.race = func() { f.run(tier("low", 99), "apply", "-f", "-") }
+			}
+			f.server.SetFaults(row.faults)
+			code, output := f.run(row.input, row.args...)
+			g.Expect(code).To(Equal(row.code), output)
+			g.Expect(output).To(ContainSubstring(row.output))
+			f.server.SetFaults(standin.Faults{})
+			_, listing := f.run("", "list", "--output", "json")
+			g.Expect(strings.Count(listing, `"kind"`)).To(Equal(row.objects))
+		})
+	}
+}
+
+// Guards against an instance that is left out because it could not be reached.
+func TestInforceShowsSilentInstances(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/status/config" {
+			_, _ = fmt.Fprint(w, `{"instance":"entry-1","domain":"north","usable":true,"digest":"ab12","newestVersion":42}`)
+		}
+	}))
+	defer admin.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	f.server.SetInstance(platform.ListedInstance{Name: "entry-1", Role: "entry", AdminAddress: address(admin)})
+	code, output := f.run("", "inforce")
+	g.Expect(code).To(Equal(0), output)
+	f.server.SetInstance(platform.ListedInstance{Name: "entry-2", Role: "entry", AdminAddress: address(gone)})
+	f.server.SetInstance(platform.ListedInstance{Name: "engine-1", Role: "upstream"})
+	code, output = f.run("", "inforce")
+	g.Expect(code).To(Equal(exit(errkind.NotReady)))
+	g.Expect(output).To(MatchRegexp(`entry-1 +north +true +42 +"ab12"`))
+	g.Expect(output).To(ContainSubstring("entry-2"))
+	g.Expect(output).To(ContainSubstring("1 of 2 instances could not be asked"))
+	g.Expect(output).NotTo(ContainSubstring("engine-1"))
+}
--- /dev/null
+++ b/pkg/cli/records.go
@@ -0,0 +1,314 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"strconv"
+
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/platform"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+)
+
+type fileOptions struct {
+	File string `short:"f" long:"file" required:"true" description:"file with JSON envelopes; - reads standard input"`
+}
+
+// row is one record in the output of a command.
+type row struct {
+	Kind    record.Kind     `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version,omitempty"`
+	Schema  string          `json:"schema,omitempty"`
+	Result  string          `json:"result,omitempty"`
+	Spec    json.RawMessage `json:"spec,omitempty"`
+}
+
+func (a *app) printRows(rows []row) error {
+	table := [][]string{{"KIND", "NAME", "VERSION", "SCHEMA", "RESULT"}}
+	for _, r := range rows {
+		table = append(table, []string{string(r.Kind), r.Name, strconv.FormatUint(r.Version, 10), r.Schema, r.Result})
+	}
+	return a.print(rows, table)
+}
+
+type applyCommand struct {
+	app *app
+	fileOptions
+}
+
+// Execute validates all records against what the platform holds before it
+// writes the first. Each write requires the version that was read.
+func (c *applyCommand) Execute([]string) error {
+	envelopes, err := c.app.readFile(c.File)
+	if err != nil {
+		return err
+	}
+	versions, err := c.app.check(envelopes)
+	if err != nil {
+		return err
+	}
+	var rows []row
+	for _, envelope := range envelopes {
+		written, err := c.app.write(envelope, versions[keyOf(envelope)])
+		if err != nil {
+			// What was written before the error is in effect and is shown.
+			_ = c.app.printRows(rows)
+			return err
+		}
+		rows = append(rows, written)
+	}
+	return c.app.printRows(rows)
+}
+
+type validateCommand struct {
+	app *app
+	fileOptions
+	Offline bool `long:"offline" description:"do not check references to records on the platform"`
+}
+
+// Execute checks records without writing.
+func (c *validateCommand) Execute([]string) error {
+	envelopes, err := c.app.readFile(c.File)
+	if err != nil {
+		return err
+	}
+	if !c.Offline {
+		if _, err := c.app.check(envelopes); err != nil {
+			return err
+		}
+	}
+	var rows []row
+	for _, envelope := range envelopes {
+		rows = append(rows, row{Kind: envelope.Kind, Name: envelope.Name, Schema: envelope.Schema, Result: "valid"})
+	}
+	return c.app.printRows(rows)
+}
+
+func keyOf(envelope record.Envelope) conf.Key {
+	return conf.Key{Kind: envelope.Kind, Name: envelope.Name}
+}
+
+// readFile reads envelopes and checks each for itself.
+func (a *app) readFile(path string) ([]record.Envelope, error) {
+	var data []byte
+	var err error
+	if path == "-" {
+		data, err = io.ReadAll(a.in)
+	} else {
+		data, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "read records")
+	}
+	envelopes, err := record.ParseEnvelopes(data)
+	if err != nil {
+		return nil, err
+	}
+	seen := map[conf.Key]bool{}
+	for _, envelope := range envelopes {
+		if _, err := envelope.Record(); err != nil {
+			return nil, err
+		}
+		if seen[keyOf(envelope)] {
+			return nil, errkind.New(errkind.InvalidRecord, "%s %s: field name: occurs twice", envelope.Kind, envelope.Name)
+		}
+		seen[keyOf(envelope)] = true
+	}
+	return envelopes, nil
+}
+
+// check validates the references of records within what the platform would
+// hold after they are written. It returns the versions of the present objects.
+func (a *app) check(envelopes []record.Envelope) (map[conf.Key]uint64, error) {
+	list, err := a.listAll(record.Kinds()...)
+	if err != nil {
+		return nil, err
+	}
+	versions := map[conf.Key]uint64{}
+	cache := conf.NewCache()
+	var objects []conf.Object
+	for _, object := range list.Objects {
+		key := conf.Key{Kind: record.Kind(object.Kind), Name: object.Name}
+		versions[key] = object.Version
+		objects = append(objects, conf.Object{Key: key, Version: object.Version, Body: object.Body})
+	}
+	for i, envelope := range envelopes {
+		body, err := encode(envelope)
+		if err != nil {
+			return nil, err
+		}
+		objects = append(objects, conf.Object{Key: keyOf(envelope), Version: list.Version + uint64(i) + 1, Body: body})
+	}
+	cache.Merge(objects, true)
+	snapshot := cache.Snapshot()
+	set := record.Set{Tiers: snapshot.Tiers, Teams: snapshot.Teams, Models: snapshot.Models, Upstreams: snapshot.Upstreams}
+	for _, envelope := range envelopes {
+		parsed, err := envelope.Record()
+		if err != nil {
+			return nil, err
+		}
+		if err := set.Check(parsed); err != nil {
+			return nil, err
+		}
+	}
+	return versions, nil
+}
+
+func (a *app) listAll(kinds ...record.Kind) (platform.List, error) {
+	names := make([]string, 0, len(kinds))
+	for _, kind := range kinds {
+		names = append(names, string(kind))
+	}
+	return a.platform.List(a.ctx, names...)
+}
+
+func encode(envelope record.Envelope) ([]byte, error) {
+	body, err := json.Marshal(envelope)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.InvalidRecord, err, "%s %s", envelope.Kind, envelope.Name)
+	}
+	return body, nil
+}
+
+// write writes an envelope over the version that was read; 0 means that the
+// object did not exist.
+func (a *app) write(envelope record.Envelope, version uint64) (row, error) {
+	body, err := encode(envelope)
+	if err != nil {
+		return row{}, err
+	}
+	object := platform.Object{Kind: string(envelope.Kind), Name: envelope.Name, Body: body}
+	pre := platform.Precondition{Absent: version == 0, Version: version}
+	result := "created"
+	if version != 0 {
+		result = "updated"
+	}
+	written, err := platform.PutResolved(a.ctx, a.platform, object, pre)
+	if err != nil {
+		return row{}, err
+	}
+	return row{Kind: envelope.Kind, Name: envelope.Name, Version: written, Schema: envelope.Schema, Result: result}, nil
+}
+
+type withdrawCommand struct {
+	app          *app
+	Name         string   `long:"name" required:"true" description:"name of the withdrawal, for restore"`
+	Batch        string   `long:"batch" description:"withdraw the upstreams of a batch"`
+	Upstreams    []string `long:"upstream" description:"withdraw an upstream; may be repeated"`
+	ModelVersion string   `long:"model-version" description:"withdraw a model version, as model@version"`
+	Reason       string   `long:"reason" description:"shown to operators"`
+}
+
+// Execute writes one record, so that the withdrawal takes effect as a whole.
+// It checks the record but no references: a withdrawal must not wait for a
+// listing, and an upstream that appears later is withdrawn too.
+func (c *withdrawCommand) Execute([]string) error {
+	spec, err := json.Marshal(record.Withdrawal{
+		Batch: c.Batch, Upstreams: c.Upstreams, ModelVersion: c.ModelVersion, Reason: c.Reason,
+	})
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode the withdrawal")
+	}
+	envelope := record.Envelope{Schema: record.SchemaV2, Kind: record.KindWithdrawal, Name: c.Name, Spec: spec}
+	if _, err := envelope.Record(); err != nil {
+		return err
+	}
+	written, err := c.app.write(envelope, 0)
+	if err != nil {
+		return err
+	}
+	return c.app.printRows([]row{written})
+}
+
+type restoreCommand struct {
+	app  *app
+	Args struct {
+		Name string `positional-arg-name:"NAME" description:"name of the withdrawal"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute deletes the withdrawal in the version that was read.
+func (c *restoreCommand) Execute([]string) error {
+	kind := string(record.KindWithdrawal)
+	current, err := c.app.platform.Get(c.app.ctx, kind, c.Args.Name)
+	if err != nil {
+		return err
+	}
+	version, err := platform.DeleteResolved(c.app.ctx, c.app.platform, kind, c.Args.Name, current.Version)
+	if err != nil {
+		return err
+	}
+	return c.app.printRows([]row{{Kind: record.KindWithdrawal, Name: c.Args.Name, Version: version, Result: "deleted"}})
+}
+
+type listCommand struct {
+	app  *app
+	Args struct {
+		Kinds []string `positional-arg-name:"KIND" description:"kinds to list; all without any"`
+	} `positional-args:"true"`
+}
+
+// Execute lists records.
+func (c *listCommand) Execute([]string) error {
+	kinds := record.Kinds()
+	if len(c.Args.Kinds) > 0 {
+		kinds = nil
+	}
+	for _, kind := range c.Args.Kinds {
+		kinds = append(kinds, record.Kind(kind))
+	}
+	list, err := c.app.listAll(kinds...)
+	if err != nil {
+		return err
+	}
+	var rows []row
+	for _, object := range list.Objects {
+		rows = append(rows, describe(object, false))
+	}
+	return c.app.printRows(rows)
+}
+
+type describeCommand struct {
+	app  *app
+	Args struct {
+		Kind string `positional-arg-name:"KIND"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute shows one record with its spec.
+func (c *describeCommand) Execute([]string) error {
+	object, err := c.app.platform.Get(c.app.ctx, c.Args.Kind, c.Args.Name)
+	if err != nil {
+		return err
+	}
+	r := describe(object, true)
+	if c.app.Output == "json" {
+		return c.app.print(r, nil)
+	}
+	var spec bytes.Buffer
+	if json.Indent(&spec, r.Spec, "", "  ") != nil {
+		spec.Write(r.Spec)
+	}
+	return c.app.print(nil, [][]string{
+		{"kind:", string(r.Kind)}, {"name:", r.Name}, {"version:", strconv.FormatUint(r.Version, 10)},
+		{"schema:", r.Schema}, {"state:", r.Result}, {"spec:"}, {spec.String()},
+	})
+}
+
+func describe(object platform.Object, withSpec bool) row {
+	r := row{Kind: record.Kind(object.Kind), Name: object.Name, Version: object.Version, Result: "understood"}
+	envelope, _, err := record.Parse(object.Body)
+	if err != nil {
+		r.Result = err.Error()
+	}
+	r.Schema = envelope.Schema
+	if withSpec {
+		r.Spec = envelope.Spec
+	}
+	return r
+}
