--- a/pkg/conf/conf_test.go
+++ b/pkg/conf/conf_test.go
@@ -263,3 +263,19 @@
 		})
 	}
 }
+
+// BenchmarkBurst applies 100 changes of teams at once, as the syncer does.
+func BenchmarkBurst(b *testing.B) {
+	cache := conf.NewCache()
+	cache.MergeComplete(target(), 10_000, true)
+	version := uint64(10_000)
+	for b.Loop() {
+		var burst []conf.Object
+		for i := range 100 {
+			version++
+			burst = append(burst, object(record.KindTeam, fmt.Sprint("team-", i), version, fmt.Sprintf(
+				`{"keySHA256":["%064x"],"weight":1,"defaultTier":"tier-0","highestTier":"tier-2"}`, version)))
+		}
+		cache.Merge(burst, false)
+	}
+}
--- a/pkg/conf/syncer.go
+++ b/pkg/conf/syncer.go
@@ -142,10 +142,11 @@
 func (s *Syncer) HandleFetch(request FetchRequest) FetchReply { return s.cache.Answer(request) }
 
 // HandleNotify handles NotifyConfig: it fetches from the sender unless this
-// instance is ahead; then the digests of pings settle what differs.
+// instance is usable and ahead; then the digests of pings settle what differs.
 func (s *Syncer) HandleNotify(notice Notice) {
 	snapshot := s.cache.Snapshot()
-	if notice.Digest == snapshot.Digest && snapshot.Usable || notice.NewestVersion < snapshot.NewestVersion {
+	settled := notice.Digest == snapshot.Digest || notice.NewestVersion < snapshot.NewestVersion
+	if snapshot.Usable && settled {
 		return
 	}
 	s.enqueue(notice.SenderAddress)
