Wait for notifications at the end of the syncer

Notifications could outlive Run, and TestNotificationSpreadsAChange failed once in 15 runs because it counted them before they were sent. The test now fails at once when the fanout is ignored.

The table of platform faults prepares the store with a client of its own, whose time-out is not the 50 ms of the client under test.

--- a/pkg/conf/syncer.go
+++ b/pkg/conf/syncer.go
@@ -114,6 +114,8 @@
 	peers Peers
 	// queue holds addresses to fetch from.
 	queue chan string
+	// notices counts the notifications on their way; Run waits for them.
+	notices sync.WaitGroup
 
 	mu sync.Mutex
 	// queued holds the addresses in the queue.
@@ -275,22 +277,23 @@
 	s.opts.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	s.mu.Unlock()
 	for _, address := range addresses[:min(s.opts.Fanout, len(addresses))] {
-		go func() {
+		s.notices.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
 			defer cancel()
 			if err := s.peers.NotifyConfig(callCtx, address, notice); err != nil {
 				s.opts.Log.V(1).Info("notification of a configuration change failed", "peer", address, "error", err.Error())
 			}
-		}()
+		})
 	}
 }
 
-// Run keeps the cache up to date until ctx ends.
+// Run keeps the cache up to date until ctx ends. No goroutine outlives it.
 func (s *Syncer) Run(ctx context.Context) {
 	var workers sync.WaitGroup
 	workers.Go(func() { s.fetchQueued(ctx) })
 	workers.Go(func() { s.watchPlatform(ctx) })
 	workers.Wait()
+	s.notices.Wait()
 }
 
 func (s *Syncer) fetchQueued(ctx context.Context) {
--- a/pkg/conf/syncer_test.go
+++ b/pkg/conf/syncer_test.go
@@ -111,11 +111,9 @@
 	large := newMesh(8)
 	_, err = large.syncers["0"].List(context.Background())
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(func() int {
-		large.mu.Lock()
-		defer large.mu.Unlock()
-		return len(large.notified["0"])
-	}).WithTimeout(time.Minute).Should(Equal(4))
+	// Run returns after the last notification, as its context has ended.
+	large.syncers["0"].Run(ctx)
+	g.Expect(large.notified["0"]).To(HaveLen(4))
 }
 
 // Guards against a reply above the limit of 4 MiB on a message between
--- a/pkg/platform/contract_test.go
+++ b/pkg/platform/contract_test.go
@@ -16,8 +16,10 @@
 )
 
 type fixture struct {
-	server   *standin.Server
-	client   *platform.Client
+	server *standin.Server
+	client *platform.Client
+	// patient has an ample time-out; it prepares and inspects the store.
+	patient  *platform.Client
 	clock    *clockwork.FakeClock
 	registry metrics.Registry
 }
@@ -30,16 +32,20 @@
 	listener := httptest.NewServer(server)
 	clock := clockwork.NewFakeClock()
 	registry := metrics.NewRegistry()
-	client := platform.NewClient(platform.Options{
+	opts := platform.Options{
 		BaseURL: listener.URL, Timeout: timeout, WatchIdle: 3 * time.Second,
 		Registry: registry, Clock: clock,
-	})
+	}
+	client := platform.NewClient(opts)
+	opts.Timeout = ample
+	patient := platform.NewClient(opts)
 	t.Cleanup(func() {
 		client.Close()
+		patient.Close()
 		listener.CloseClientConnections()
 		listener.Close()
 	})
-	return &fixture{server: server, client: client, clock: clock, registry: registry}
+	return &fixture{server: server, client: client, patient: patient, clock: clock, registry: registry}
 }
 
 const ample = 30 * time.Second
@@ -147,7 +153,7 @@
 			t.Run(row.name+", "+operation, func(t *testing.T) {
 				g := NewWithT(t)
 				f := newFixture(t, row.timeout)
-				_, err := f.client.Put(context.Background(), object("old", ""), platform.Precondition{})
+				_, err := f.patient.Put(context.Background(), object("old", ""), platform.Precondition{})
 				g.Expect(err).NotTo(HaveOccurred())
 				before := f.server.Calls()[operation]
 				f.server.SetFaults(row.faults)
@@ -156,7 +162,7 @@
 				g.Expect(f.server.Calls()[operation]).To(Equal(before + 1))
 
 				f.server.SetFaults(standin.Faults{})
-				list, err := f.client.List(context.Background())
+				list, err := f.patient.List(context.Background())
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(list.Version == 2).To(Equal(row.takesEffect))
 			})
