Test refusals, second attempts, lingering, resuming, draining and status

A caller that resumes a stream is never told not_run, whatever the reason of the refusal. A request that was resumed elsewhere before its first connection was seen to end is not cancelled.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -25,31 +25,42 @@
 	RunState errkind.RunState `json:"run_state"`
 }
 
-func errorBody(err *errkind.Error) []byte {
+func errorBody(err *errkind.Error, runState errkind.RunState) []byte {
 	answer := errkind.AnswerFor(err.Kind)
 	errorType := "server_error"
 	if answer.Status < http.StatusInternalServerError {
 		errorType = "invalid_request_error"
 	}
 	body, _ := json.Marshal(map[string]apiError{"error": {
-		Message: err.Message, Type: errorType, Code: err.Kind, Kind: err.Kind, RunState: answer.RunState,
+		Message: err.Message, Type: errorType, Code: err.Kind, Kind: err.Kind, RunState: runState,
 	}})
 	return body
 }
 
 // writeRefusal answers with the kind of err.
 func writeRefusal(w http.ResponseWriter, requestID string, err *errkind.Error) {
+	writeError(w, requestID, err, errkind.AnswerFor(err.Kind).RunState)
+}
+
+// refuseResume answers a caller that wanted to resume a request. Whatever the
+// reason, it never says that the request did not run.
+func (e *Entry) refuseResume(w http.ResponseWriter, err *errkind.Error) {
+	e.count(string(err.Kind), "")
+	writeError(w, "", err, errkind.Unknown)
+}
+
+func writeError(w http.ResponseWriter, requestID string, err *errkind.Error, runState errkind.RunState) {
 	answer := errkind.AnswerFor(err.Kind)
 	header := w.Header()
 	if requestID != "" {
 		header.Set(headerRequestID, requestID)
 	}
-	header.Set(headerRunState, string(answer.RunState))
+	header.Set(headerRunState, string(runState))
 	header.Set(headerError, string(err.Kind))
 	header.Set(headerShouldRetry, strconv.FormatBool(answer.Resend && answer.Status >= http.StatusTooManyRequests))
 	header.Set(headerContentType, typeJSON)
 	w.WriteHeader(answer.Status)
-	_, _ = w.Write(errorBody(err))
+	_, _ = w.Write(errorBody(err, runState))
 }
 
 // refuseEarly answers a request that was not read.
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -82,9 +83,9 @@
 	refusal atomic.Pointer[errkind.Error]
 	// gone is closed when the caller's connection has ended.
 	gone chan struct{}
-	// stopLinger ends the wait for the caller's return; it reports whether it
-	// came in time.
-	stopLinger atomic.Pointer[func() bool]
+	// resumed is set when the answer continues on another connection, so that
+	// the end of this caller's connection does not cancel the request.
+	resumed atomic.Bool
 	// upstream is the name of the upstream that runs the request.
 	upstream atomic.Pointer[string]
 
@@ -184,8 +185,14 @@
 	if e.NotifyResumed == nil {
 		return
 	}
-	timer := e.Clock.AfterFunc(e.Settings.Timeouts.Linger, func() {
-		if !q.machine.Fire(eventCancel) {
+	e.Clock.AfterFunc(e.Settings.Timeouts.Linger, func() {
+		err := q.machine.FireIf(eventCancel, func() error {
+			if q.resumed.Load() {
+				return errors.New("resumed")
+			}
+			return nil
+		})
+		if err != nil {
 			return
 		}
 		ctx, done := e.shortContext()
@@ -195,17 +202,14 @@
 		}
 		q.cancel(reason)
 	})
-	stop := timer.Stop
-	q.stopLinger.Store(&stop)
 }
 
 // Resumed tells the entry that the stream of a request whose caller is gone
-// continues at another connection or instance; the request is not cancelled.
+// continues on another connection or instance; the request is not cancelled.
+// It may come before the end of the caller's first connection is noticed.
 func (e *Entry) Resumed(requestID string) {
 	if q := e.find(requestID); q != nil {
-		if stop := q.stopLinger.Load(); stop != nil {
-			(*stop)()
-		}
+		q.resumed.Store(true)
 	}
 }
 
--- /dev/null
+++ b/pkg/entry/request_test.go
@@ -0,0 +1,402 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/sched"
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
+)
+
+// Guards against a malformed or unauthorized request that gets as far as a
+// scheduler, and against a wrong kind.
+func TestRefusalsBeforeTheQueue(t *testing.T) {
+	const chat = "/v1/chat/completions"
+	for _, c := range []struct {
+		path, body string
+		header     []string
+		want       errkind.Kind
+	}{
+		{chat, "{", nil, errkind.BadRequest},
+		{chat, "{}", nil, errkind.BadRequest},
+		{chat, `{"model":"other"}`, nil, errkind.UnknownModel},
+		{chat, strings.Repeat(" ", 33<<20), nil, errkind.BadRequest},
+		{chat, chatBody, []string{"Authorization", "Bearer wrong"}, errkind.Unauthorized},
+		{chat, chatBody, []string{"Authorization", "Basic x"}, errkind.Unauthorized},
+		{chat, chatBody, []string{"Authorization", ""}, errkind.Unauthorized},
+		{chat, chatBody, []string{headerTeam, "none"}, errkind.Unauthorized},
+		{chat, chatBody, []string{headerTier, "none"}, errkind.BadRequest},
+		{chat, chatBody, []string{headerTier, "top"}, errkind.TierNotAllowed},
+		{chat, chatBody, []string{headerTier, "mid"}, ""},
+		{chat, chatBody, []string{headerTeam, "u", headerTier, "top"}, ""},
+		{chat, chatBody, []string{headerTimeout, "0"}, errkind.BadRequest},
+		{chat, chatBody, []string{headerTimeout, "1s"}, errkind.BadRequest},
+		{chat, chatBody, []string{headerIdempotent, "yes"}, errkind.BadRequest},
+		{chat, chatBody, []string{headerIdentity, strings.Repeat("k", 257)}, errkind.BadRequest},
+		{"/services/none/x", "", nil, errkind.UnknownService},
+		{"/services/", "", nil, errkind.UnknownService},
+		{"/services/s//a%2Fb/../c?q=1", "", nil, ""},
+		{"/v1/other", "", nil, errkind.BadRequest},
+		{"/v1/models", "", nil, errkind.BadRequest},
+	} {
+		f := newFixture(t)
+		w := f.call(context.Background(), http.MethodPost, c.path, c.body, c.header...)
+		f.Expect(w.Header().Get(headerError)).To(Equal(string(c.want)), "%s %.40s %v", c.path, c.body, c.header)
+		if c.want != "" {
+			f.Expect(w.Header().Get(headerRunState)).To(Equal("not_run"))
+			f.Expect(f.grants).To(BeZero())
+			continue
+		}
+		f.Expect(f.dispatches).To(HaveLen(1))
+		if strings.HasPrefix(c.path, servicesPrefix) {
+			f.Expect(f.dispatches[0].Path).To(Equal(strings.TrimPrefix(c.path, "/services/s")))
+		}
+	}
+}
+
+// Guards against keys and identities that reach an upstream, and against
+// prompts and keys in the log.
+func TestSecretsStayHere(t *testing.T) {
+	f := newFixture(t)
+	f.chat(chatBody, headerIdentity, "secret-identity")
+	f.chat(`{"model":"m","messages":"secret prompt"}`)
+	f.onDispatch = func(upstream.Call) (*upstream.Answer, error) { return nil, errReset }
+	f.chat(wholeBody, headerIdentity, "secret-identity-2")
+	f.Expect(f.dispatches).To(HaveLen(2))
+	for _, call := range f.dispatches {
+		f.Expect(fmt.Sprint(call.Header)).NotTo(ContainSubstring("secret"))
+		f.Expect(call.Header.Get(headerModelVersion)).To(Equal("m@1"))
+	}
+	f.Expect(f.log.String()).NotTo(ContainSubstring("secret"))
+	f.Expect(strings.Count(f.log.String(), `"request ended"`)).To(Equal(3))
+	f.Expect(strings.Count(f.log.String(), `"granted"`)).To(Equal(2))
+}
+
+// Guards against a second dispatch under one identity, and against an attempt
+// that is not told what became of the first.
+func TestSecondAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name, path, body string
+		reply            claim.Reply
+		engineHasIt      bool
+		told             string
+	}{
+		{"stream in progress", "/v1/chat/completions", chatBody, claim.Reply{Result: claim.InProgress, Upstream: "e1"}, true, "[DONE]"},
+		{"stream finished", "/v1/chat/completions", chatBody, claim.Reply{Result: claim.AlreadyFinished, Upstream: "e1"}, true, "[DONE]"},
+		{"stream lost", "/v1/chat/completions", chatBody, claim.Reply{Result: claim.InProgress, Upstream: "e1"}, false, "upstream_broken"},
+		{"not dispatched yet", "/v1/chat/completions", chatBody, claim.Reply{Result: claim.InProgress}, true, "in_progress"},
+		{"whole finished", "/v1/chat/completions", wholeBody, claim.Reply{Result: claim.AlreadyFinished, Upstream: "e1"}, true, "{}"},
+		{"whole lost", "/v1/chat/completions", wholeBody, claim.Reply{Result: claim.AlreadyFinished, Upstream: "e1"}, false, "already_ran"},
+		{"service in progress", "/services/s/x", "", claim.Reply{Result: claim.InProgress, Upstream: "s1"}, true, "in_progress"},
+		{"service finished", "/services/s/x", "", claim.Reply{Result: claim.AlreadyFinished, Upstream: "s1"}, true, "already_ran"},
+		{"issuer lost", "/services/s/x", "", claim.Reply{Result: claim.Lost}, true, "issuer_lost"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.onClaim = func(string) (claim.Reply, error) { return c.reply, nil }
+			if !c.engineHasIt {
+				f.onFetch = func(id string) (*upstream.Answer, error) { return answer(http.StatusNotFound, id, ""), nil }
+				f.onResume = func(id string, _ uint64) (*upstream.Answer, error) {
+					return answer(http.StatusNotFound, id, ""), nil
+				}
+			}
+			w := f.call(context.Background(), http.MethodPost, c.path, c.body, headerIdentity, "k")
+			f.Expect(w.Body.String()).To(ContainSubstring(c.told))
+			f.Expect(w.Header().Get(headerRunState)).NotTo(Equal("not_run"))
+			f.Expect(f.dispatches).To(BeEmpty())
+			f.Expect(f.updates).NotTo(ContainElement(claim.Abandoned))
+		})
+	}
+}
+
+// Guards against two attempts at one instance that are both granted, as a
+// claimer does that grants a claim to its holder again.
+func TestOneAttemptPerIdentityAtAnInstance(t *testing.T) {
+	f := newFixture(t)
+	second := httptest.NewRecorder()
+	f.onDispatch = func(call upstream.Call) (*upstream.Answer, error) {
+		second = f.call(context.Background(), http.MethodPost, "/services/s/x", "", headerIdentity, "k")
+		return answer(http.StatusOK, call.RequestID, "ok"), nil
+	}
+	first := f.call(context.Background(), http.MethodPost, "/services/s/x", "", headerIdentity, "k")
+	third := f.call(context.Background(), http.MethodPost, "/services/s/x", "", headerIdentity, "k")
+	f.Expect(first.Code).To(Equal(http.StatusOK))
+	f.Expect(second.Header().Get(headerError)).To(Equal("in_progress"))
+	f.Expect(third.Header().Get(headerError)).To(Equal("already_ran"))
+	f.Expect(f.dispatches).To(HaveLen(1))
+}
+
+// Guards against a request that is told not_run, or abandoned to another
+// instance, and dispatched all the same, when refusal and dispatch race.
+func TestRefusalRacesDispatch(t *testing.T) {
+	f := newFixture(t)
+	reason := errkind.New(errkind.DeadlineExceeded, "test")
+	told := map[bool]int{}
+	for i := range 300 {
+		before := len(f.dispatches)
+		f.onDial = func() error {
+			q := f.one()
+			refused := make(chan struct{})
+			go func() {
+				defer close(refused)
+				q.refuse(reason)
+			}()
+			switch i % 3 {
+			case 0:
+				<-refused
+			case 1:
+				time.Sleep(time.Microsecond)
+			}
+			return nil
+		}
+		w := f.call(context.Background(), http.MethodPost, "/services/s/x", "", headerIdentity, fmt.Sprint(i))
+		refused := w.Header().Get(headerRunState) == "not_run"
+		f.Expect(len(f.dispatches) - before).To(Equal(map[bool]int{true: 0, false: 1}[refused]))
+		told[refused]++
+		// Another instance may run a request that is abandoned here.
+		phase, _, _ := f.entry.Status(f.entry.requestID("t", fmt.Sprint(i)))
+		f.Expect(phase).To(Equal(map[bool]claim.Phase{true: claim.Abandoned, false: claim.Finished}[refused]))
+	}
+	t.Logf("refused %d, dispatched %d", told[true], told[false])
+}
+
+// Guards against a dispatch that was given up as a failed dial and goes
+// through later, while the request has another grant.
+func TestLateDispatchIsStopped(t *testing.T) {
+	f := newFixture(t)
+	// Both grants name the same upstream, so that only the attempt differs.
+	f.grants = 1
+	var late func() error
+	f.entry.Service = dispatcherFunc(func(ctx context.Context, call upstream.Call) (*upstream.Answer, error) {
+		if late == nil {
+			late = call.OnDispatch
+			return nil, errkind.New(errkind.DialFailed, "time-out")
+		}
+		f.Expect(late()).NotTo(Succeed())
+		return f.Dispatch(ctx, call)
+	})
+	w := f.call(context.Background(), http.MethodPost, "/services/s/x", "")
+	f.Expect(w.Code).To(Equal(http.StatusOK))
+	f.Expect(f.releases).To(Equal([]sched.Outcome{sched.DialFailed, sched.Completed}))
+}
+
+type dispatcherFunc func(ctx context.Context, call upstream.Call) (*upstream.Answer, error)
+
+func (d dispatcherFunc) Dispatch(ctx context.Context, call upstream.Call) (*upstream.Answer, error) {
+	return d(ctx, call)
+}
+
+// Guards against a dispatcher that reports a failed dial after the dispatch:
+// the caller must not be told that the request did not run.
+func TestDialFailedAfterDispatchIsUnknown(t *testing.T) {
+	f := newFixture(t)
+	f.entry.Service = dispatcherFunc(func(_ context.Context, call upstream.Call) (*upstream.Answer, error) {
+		f.Expect(call.OnDispatch()).To(Succeed())
+		return nil, errkind.New(errkind.DialFailed, "wrong")
+	})
+	w := f.call(context.Background(), http.MethodPost, "/services/s/x", "")
+	f.Expect(w.Header().Get(headerError)).To(Equal("upstream_broken"))
+	f.Expect(w.Header().Get(headerRunState)).To(Equal("unknown"))
+}
+
+// Guards against an engine's request that is cancelled while its caller may
+// resume it, or never; and against a service's call that is cancelled midway.
+func TestCallerGoneAfterDispatch(t *testing.T) {
+	for _, c := range []struct {
+		name, path, idempotent string
+		resumed                bool
+		cancelled              bool
+		outcome                sched.Outcome
+	}{
+		{"engine", "/v1/chat/completions", "true", false, true, sched.Cancelled},
+		{"engine, resumed", "/v1/chat/completions", "true", true, false, sched.Completed},
+		{"service", "/services/s/x", "false", false, false, sched.Completed},
+		{"idempotent service", "/services/s/x", "true", false, false, sched.Cancelled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			ctx, gone := context.WithCancel(context.Background())
+			f.onDispatch = func(call upstream.Call) (*upstream.Answer, error) {
+				q := f.one()
+				gone()
+				f.Eventually(q.gone).Should(BeClosed())
+				if strings.HasPrefix(c.name, "engine") {
+					f.Eventually(q.machine.State).Should(BeEquivalentTo("lingering"))
+					// The deadline and the linger time.
+					f.Expect(f.clock.BlockUntilContext(context.Background(), 2)).To(Succeed())
+					f.clock.Advance(f.entry.Settings.Timeouts.Linger - 1)
+					if c.resumed {
+						f.entry.Resumed(call.RequestID)
+					}
+					f.Expect(q.ctx.Err()).NotTo(HaveOccurred())
+					f.clock.Advance(1)
+				}
+				if c.outcome == sched.Cancelled {
+					<-q.ctx.Done()
+					return nil, context.Cause(q.ctx)
+				}
+				// Timers run in goroutines of their own; a cancellation would show.
+				f.Consistently(q.ctx.Err, "50ms").Should(Succeed())
+				return answer(http.StatusOK, call.RequestID, "{}"), nil
+			}
+			f.call(ctx, http.MethodPost, c.path, wholeBody, headerIdempotent, c.idempotent)
+			f.Expect(f.releases).To(Equal([]sched.Outcome{c.outcome}))
+			f.Expect(len(f.cancels) == 1).To(Equal(c.cancelled))
+		})
+	}
+}
+
+// Guards against a resumed stream that starts at a wrong event, is another
+// team's, or is refused with the claim that the request did not run.
+func TestResumeThroughAnyInstance(t *testing.T) {
+	for _, c := range []struct {
+		id, told string
+	}{
+		{"e1/issued-1/2", "[DONE]"},
+		{"gone/issued-1/2", "issuer_lost"},
+		{"issued-1/2", "bad_request"},
+		{"e1/issued-1/x", "bad_request"},
+	} {
+		f := newFixture(t)
+		var from uint64
+		f.onResume = func(id string, sequence uint64) (*upstream.Answer, error) {
+			from = sequence
+			return events(id, sequence, 4, nil), nil
+		}
+		w := f.call(context.Background(), http.MethodGet, "/v1/streams", "", headerLastEventID, c.id)
+		f.Expect(w.Body.String()).To(ContainSubstring(c.told))
+		f.Expect(w.Header().Get(headerRunState)).NotTo(Equal("not_run"))
+		if c.told == "[DONE]" {
+			f.Expect(from).To(Equal(uint64(3)))
+			f.Expect(w.Body.String()).To(Equal(eventText("issued-1", 3, 4) + eventText("issued-1", 4, 4)))
+		}
+	}
+	f := newFixture(t)
+	f.chat(chatBody)
+	w := f.call(context.Background(), http.MethodGet, "/v1/streams", "", headerLastEventID, "e1/issued-1/2", headerTeam, "u")
+	f.Expect(w.Header().Get(headerError)).To(Equal("unauthorized"))
+}
+
+// Guards against a shutdown that cuts a running request, keeps a waiting one,
+// takes new ones, or turns unready after the listener has closed.
+func TestDrain(t *testing.T) {
+	f := newFixture(t)
+	running, finish := make(chan struct{}), make(chan struct{})
+	f.onDispatch = func(call upstream.Call) (*upstream.Answer, error) {
+		close(running)
+		<-finish
+		return answer(http.StatusOK, call.RequestID, "ok"), nil
+	}
+	ready := func() int { return f.call(context.Background(), http.MethodGet, "/readyz", "").Code }
+	send := func(identity string, done chan<- *httptest.ResponseRecorder) {
+		done <- f.call(context.Background(), http.MethodPost, "/services/s/x", "", headerIdentity, identity)
+	}
+	first, second := make(chan *httptest.ResponseRecorder, 1), make(chan *httptest.ResponseRecorder, 1)
+	go send("runs", first)
+	<-running
+	waiting := make(chan struct{})
+	f.onAcquire = func() error {
+		close(waiting)
+		f.Eventually(func() bool { return f.entry.instance.Is(flagAccepts) }).Should(BeFalse())
+		return nil
+	}
+	go send("waits", second)
+	<-waiting
+	f.Expect(ready()).To(Equal(http.StatusOK))
+	drained := make(chan error, 1)
+	go func() { drained <- f.entry.Drain(context.Background()) }()
+	f.Eventually(ready).Should(Equal(http.StatusServiceUnavailable))
+	f.Expect(f.entry.instance.Is(flagAccepts)).To(BeTrue(), "the balancer still sends requests")
+	f.Expect(f.clock.BlockUntilContext(context.Background(), 3)).To(Succeed())
+	f.clock.Advance(f.entry.Settings.Drain.BalancerDelay)
+	f.Expect((<-second).Header().Get(headerError)).To(Equal("shutting_down"))
+	f.Expect(f.call(context.Background(), http.MethodPost, "/services/s/x", "").Header().Get(headerError)).To(Equal("shutting_down"))
+	f.Expect(drained).NotTo(Receive())
+	f.clock.Advance(time.Hour)
+	f.Expect(drained).NotTo(Receive())
+	close(finish)
+	f.Expect((<-first).Code).To(Equal(http.StatusOK))
+	f.Eventually(drained).Should(Receive(BeNil()))
+	f.Expect(f.dispatches).To(HaveLen(1))
+}
+
+// Guards against a limit that refuses the highest tier while a lower one is
+// admitted.
+func TestLimitKeepsRoomForTheHighestTier(t *testing.T) {
+	f := newFixture(t)
+	f.entry.Settings.Limits.Requests = 10
+	for range 9 {
+		f.entry.held[&request{}] = struct{}{}
+	}
+	low := f.call(context.Background(), http.MethodPost, "/services/s/x", "")
+	top := f.call(context.Background(), http.MethodPost, "/services/s/x", "", headerTeam, "u")
+	f.Expect(low.Header().Get(headerError)).To(Equal("overloaded"))
+	f.Expect(top.Code).To(Equal(http.StatusOK))
+}
+
+// Guards against another failure domain that is used before the local one, or
+// never.
+func TestFallbackDomains(t *testing.T) {
+	f := newFixture(t)
+	f.entry.Settings.Instance.FallbackDomains = []string{"south"}
+	snapshot := newSnapshot()
+	for _, domain := range []string{"east", "south"} {
+		snapshot.Pools[domain+"/m"] = &conf.Pool{Name: domain + "/m", Domain: domain, Targets: []string{"model:m"}}
+	}
+	f.Expect(f.entry.poolsFor(snapshot, "model:m")).To(Equal([]string{"north/m", "south/m"}))
+}
+
+// Guards against status pages and run states that do not tell the truth.
+func TestStatus(t *testing.T) {
+	f := newFixture(t)
+	get := func(handler http.Handler, path string) string {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodGet, path, http.NoBody)
+		r.Header.Set(headerTeam, "t")
+		handler.ServeHTTP(w, r)
+		body, _ := io.ReadAll(w.Body)
+		return fmt.Sprint(w.Code, " ", strings.TrimSpace(string(body)))
+	}
+	f.chat(wholeBody)
+	admin, callers := f.entry.AdminHandler(), f.entry.Handler()
+	f.Expect(get(admin, "/healthz")).To(Equal("200 ok"))
+	f.Expect(get(admin, "/status/config")).To(Equal(`200 {"digest":"0000000000000000","domain":"north","instance":"i1","newestVersion":7,"usable":true}`))
+	f.Expect(get(admin, "/status/members")).To(Equal(`200 {"members":[]}`))
+	f.Expect(get(admin, "/metrics")).To(ContainSubstring(`rosemarywing_requests_total{outcome="completed",tier="low"} 1`))
+	f.Expect(get(callers, "/v1/requests/issued-1")).To(Equal(`200 {"id":"issued-1","run_state":"ran","final":true,"state":"completed","upstream":"e1"}`))
+	f.Expect(get(callers, "/v1/requests/other")).To(ContainSubstring(`"run_state":"unknown"`))
+	f.Expect(f.call(context.Background(), http.MethodPost, "/v1/requests", `{"count":2}`).Body.String()).To(Equal("{\"ids\":[\"issued-1\",\"issued-1\"]}\n"))
+	f.Expect(f.call(context.Background(), http.MethodPost, "/v1/requests", `{"count":0}`).Header().Get(headerError)).To(Equal("bad_request"))
+	f.setSnapshot(&conf.Snapshot{})
+	f.Expect(get(admin, "/readyz")).To(HavePrefix("503"))
+	f.Expect(f.chat(chatBody).Header().Get(headerError)).To(Equal("not_ready"))
+}
+
+// Guards against prefix hashes that differ for a common prefix, are the same
+// for two models, or grow with the prompt.
+func TestPrefixHashes(t *testing.T) {
+	g := NewWithT(t)
+	short, long := strings.Repeat("a", 5*blockBytes+7), strings.Repeat("a", 5000*blockBytes)
+	hashes, tokens := prefixHashes("m", []byte(short))
+	g.Expect(tokens).To(Equal([]int{64, 128, 256, 320}))
+	longer, _ := prefixHashes("m", []byte(short+strings.Repeat("b", 4*blockBytes)))
+	g.Expect(longer[:3]).To(Equal(hashes[:3]))
+	g.Expect(longer[3]).NotTo(Equal(hashes[3]))
+	other, _ := prefixHashes("n", []byte(short))
+	g.Expect(other[0]).NotTo(Equal(hashes[0]))
+	many, tokens := prefixHashes("m", []byte(long))
+	g.Expect(many).To(HaveLen(maxHashes))
+	g.Expect(tokens[maxHashes-1]).To(Equal(5000 * blockBytes / bytesPerToken))
+	g.Expect(fingerprint("POST", "/a", []byte("b"))).NotTo(Equal(fingerprint("POST", "/", []byte("ab"))))
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -245,7 +245,7 @@
 		return
 	}
 	err = e.endBroken(out.q, err)
-	out.write(event{name: "error", data: errorBody(err)})
+	out.write(event{name: "error", data: errorBody(err, errkind.AnswerFor(err.Kind).RunState)})
 }
 
 // pass copies a service's stream, which cannot be resumed.
@@ -326,21 +326,21 @@
 		err = errkind.New(errkind.NotReady, "the configuration is not known yet")
 	}
 	if err != nil {
-		e.refuseEarly(w, err)
+		e.refuseResume(w, err)
 		return
 	}
 	name, id, last, err := parseEventID(r.Header.Get(headerLastEventID))
 	if err != nil {
-		e.refuseEarly(w, err)
+		e.refuseResume(w, err)
 		return
 	}
 	if held := e.find(id); held != nil && held.team.Name != team.Name {
-		e.refuseEarly(w, errkind.New(errkind.Unauthorized, "the request is another team's"))
+		e.refuseResume(w, errkind.New(errkind.Unauthorized, "the request is another team's"))
 		return
 	}
 	target := snapshot.Upstreams[name]
 	if target == nil {
-		e.refuseEarly(w, errkind.New(errkind.IssuerLost, "the upstream is not known any more"))
+		e.refuseResume(w, errkind.New(errkind.IssuerLost, "the upstream is not known any more"))
 		return
 	}
 	q := &request{
@@ -352,7 +352,7 @@
 	q.ctx, q.cancel = context.WithCancelCause(context.Background())
 	q.upstream.Store(&name)
 	if err := e.admit(q, true); err != nil {
-		e.refuseEarly(w, err)
+		e.refuseResume(w, err)
 		return
 	}
 	defer e.drop(q)
