--- /dev/null
+++ b/pkg/instance/instance_test.go
@@ -0,0 +1,149 @@
+package instance_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/instance"
+	"github.com/rosemarywing/rosemarywing/pkg/pool"
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+	"github.com/rosemarywing/rosemarywing/pkg/sched"
+	"github.com/rosemarywing/rosemarywing/pkg/settings"
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
+)
+
+// fake stands for all parts; a call to its service waits for finish.
+type fake struct {
+	started chan struct{}
+	finish  chan struct{}
+}
+
+func (fake) Snapshot() *conf.Snapshot {
+	return &conf.Snapshot{
+		Usable:    true,
+		Tiers:     map[string]*record.Tier{"low": {Name: "low"}},
+		Upstreams: map[string]*record.Upstream{"s1": {Name: "s1", Type: record.TypeService, Service: "s"}},
+		Pools:     map[string]*conf.Pool{"north/s": {Name: "north/s", Domain: "north", Targets: []string{"service:s"}}},
+	}
+}
+func (fake) Changed() <-chan struct{}           { return nil }
+func (fake) NewID() string                      { return "id-1" }
+func (fake) Update(string, claim.Phase, string) {}
+func (fake) Claim(context.Context, string, string) (claim.Reply, error) {
+	return claim.Reply{Result: claim.Granted}, nil
+}
+func (fake) Acquire(context.Context, string, pool.Request) (sched.Grant, error) {
+	return sched.Grant{Upstream: "s1", Expiry: time.Now().Add(time.Hour)}, nil
+}
+func (fake) Release(context.Context, string, sched.Work, sched.Result) {}
+func (f fake) Dispatch(_ context.Context, call upstream.Call) (*upstream.Answer, error) {
+	if err := call.OnDispatch(); err != nil {
+		return nil, err
+	}
+	close(f.started)
+	<-f.finish
+	return &upstream.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("done"))}, nil
+}
+
+func testSettings() settings.Settings {
+	s := settings.Default()
+	s.Instance.ID, s.Instance.Domain = "i1", "north"
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"}
+	s.Callers.AllowAnonymous = true
+	s.Drain.BalancerDelay = 0
+	return s
+}
+
+// Guards against a shutdown that cuts a running request, that ends the
+// background work which the request still needs, that leaves goroutines behind,
+// or that does not return.
+func TestShutdownWaitsForRunningRequests(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	g := NewWithT(t)
+	f := fake{started: make(chan struct{}), finish: make(chan struct{})}
+	worked, left := make(chan struct{}), make(chan struct{})
+	i, err := instance.New(instance.Options{
+		Settings: testSettings(), Log: logr.Discard(), Clock: clockwork.NewRealClock(),
+		Build: func(env instance.Env) (instance.Parts, error) {
+			g.Expect(env.Self.ID).To(Equal("i1"))
+			return instance.Parts{
+				Config: f, Claimer: f, Pool: f, Service: f,
+				Leave: func(context.Context) { close(left) },
+				Run: func(ctx context.Context) error {
+					<-ctx.Done()
+					close(worked)
+					return nil
+				},
+			}, nil
+		},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	callers, _, admin := i.Addresses()
+	ctx, leave := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(ctx) }()
+
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	get := func(address string) string {
+		response, err := client.Get("http://" + address)
+		if err != nil {
+			return err.Error()
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		return response.Status + " " + string(body) + errorText(err)
+	}
+	g.Expect(get(admin + "/readyz")).To(HavePrefix("200"))
+	answer := make(chan string, 1)
+	go func() { answer <- get(callers + "/services/s/x") }()
+	<-f.started
+	leave()
+	<-left
+	g.Eventually(func() string { return get(admin + "/readyz") }).Should(HavePrefix("503"))
+	g.Eventually(func() string { return get(callers + "/services/s/x") }).Should(ContainSubstring("shutting_down"))
+	g.Expect(ended).NotTo(Receive())
+	g.Expect(worked).NotTo(BeClosed())
+	close(f.finish)
+	g.Expect(<-answer).To(Equal("200 OK done"))
+	g.Expect(<-ended).To(Succeed())
+	g.Expect(worked).To(BeClosed())
+	goleak.VerifyNone(t, ignore, goleak.IgnoreAnyFunction("github.com/zeromicro/go-zero/core/stat.init.0.func1"))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Guards against listeners that stay open when an instance cannot start.
+func TestFailedStartClosesTheListeners(t *testing.T) {
+	g := NewWithT(t)
+	s := testSettings()
+	var peer string
+	failing := instance.Options{
+		Settings: s, Log: logr.Discard(), Clock: clockwork.NewRealClock(),
+		Build: func(env instance.Env) (instance.Parts, error) {
+			peer = env.Peer.Addr().String()
+			return instance.Parts{}, errors.New("no parts")
+		},
+	}
+	_, err := instance.New(failing)
+	g.Expect(err).To(MatchError(ContainSubstring("no parts")))
+	failing.Settings.Listen.Callers = peer
+	_, err = instance.New(failing)
+	g.Expect(err).To(MatchError(ContainSubstring("no parts")), "the address is free again")
+}
