Refuse what was overtaken while it was read, and redirects

A deadline that passes, or a caller that leaves, while the body is read now refuses the request before the claim; the timers alone came too late at times. An answer 307 or 308 is not passed on, because HTTP clients follow it by sending the request a second time.

Seen to fail: TestFaultsAtEachPoint at 'before claim' without these checks, TestWholeAnswersAreVerified without the check for redirects.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -72,7 +72,7 @@
 // finishRefused answers a request that was not dispatched.
 func (e *Entry) finishRefused(w http.ResponseWriter, q *request, err *errkind.Error) {
 	e.logEnd(q, err)
-	if !q.callerGone() {
+	if !q.callerGone() && err.Kind != errkind.CallerGone {
 		writeRefusal(w, q.id, err)
 	}
 }
@@ -141,6 +141,12 @@
 		e.finishBroken(w, q, errkind.New(errkind.UpstreamRefused, "the engine answered with status %d", answer.Status))
 		return
 	}
+	if answer.Status == http.StatusTemporaryRedirect || answer.Status == http.StatusPermanentRedirect {
+		// HTTP clients follow these by sending the request a second time.
+		_ = answer.Body.Close()
+		e.finishBroken(w, q, errkind.New(errkind.UpstreamRefused, "the upstream answered with the redirect %d", answer.Status))
+		return
+	}
 	streamed := strings.HasPrefix(answer.Header.Get(headerContentType), typeEvents)
 	switch {
 	case streamed && q.target.engine():
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -292,7 +292,11 @@
 
 // call sends a request straight to the handler.
 func (f *fixture) call(ctx context.Context, method, path, body string, header ...string) *httptest.ResponseRecorder {
-	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	return f.callFrom(ctx, strings.NewReader(body), method, path, header...)
+}
+
+func (f *fixture) callFrom(ctx context.Context, body io.Reader, method, path string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequestWithContext(ctx, method, path, body)
 	// A recorder takes the early 103 response for the final one.
 	r.Proto, r.ProtoMajor, r.ProtoMinor = "HTTP/1.0", 1, 0
 	r.Header.Set("Authorization", "Bearer "+testKey)
--- a/pkg/entry/life_test.go
+++ b/pkg/entry/life_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -19,6 +20,7 @@
 
 // The points in the life of a request at which a fault is injected.
 const (
+	atBody     = "before claim"
 	atClaim    = "claim"
 	atWaiting  = "waiting"
 	atGranted  = "granted"
@@ -29,7 +31,7 @@
 	atEnd      = "end"
 )
 
-var points = []string{atClaim, atWaiting, atGranted, atDialling, atDispatch, atHeaders, atMiddle, atEnd}
+var points = []string{atBody, atClaim, atWaiting, atGranted, atDialling, atDispatch, atHeaders, atMiddle, atEnd}
 
 // What a caller is told: a complete answer, nothing, or a kind.
 const (
@@ -72,27 +74,30 @@
 		{"none", same(complete), func(*fixture, context.CancelFunc) error { return nil }},
 		{"caller gone", same(nothing), func(f *fixture, gone context.CancelFunc) error {
 			gone()
-			f.Eventually(f.one().gone).Should(BeClosed())
+			if q := f.one(); q != nil {
+				f.Eventually(q.gone).Should(BeClosed())
+			}
 			return nil
 		}},
 		{"deadline", until(atDispatch, "deadline_exceeded", complete), func(f *fixture, _ context.CancelFunc) error {
 			q := f.one()
 			f.clock.Advance(time.Hour)
-			if !q.machine.Is(flagDispatched) {
+			if q != nil && !q.machine.Is(flagDispatched) {
 				f.Eventually(q.machine.Final).Should(BeTrue())
 			}
 			return nil
 		}},
 		{"shutdown", until(atDispatch, "shutting_down", complete), func(f *fixture, _ context.CancelFunc) error {
+			f.entry.Leave()
 			f.entry.refuseWaiting()
 			return nil
 		}},
 		{"part fails", map[string]string{
-			atClaim: "claim_unavailable", atWaiting: "overloaded", atGranted: complete, atDialling: complete,
+			atBody: "bad_request", atClaim: "claim_unavailable", atWaiting: "overloaded", atGranted: complete, atDialling: complete,
 			atDispatch: complete, atHeaders: complete, atMiddle: complete, atEnd: complete,
 		}, func(*fixture, context.CancelFunc) error { return errReset }},
 		{"upstream lost", map[string]string{
-			atClaim: "claim_unavailable", atWaiting: "overloaded", atGranted: complete, atDialling: complete,
+			atBody: "bad_request", atClaim: "claim_unavailable", atWaiting: "overloaded", atGranted: complete, atDialling: complete,
 			atDispatch: "upstream_broken", atHeaders: "upstream_broken", atMiddle: "upstream_broken", atEnd: "upstream_broken",
 		}, func(f *fixture, _ context.CancelFunc) error {
 			f.onResume = lost
@@ -123,7 +128,7 @@
 					return c.inject(f, gone)
 				}
 				script(f, at)
-				w := f.call(ctx, http.MethodPost, "/v1/chat/completions", chatBody, headerIdentity, "k")
+				w := f.callFrom(ctx, &hooked{Reader: strings.NewReader(chatBody), at: at}, http.MethodPost, "/v1/chat/completions", headerIdentity, "k")
 				f.Expect(done).To(BeTrue())
 				checkTold(f, told, w.Body.String(), w.Header())
 				if stale && (point == atGranted || point == atDialling) {
@@ -134,6 +139,19 @@
 	}
 }
 
+// hooked is a request body; its first read is the point before the claim.
+type hooked struct {
+	io.Reader
+	at func(string) error
+}
+
+func (h *hooked) Read(p []byte) (int, error) {
+	if err := h.at(atBody); err != nil {
+		return 0, err
+	}
+	return h.Reader.Read(p)
+}
+
 // script makes the fakes call at at each point.
 func script(f *fixture, at func(point string) error) {
 	f.onClaim = func(string) (claim.Reply, error) {
@@ -287,6 +305,7 @@
 		{name: "reset", err: errReset, fetch: errReset, kind: errkind.UpstreamBroken, outcome: sched.UpstreamBroken},
 		{name: "engine refuses", reply: answer(503, id, `{}`), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
 		{name: "engine rejects", reply: answer(400, id, `{}`), outcome: sched.Completed},
+		{name: "service redirects", service: true, reply: answer(307, id, ""), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
 		{name: "service whole", service: true, reply: answer(500, id, "no JSON"), outcome: sched.Completed},
 		{name: "service cut", service: true, reply: cut(id), kind: errkind.AnswerIncomplete, outcome: sched.UpstreamRefused},
 		{name: "service reset", service: true, err: errReset, kind: errkind.UpstreamBroken, outcome: sched.UpstreamBroken},
--- a/pkg/entry/request_test.go
+++ b/pkg/entry/request_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
@@ -400,3 +401,14 @@
 	g.Expect(tokens[maxHashes-1]).To(Equal(5000 * blockBytes / bytesPerToken))
 	g.Expect(fingerprint("POST", "/a", []byte("b"))).NotTo(Equal(fingerprint("POST", "/", []byte("ab"))))
 }
+
+// BenchmarkWholeRequest measures what the entry adds to a request.
+func BenchmarkWholeRequest(b *testing.B) {
+	f := newFixture(&testing.T{})
+	f.entry.Log = logr.Discard()
+	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}]}`, strings.Repeat("word ", 800))
+	b.ReportAllocs()
+	for b.Loop() {
+		f.chat(body)
+	}
+}
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -37,6 +37,9 @@
 		return
 	}
 	q, err := e.parse(snapshot, w, r)
+	if err == nil {
+		err = e.inTime(r, q)
+	}
 	if err == nil {
 		err = e.admit(q, isHighest(snapshot, q.tier))
 	}
@@ -55,6 +58,18 @@
 	e.run(w, q)
 }
 
+// inTime checks what may have happened while the request was read. The timers
+// that are set afterwards run in goroutines of their own and may come too late.
+func (e *Entry) inTime(r *http.Request, q *request) *errkind.Error {
+	if r.Context().Err() != nil {
+		return errkind.New(errkind.CallerGone, "the caller closed its connection")
+	}
+	if !e.Clock.Now().Before(q.deadline) {
+		return errkind.New(errkind.DeadlineExceeded, "the deadline passed while the request was read")
+	}
+	return nil
+}
+
 // run takes an admitted request to its end.
 func (e *Entry) run(w http.ResponseWriter, q *request) {
 	reply, err := e.claim(w, q)
