--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -122,7 +122,7 @@
 		e.release(q, sched.Completed)
 		e.Claimer.Update(q.id, claim.Finished, q.upstreamName())
 	}
-	if q.target.engine() {
+	if q.target.engine() && q.outputTokens > 0 {
 		e.averages.add(q.target.model, q.outputTokens)
 	}
 	e.logEnd(q, nil)
--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -44,6 +44,10 @@
 	defaultTeam      = "default"
 	maxIdentityBytes = 256
 	maxTimeout       = 24 * time.Hour
+	// maxNameBytes bounds names of models and services, which are logged.
+	maxNameBytes = 256
+	// maxOutputTokens bounds what a caller can claim to expect.
+	maxOutputTokens = 1 << 20
 )
 
 type chatMessage struct {
@@ -210,15 +214,15 @@
 		// The error of the decoder quotes the body, which may be a prompt.
 		return errkind.New(errkind.BadRequest, "the body is not a JSON chat completion request")
 	}
-	if chat.Model == "" {
-		return errkind.New(errkind.BadRequest, "the request names no model")
+	if chat.Model == "" || len(chat.Model) > maxNameBytes {
+		return errkind.New(errkind.BadRequest, "expected the name of a model of at most %d bytes", maxNameBytes)
 	}
 	q.target = target{name: "model:" + chat.Model, model: chat.Model, stream: chat.Stream, path: "/v1/chat/completions"}
 	if snapshot.Models[chat.Model] == nil {
 		return errkind.New(errkind.UnknownModel, "unknown model %q", chat.Model)
 	}
 	prompt := promptText(chat.Messages)
-	output := max(chat.MaxTokens, chat.MaxCompletionTokens)
+	output := min(max(chat.MaxTokens, chat.MaxCompletionTokens), maxOutputTokens)
 	if output <= 0 {
 		output = e.averages.get(chat.Model)
 	}
@@ -239,6 +243,9 @@
 }
 
 func (e *Entry) parseService(snapshot *conf.Snapshot, q *request, r *http.Request, name string) *errkind.Error {
+	if len(name) > maxNameBytes {
+		return errkind.New(errkind.UnknownService, "the name of the service is too long")
+	}
 	// The escaped path is cut, so that an escaped slash stays escaped.
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix)
 	_, path, _ := strings.Cut(rest, "/")
--- a/pkg/entry/request_test.go
+++ b/pkg/entry/request_test.go
@@ -32,6 +32,8 @@
 		{chat, "{", nil, errkind.BadRequest},
 		{chat, "{}", nil, errkind.BadRequest},
 		{chat, `{"model":"other"}`, nil, errkind.UnknownModel},
+		{chat, `{"model":"` + strings.Repeat("m", 257) + `"}`, nil, errkind.BadRequest},
+		{"/services/" + strings.Repeat("s", 257), "", nil, errkind.UnknownService},
 		{chat, strings.Repeat(" ", 33<<20), nil, errkind.BadRequest},
 		{chat, chatBody, []string{"Authorization", "Bearer wrong"}, errkind.Unauthorized},
 		{chat, chatBody, []string{"Authorization", "Basic x"}, errkind.Unauthorized},
@@ -346,8 +348,8 @@
 	f.Expect(top.Code).To(Equal(http.StatusOK))
 }
 
-// Guards against another failure domain that is used before the local one, or
-// never.
+// Guards against another failure domain that is used before the local one,
+// never, or for a request that no domain should run.
 func TestFallbackDomains(t *testing.T) {
 	f := newFixture(t)
 	f.entry.Settings.Instance.FallbackDomains = []string{"south"}
@@ -356,6 +358,34 @@
 		snapshot.Pools[domain+"/m"] = &conf.Pool{Name: domain + "/m", Domain: domain, Targets: []string{"model:m"}}
 	}
 	f.Expect(f.entry.poolsFor(snapshot, "model:m")).To(Equal([]string{"north/m", "south/m"}))
+	f.setSnapshot(snapshot)
+	for kind, asked := range map[errkind.Kind]int{errkind.Overloaded: 2, errkind.NoUpstream: 2, errkind.PoisonRequest: 1} {
+		times := 0
+		f.onAcquire = func() error {
+			times++
+			return errkind.New(kind, "refused")
+		}
+		f.Expect(f.chat(wholeBody).Header().Get(headerError)).To(Equal(string(kind)))
+		f.Expect(times).To(Equal(asked))
+	}
+}
+
+// Guards against a cancellation that cuts a stream which was resumed at an
+// instance that has no way to say so.
+func TestWithoutNotificationNothingIsCancelled(t *testing.T) {
+	f := newFixture(t)
+	f.entry.NotifyResumed = nil
+	ctx, gone := context.WithCancel(context.Background())
+	f.onDispatch = func(call upstream.Call) (*upstream.Answer, error) {
+		q := f.one()
+		gone()
+		f.Eventually(q.machine.State).Should(BeEquivalentTo("lingering"))
+		f.clock.Advance(time.Hour)
+		f.Consistently(q.ctx.Err, "50ms").Should(Succeed())
+		return answer(http.StatusOK, call.RequestID, "{}"), nil
+	}
+	f.call(ctx, http.MethodPost, "/v1/chat/completions", wholeBody)
+	f.Expect(f.releases).To(Equal([]sched.Outcome{sched.Completed}))
 }
 
 // Guards against status pages and run states that do not tell the truth.
