--- a/pkg/entry/server_test.go
+++ b/pkg/entry/server_test.go
@@ -360,3 +360,27 @@
 	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/x", http.NoBody))
 	g.Expect(w.Header().Get(headerRunState)).To(Equal("unknown"))
 }
+
+// Guards against a caller whose closed connection goes unnoticed while its
+// request waits: it would take an upstream's place for nobody.
+func TestClosedConnectionEndsTheWait(t *testing.T) {
+	f := newFixture(t)
+	server := serve(f, restConf())
+	defer server.Close()
+	ctx, gone := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	f.onAcquire = func() error {
+		q := f.one()
+		gone()
+		<-q.ctx.Done()
+		ended <- context.Cause(q.ctx)
+		return errkind.New(errkind.NoUpstream, "cancelled")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(chatBody))
+	f.Expect(err).NotTo(HaveOccurred())
+	request.Header.Set(headerTeam, "t")
+	_, err = http.DefaultClient.Do(request)
+	f.Expect(err).To(MatchError(context.Canceled))
+	f.Expect(errkind.KindOf(<-ended)).To(Equal(errkind.CallerGone))
+	f.Expect(f.dispatches).To(BeEmpty())
+}
