--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -25,31 +25,42 @@
 	RunState errkind.RunState `json:"run_state"`
 }
 
-func errorBody(err *errkind.Error) []byte {
+func errorBody(err *errkind.Error, runState errkind.RunState) []byte {
 	answer := errkind.AnswerFor(err.Kind)
 	errorType := "server_error"
 	if answer.Status < http.StatusInternalServerError {
 		errorType = "invalid_request_error"
 	}
 	body, _ := json.Marshal(map[string]apiError{"error": {
-		Message: err.Message, Type: errorType, Code: err.Kind, Kind: err.Kind, RunState: answer.RunState,
+		Message: err.Message, Type: errorType, Code: err.Kind, Kind: err.Kind, RunState: runState,
 	}})
 	return body
 }
 
 // writeRefusal answers with the kind of err.
 func writeRefusal(w http.ResponseWriter, requestID string, err *errkind.Error) {
+	writeError(w, requestID, err, errkind.AnswerFor(err.Kind).RunState)
+}
+
+// refuseResume answers a caller that wanted to resume a request. Whatever the
+// reason, it never says that the request did not run.
+func (e *Entry) refuseResume(w http.ResponseWriter, err *errkind.Error) {
+	e.count(string(err.Kind), "")
+	writeError(w, "", err, errkind.Unknown)
+}
+
+func writeError(w http.ResponseWriter, requestID string, err *errkind.Error, runState errkind.RunState) {
 	answer := errkind.AnswerFor(err.Kind)
 	header := w.Header()
 	if requestID != "" {
 		header.Set(headerRequestID, requestID)
 	}
-	header.Set(headerRunState, string(answer.RunState))
+	header.Set(headerRunState, string(runState))
 	header.Set(headerError, string(err.Kind))
 	header.Set(headerShouldRetry, strconv.FormatBool(answer.Resend && answer.Status >= http.StatusTooManyRequests))
 	header.Set(headerContentType, typeJSON)
 	w.WriteHeader(answer.Status)
-	_, _ = w.Write(errorBody(err))
+	_, _ = w.Write(errorBody(err, runState))
 }
 
 // refuseEarly answers a request that was not read.
@@ -61,7 +72,7 @@
 // finishRefused answers a request that was not dispatched.
 func (e *Entry) finishRefused(w http.ResponseWriter, q *request, err *errkind.Error) {
 	e.logEnd(q, err)
-	if !q.callerGone() {
+	if !q.callerGone() && err.Kind != errkind.CallerGone {
 		writeRefusal(w, q.id, err)
 	}
 }
@@ -89,7 +100,7 @@
 	}
 	if q.pool != "" {
 		e.release(q, outcome)
-		e.Claimer.Update(q.claimedIdentity(), claim.Finished, q.upstreamName())
+		e.Claimer.Update(q.id, claim.Finished, q.upstreamName())
 	}
 	e.logEnd(q, err)
 	return err
@@ -109,9 +120,9 @@
 	q.machine.Fire(eventComplete)
 	if q.pool != "" {
 		e.release(q, sched.Completed)
-		e.Claimer.Update(q.claimedIdentity(), claim.Finished, q.upstreamName())
+		e.Claimer.Update(q.id, claim.Finished, q.upstreamName())
 	}
-	if q.target.engine() {
+	if q.target.engine() && q.outputTokens > 0 {
 		e.averages.add(q.target.model, q.outputTokens)
 	}
 	e.logEnd(q, nil)
@@ -130,6 +141,12 @@
 		e.finishBroken(w, q, errkind.New(errkind.UpstreamRefused, "the engine answered with status %d", answer.Status))
 		return
 	}
+	if answer.Status == http.StatusTemporaryRedirect || answer.Status == http.StatusPermanentRedirect {
+		// HTTP clients follow these by sending the request a second time.
+		_ = answer.Body.Close()
+		e.finishBroken(w, q, errkind.New(errkind.UpstreamRefused, "the upstream answered with the redirect %d", answer.Status))
+		return
+	}
 	streamed := strings.HasPrefix(answer.Header.Get(headerContentType), typeEvents)
 	switch {
 	case streamed && q.target.engine():
@@ -230,6 +247,7 @@
 		}
 		answer, err := fetcher.FetchAnswer(q.ctx, q.address, q.id)
 		if err != nil {
+			broken = errkind.Wrap(errkind.UpstreamBroken, err, "the engine is unreachable")
 			continue
 		}
 		body, err := e.readAnswer(answer)
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -61,9 +62,11 @@
 type request struct {
 	id       string
 	identity string
-	team     *record.Team
-	tier     *record.Tier
-	target   target
+	// names are the keys in the table of requests; its mutex guards them.
+	names  []string
+	team   *record.Team
+	tier   *record.Tier
+	target target
 	// idempotent is false when the request must not be cancelled midway.
 	idempotent bool
 	method     string
@@ -82,9 +85,9 @@
 	refusal atomic.Pointer[errkind.Error]
 	// gone is closed when the caller's connection has ended.
 	gone chan struct{}
-	// stopLinger ends the wait for the caller's return; it reports whether it
-	// came in time.
-	stopLinger atomic.Pointer[func() bool]
+	// resumed is set when the answer continues on another connection, so that
+	// the end of this caller's connection does not cancel the request.
+	resumed atomic.Bool
 	// upstream is the name of the upstream that runs the request.
 	upstream atomic.Pointer[string]
 
@@ -184,8 +187,14 @@
 	if e.NotifyResumed == nil {
 		return
 	}
-	timer := e.Clock.AfterFunc(e.Settings.Timeouts.Linger, func() {
-		if !q.machine.Fire(eventCancel) {
+	e.Clock.AfterFunc(e.Settings.Timeouts.Linger, func() {
+		err := q.machine.FireIf(eventCancel, func() error {
+			if q.resumed.Load() {
+				return errors.New("resumed")
+			}
+			return nil
+		})
+		if err != nil {
 			return
 		}
 		ctx, done := e.shortContext()
@@ -195,17 +204,14 @@
 		}
 		q.cancel(reason)
 	})
-	stop := timer.Stop
-	q.stopLinger.Store(&stop)
 }
 
 // Resumed tells the entry that the stream of a request whose caller is gone
-// continues at another connection or instance; the request is not cancelled.
+// continues on another connection or instance; the request is not cancelled.
+// It may come before the end of the caller's first connection is noticed.
 func (e *Entry) Resumed(requestID string) {
 	if q := e.find(requestID); q != nil {
-		if stop := q.stopLinger.Load(); stop != nil {
-			(*stop)()
-		}
+		q.resumed.Store(true)
 	}
 }
 
@@ -261,23 +267,27 @@
 	return nil
 }
 
-// register makes the request known by its ID. If an earlier attempt at this
-// instance is in progress or was dispatched, it returns what is known of it.
-func (e *Entry) register(q *request) (claim.Reply, bool) {
+// register makes the request known by its identity or its ID. If an earlier attempt at
+// this instance is in progress or was dispatched, it returns what is known of
+// it, and the request takes its ID.
+func (e *Entry) register(q *request, key string) (claim.Reply, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if other := e.requests[q.id]; other != nil {
+	if other := e.requests[key]; other != nil {
 		switch state := other.machine.State(); {
 		case state == stateRefused:
 		case !other.machine.Is(flagDispatched):
 			return claim.Reply{Result: claim.InProgress}, true
 		case other.machine.Final():
+			q.id = other.id
 			return claim.Reply{Result: claim.AlreadyFinished, Upstream: other.upstreamName()}, true
 		default:
+			q.id = other.id
 			return claim.Reply{Result: claim.InProgress, Upstream: other.upstreamName()}, true
 		}
 	}
-	e.requests[q.id] = q
+	e.requests[key] = q
+	q.names = append(q.names, key)
 	return claim.Reply{}, false
 }
 
@@ -288,12 +298,15 @@
 	defer e.mu.Unlock()
 	q.body, q.header = nil, nil
 	delete(e.held, q)
-	if e.requests[q.id] == q {
+	if len(q.names) > 0 {
 		e.ended = append(e.ended, q)
 	}
 	for len(e.ended) > e.Settings.Limits.KeptRequests {
-		if old := e.ended[0]; e.requests[old.id] == old {
-			delete(e.requests, old.id)
+		old := e.ended[0]
+		for _, name := range old.names {
+			if e.requests[name] == old {
+				delete(e.requests, name)
+			}
 		}
 		e.ended = e.ended[1:]
 	}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -127,6 +127,9 @@
 		}
 		answer, err := e.Engine.Resume(q.ctx, q.address, q.id, from)
 		if err != nil {
+			// However the stream broke, an engine that cannot be reached now
+			// counts as broken, for the sake of the strikes.
+			broken = errkind.Wrap(errkind.UpstreamBroken, err, "the engine is unreachable")
 			continue
 		}
 		if answer.Status == http.StatusOK {
@@ -245,7 +248,7 @@
 		return
 	}
 	err = e.endBroken(out.q, err)
-	out.write(event{name: "error", data: errorBody(err)})
+	out.write(event{name: "error", data: errorBody(err, errkind.AnswerFor(err.Kind).RunState)})
 }
 
 // pass copies a service's stream, which cannot be resumed.
@@ -273,12 +276,9 @@
 // follow answers an attempt whose identity was dispatched before: an engine's
 // answer is fetched from the engine, a service's is not known here.
 func (e *Entry) follow(w http.ResponseWriter, q *request, reply claim.Reply) {
-	refusal := errkind.New(errkind.InProgress, "an earlier attempt is in progress")
-	if reply.Result == claim.AlreadyFinished {
-		refusal = errkind.New(errkind.AlreadyRan, "an earlier attempt already ran")
-	}
+	refusal := errkind.New(followKind(reply), "an earlier attempt has the request")
 	target := e.Config.Snapshot().Upstreams[reply.Upstream]
-	if !q.target.engine() || target == nil || !q.machine.Fire(eventAttach) {
+	if !q.target.engine() || target == nil || q.id == "" || !q.machine.Fire(eventAttach) {
 		e.finishRefused(w, q, q.refused(refusal))
 		return
 	}
@@ -326,21 +326,21 @@
 		err = errkind.New(errkind.NotReady, "the configuration is not known yet")
 	}
 	if err != nil {
-		e.refuseEarly(w, err)
+		e.refuseResume(w, err)
 		return
 	}
 	name, id, last, err := parseEventID(r.Header.Get(headerLastEventID))
 	if err != nil {
-		e.refuseEarly(w, err)
+		e.refuseResume(w, err)
 		return
 	}
 	if held := e.find(id); held != nil && held.team.Name != team.Name {
-		e.refuseEarly(w, errkind.New(errkind.Unauthorized, "the request is another team's"))
+		e.refuseResume(w, errkind.New(errkind.Unauthorized, "the request is another team's"))
 		return
 	}
 	target := snapshot.Upstreams[name]
 	if target == nil {
-		e.refuseEarly(w, errkind.New(errkind.IssuerLost, "the upstream is not known any more"))
+		e.refuseResume(w, errkind.New(errkind.IssuerLost, "the upstream is not known any more"))
 		return
 	}
 	q := &request{
@@ -352,7 +352,7 @@
 	q.ctx, q.cancel = context.WithCancelCause(context.Background())
 	q.upstream.Store(&name)
 	if err := e.admit(q, true); err != nil {
-		e.refuseEarly(w, err)
+		e.refuseResume(w, err)
 		return
 	}
 	defer e.drop(q)
