--- a/cmd/rosemarywing-bench/main.go
+++ b/cmd/rosemarywing-bench/main.go
@@ -18,6 +18,7 @@
 	Workloads []string `long:"workload" description:"workload to run; may be repeated (default: all)"`
 	Policies  []string `long:"policy" description:"policy to run; may be repeated (default: all)"`
 	Seeds     int      `long:"seeds" default:"5" description:"number of seeds"`
+	Queue     int      `long:"queue" description:"bound of the queue in requests (default: the scheduler's)"`
 	JSON      string   `long:"json" description:"file for the results as JSON"`
 }
 
@@ -41,6 +42,7 @@
 		Workloads: orAll(o.Workloads, bench.Workloads()),
 		Policies:  orAll(o.Policies, sched.Policies()),
 		Seeds:     o.Seeds,
+		Queue:     o.Queue,
 		Parallel:  max(1, runtime.GOMAXPROCS(0)/2),
 	})
 	if err != nil {
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -20,7 +20,7 @@
 			g := NewWithT(t)
 			var texts [2][]byte
 			for i := range texts {
-				result, err := Run("domain-lost", "flottakert", policy, 3)
+				result, err := Run(Task{"domain-lost", "flottakert", policy, 3, 0})
 				g.Expect(err).NotTo(HaveOccurred())
 				texts[i], err = json.Marshal(result)
 				g.Expect(err).NotTo(HaveOccurred())
@@ -49,7 +49,7 @@
 	var out bytes.Buffer
 	g.Expect(WriteTable(&out, results)).To(Succeed())
 	g.Expect(out.String()).To(ContainSubstring("against the best baseline"))
-	_, err = Run("none", "flottakert", sched.PolicyRandom, 1)
+	_, err = Run(Task{"none", "flottakert", sched.PolicyRandom, 1, 0})
 	g.Expect(err).To(HaveOccurred())
 }
 
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -20,22 +20,19 @@
 	Workloads []string
 	Policies  []string
 	Seeds     int
+	Queue     int
 	// Parallel is the number of runs at a time.
 	Parallel int
 }
 
 // RunAll makes all selected runs, in a stable order.
 func RunAll(o Options) ([]*Result, error) {
-	type task struct {
-		scenario, workload, policy string
-		seed                       uint64
-	}
-	var tasks []task
+	var tasks []Task
 	for _, s := range o.Scenarios {
 		for _, w := range o.Workloads {
 			for _, p := range o.Policies {
 				for seed := 1; seed <= o.Seeds; seed++ {
-					tasks = append(tasks, task{s, w, p, uint64(seed)})
+					tasks = append(tasks, Task{s, w, p, uint64(seed), o.Queue})
 				}
 			}
 		}
@@ -48,7 +45,7 @@
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			out[i], errs[i] = Run(t.scenario, t.workload, t.policy, t.seed)
+			out[i], errs[i] = Run(t)
 		})
 	}
 	group.Wait()
--- a/internal/bench/results.go
+++ b/internal/bench/results.go
@@ -156,8 +156,8 @@
 	r.repeated += request.repeated
 }
 
-func (r *results) finish(scenarioName, workloadName, policy string, seed uint64) *Result {
-	out := &Result{Scenario: scenarioName, Workload: workloadName, Policy: policy, Seed: seed, Tiers: r.tiers}
+func (r *results) finish(t Task) *Result {
+	out := &Result{Scenario: t.Scenario, Workload: t.Workload, Policy: t.Policy, Seed: t.Seed, Tiers: r.tiers}
 	offered, served := 0, 0
 	for tier, t := range r.tiers {
 		t.Goodput = ratio(t.Good, t.Offered)
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -20,11 +20,7 @@
 	// redialDelay is the pause before a request that was not dispatched asks
 	// for another grant.
 	redialDelay = 10 * time.Millisecond
-	// queueRequests bounds the queue of the product's policy and, on top of
-	// the request limits, what a baseline lets pass.
-	queueRequests = 400
-	queueTokens   = 1_000_000
-	entries       = 6
+	entries     = 6
 )
 
 // epoch is the wall-clock time of the start of a run.
@@ -62,23 +58,34 @@
 	repeated int
 }
 
+// Task selects one run.
+type Task struct {
+	Scenario string
+	Workload string
+	Policy   string
+	Seed     uint64
+	// Queue bounds the queue of the product's policy and, on top of the
+	// request limits, what a baseline lets pass; zero means the default.
+	Queue int
+}
+
 // Run makes one run and returns its results.
-func Run(scenarioName, workloadName, policy string, seed uint64) (*Result, error) {
-	w, err := newWorld(scenarioName, workloadName, policy, seed)
+func Run(t Task) (*Result, error) {
+	w, err := newWorld(t)
 	if err != nil {
 		return nil, err
 	}
 	w.loop.run(func() bool { return w.open == 0 && w.loop.now > Duration })
-	return w.results.finish(scenarioName, workloadName, policy, seed), nil
+	return w.results.finish(t), nil
 }
 
-func newWorld(scenarioName, workloadName, policy string, seed uint64) (*world, error) {
-	base, ok := workloads[workloadName]
+func newWorld(t Task) (*world, error) {
+	base, ok := workloads[t.Workload]
 	if !ok {
-		return nil, errkind.New(errkind.BadSettings, "there is no workload %q", workloadName)
+		return nil, errkind.New(errkind.BadSettings, "there is no workload %q", t.Workload)
 	}
 	for i := range scenarios {
-		if scenarios[i].name != scenarioName {
+		if scenarios[i].name != t.Scenario {
 			continue
 		}
 		s := scenarios[i].withDefaults()
@@ -86,23 +93,22 @@
 			scenario: s,
 			workload: s.shape(base),
 			byName:   map[string]*engine{},
-			random:   rand.New(rand.NewPCG(seed, 1)),
+			random:   rand.New(rand.NewPCG(t.Seed, 1)),
 			requests: map[string]*inFlight{},
 			known:    map[string]int{},
 			results:  newResults(),
 		}
 		w.pool = sched.New(sched.Config{
-			Policy:        policy,
-			Random:        rand.New(rand.NewPCG(seed, 2)),
-			QueueRequests: queueRequests,
-			QueueTokens:   queueTokens,
+			Policy:        t.Policy,
+			Random:        rand.New(rand.NewPCG(t.Seed, 2)),
+			QueueRequests: t.Queue,
 		})
 		w.build()
-		w.arrive(seed)
+		w.arrive(t.Seed)
 		w.disturb()
 		return w, nil
 	}
-	return nil, errkind.New(errkind.BadSettings, "there is no scenario %q", scenarioName)
+	return nil, errkind.New(errkind.BadSettings, "there is no scenario %q", t.Scenario)
 }
 
 func (w *world) now() time.Time { return epoch.Add(w.loop.now) }
