sched: leave a deviation before deadlines, learn from what was given up

Cause: requests that are cancelled at their deadline were not observed, so the estimates learned only from those that were in time. They now count as a lower bound, and a deadline must leave one mean deviation beside the expected time.

--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -10,6 +10,8 @@
 const (
 	rateWeight      = 0.1
 	largestRateStep = 4.0
+	// deviations is the number of mean deviations that a deadline must leave.
+	deviations = 1.0
 	// minRateTokens is the prefill from which the time to the first token says
 	// more about the prefill rate than about the steps of the running batch.
 	minRateTokens = 1024
@@ -27,6 +29,9 @@
 	prefillRate float64
 	tokenTime   float64
 	overhead    float64
+	// deviation is the mean absolute error of the expected time to the first
+	// token, in seconds.
+	deviation float64
 	// backlogUntil is in nanoseconds since the epoch.
 	backlogUntil int64
 }
@@ -47,6 +52,12 @@
 	return e.overhead + backlog + float64(uncached)/e.prefillRate
 }
 
+// atMost returns a time within which the first token is likely, in seconds. As
+// with retransmission timers, a multiple of the mean deviation is added.
+func (e *estimate) atMost(now int64, uncached int) float64 {
+	return e.first(now, uncached) + deviations*e.deviation
+}
+
 // start adds granted prefill work.
 func (e *estimate) start(now int64, uncached int) {
 	e.backlogUntil = max(now, e.backlogUntil) + e.prefillTime(uncached)
@@ -59,6 +70,15 @@
 	return int64(float64(uncached) / e.prefillRate * float64(time.Second))
 }
 
+// observeGivenUp learns from a request that was cancelled before its first
+// token, which therefore would have taken at least that long. Without it the
+// estimates would never learn of the requests that were too late.
+func (e *estimate) observeGivenUp(g *grant, result Result) {
+	if result.FirstToken == 0 && g.expectedFirst > 0 && result.Total > g.expectedFirst {
+		e.observeFirst(g, result.Total.Seconds())
+	}
+}
+
 // observe learns from a completed request.
 func (e *estimate) observe(g *grant, result Result) {
 	if result.FirstToken > 0 && g.expectedFirst > 0 {
@@ -74,6 +94,7 @@
 // long prompts, and to the overhead for short ones.
 func (e *estimate) observeFirst(g *grant, first float64) {
 	expected := g.expectedFirst.Seconds()
+	e.deviation += rateWeight * (math.Abs(first-expected) - e.deviation)
 	if g.uncached < minRateTokens {
 		e.overhead = max(0, e.overhead+rateWeight*(first-expected))
 		return
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -72,6 +72,7 @@
 		u.estimate.undo(g.uncached)
 		u.avoid(now)
 	case Cancelled:
+		u.estimate.observeGivenUp(g, result)
 	}
 	p.forget(u)
 }
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -211,7 +211,7 @@
 
 // inTime reports whether the first token is expected before the deadline.
 func (c *candidate) inTime(u *upstream, p *Pool) bool {
-	first := u.estimate.first(c.now, p.uncached(c.work, u))
+	first := u.estimate.atMost(c.now, p.uncached(c.work, u))
 	return c.now+int64(first*float64(time.Second)) <= c.deadline
 }
 
