sched: serve newer requests first once the oldest has waited long

Cause: with order of arrival in an overload, every request reaches the head of its team's queue shortly before its deadline. A team's newest request now goes first once its oldest has waited for three quarters of its time.

--- a/pkg/sched/dispatch.go
+++ b/pkg/sched/dispatch.go
@@ -65,7 +65,7 @@
 		g.blocked = true
 		return
 	}
-	w := g.head().items.Front().Value.(*waiting)
+	w := g.head().first(now)
 	work := &w.request.Work
 	p.prefixes.match(work)
 	c := p.candidate(now, &w.request)
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -137,6 +137,7 @@
 	}
 	w.group = &w.scope.groups[p.classOf(&request.Work)]
 	w.giveUp = request.Deadline.Add(-p.shortest(&request.Work, m))
+	w.stale = now.Add(time.Duration(patience * float64(w.giveUp.Sub(now))))
 	p.queue.push(w)
 	if p.nextSweep.Before(now) {
 		p.nextSweep = now.Add(p.config.SweepInterval)
--- a/pkg/sched/pool_test.go
+++ b/pkg/sched/pool_test.go
@@ -127,6 +127,48 @@
 	g.Expect(served).To(Equal(map[string]int{"greedy": 10, "light": 10, "heavy": 20}))
 }
 
+// Guards against an overload in which every request is served at the last
+// moment, and against disorder without an overload.
+func TestOrderWithinATeamTurnsInAnOverload(t *testing.T) {
+	rows := []struct {
+		waited time.Duration
+		served string
+	}{{40 * time.Second, "oldest"}, {50 * time.Second, "newest"}}
+	for _, row := range rows {
+		t.Run(row.served, func(t *testing.T) {
+			g := NewWithT(t)
+			p := sched.New(sched.Config{})
+			p.SetUpstreams(start, []record.Upstream{engine("a", 1, 0)})
+			p.Acquire(start, request("running", 1, 100))
+			p.Acquire(start, request("oldest", 1, 100))
+			p.Acquire(start.Add(time.Second), request("middle", 1, 100))
+			p.Acquire(start.Add(2*time.Second), request("newest", 1, 100))
+			d := p.Cancel(start.Add(row.waited), "entry", "running")
+			g.Expect(d.Grants).To(ConsistOf(HaveField("RequestID", row.served)))
+		})
+	}
+}
+
+// Guards against estimates that never learn of requests that were too late,
+// because only those that were in time are completed.
+func TestRequestsGivenUpCorrectTheEstimate(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 4, 0)})
+	now := start
+	for i := range 20 {
+		r := request(fmt.Sprint(i), 1, 100)
+		r.Deadline = now.Add(time.Second)
+		if d := p.Acquire(now, r); len(d.Refusals) > 0 {
+			g.Expect(d.Refusals[0].Kind).To(Equal(errkind.DeadlineUnmeetable))
+			return
+		}
+		now = now.Add(time.Second)
+		p.Release(now, sched.Result{RequestID: r.ID, Holder: "entry", Outcome: sched.Cancelled, Total: time.Second})
+	}
+	t.Error("the estimate still expects the first token in time")
+}
+
 // Guards against a full queue that refuses the wrong request.
 func TestAFullQueueShedsTheLowestTierAndTheHeaviestTeam(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -28,7 +28,9 @@
 	// tokens is the request's whole work, without regard to any cache.
 	tokens int
 	// giveUp is the time after which the deadline cannot be met.
-	giveUp    time.Time
+	giveUp time.Time
+	// stale is the time after which newer requests of the team go first.
+	stale     time.Time
 	heapIndex int
 	inTeam    *list.Element
 	inAccount *list.Element
@@ -259,6 +261,21 @@
 	return best
 }
 
+// patience is the share of its time that a request waits in order of arrival.
+const patience = 0.75
+
+// first returns the request to serve next: the oldest, or the newest once the
+// oldest has waited for half of its time. In an overload, order of arrival
+// would serve every request shortly before its deadline, where few upstreams
+// are fast enough and each misjudgement wastes a prefill.
+func (q *teamQueue) first(now time.Time) *waiting {
+	oldest := q.items.Front().Value.(*waiting)
+	if now.Before(oldest.stale) {
+		return oldest
+	}
+	return q.items.Back().Value.(*waiting)
+}
+
 // deadlineHeap orders waiting requests by the time at which to give up.
 type deadlineHeap []*waiting
 
