sched: compare load reports with the peak of the last 16 seconds

Cause: a report that lags shows requests that were ours and have ended since. It was compared with the peak since the previous report, so with a lag longer than the interval the surplus was taken for requests of other schedulers and the request limit was lowered. The peak per second is now kept for 16 s.

The test was seen to fail with the current count in place of the peak.

--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -47,7 +47,7 @@
 	g.holder = p.holderFor(holderName)
 	g.holder.grants[g] = struct{}{}
 	p.grants[g.key] = g
-	g.upstream.occupy(g)
+	g.upstream.occupy(now, g)
 	g.use.change(now, g.need, p.config.ReserveDecay)
 	p.strikes.start(g.work.Fingerprint)
 }
@@ -55,7 +55,7 @@
 // end takes a grant out of all accounts and learns from its result.
 func (p *Pool) end(now time.Time, g *grant, result Result) {
 	u := g.upstream
-	u.vacate(g)
+	u.vacate(now, g)
 	g.use.change(now, -g.need, p.config.ReserveDecay)
 	p.strikes.end(g.work.Fingerprint)
 	delete(p.grants, g.key)
--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -38,10 +39,10 @@
 	grants      []*grant
 
 	// foreign is the number of requests that the upstream reported beyond our
-	// own accounts; peak is the highest count of our own since the last report.
+	// own accounts.
 	foreign      int
 	foreignUntil time.Time
-	peak         int
+	recent       recentPeak
 
 	load        Load
 	incarnation string
@@ -55,6 +56,37 @@
 	detector slowness
 }
 
+// peakSeconds is the time for which peaks of the own count are kept. A load
+// report that lags by less is never mistaken for requests of others.
+const peakSeconds = 16
+
+// recentPeak keeps the highest value of each of the last seconds.
+type recentPeak struct {
+	peaks  [peakSeconds]int32
+	second int64
+	value  int32
+}
+
+func (r *recentPeak) set(now time.Time, value int) {
+	r.advance(now)
+	r.value = int32(value)
+	slot := &r.peaks[r.second%peakSeconds]
+	*slot = max(*slot, r.value)
+}
+
+func (r *recentPeak) advance(now time.Time) {
+	second := now.Unix()
+	for r.second = max(r.second, second-peakSeconds); r.second < second; {
+		r.second++
+		r.peaks[r.second%peakSeconds] = r.value
+	}
+}
+
+func (r *recentPeak) highest(now time.Time) int {
+	r.advance(now)
+	return int(slices.Max(r.peaks[:]))
+}
+
 // grant is a request that an upstream may be running. It counts against the
 // limits until its holder releases it, cancels it or is dropped, because the
 // protocol has no message that tells whether a grant was used: an expired
@@ -146,10 +178,10 @@
 }
 
 // occupy adds a grant to the accounts.
-func (u *upstream) occupy(g *grant) {
+func (u *upstream) occupy(now time.Time, g *grant) {
 	u.requests++
 	u.tokens += g.need
-	u.peak = max(u.peak, u.requests)
+	u.recent.set(now, u.requests)
 	if g.long {
 		u.longs++
 		u.longTokens += g.need
@@ -162,8 +194,9 @@
 }
 
 // vacate removes a grant from the accounts.
-func (u *upstream) vacate(g *grant) {
+func (u *upstream) vacate(now time.Time, g *grant) {
 	u.requests--
+	u.recent.set(now, u.requests)
 	u.tokens -= g.need
 	if g.long {
 		u.longs--
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -198,6 +198,36 @@
 	}
 }
 
+// Guards against a lagging load report whose requests are our own and have
+// ended since, and against one that hides the requests of others.
+func TestOnlyASurplusOverOurRecentPeakIsForeign(t *testing.T) {
+	rows := []struct {
+		name     string
+		elapsed  time.Duration
+		reported int
+		foreign  int
+	}{
+		{"own requests, ended since", 10 * time.Second, 5, 0},
+		{"others beside them", 10 * time.Second, 8, 3},
+		{"long after", (peakSeconds + 1) * time.Second, 5, 5},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, u, c := fixture()
+			now := time.Unix(0, c.now)
+			for i := range 5 {
+				p.begin(now, &grant{upstream: u, use: &modelTier{tier: &tier{}}, key: requestKey{"h", string(rune('a' + i))}}, "h")
+			}
+			p.DropHolder(now, "h")
+			p.ReportLoad(now.Add(time.Second), "u", Load{})
+			now = now.Add(row.elapsed)
+			p.ReportLoad(now, "u", Load{Running: row.reported, ReportedAt: now})
+			g.Expect(u.foreign).To(Equal(row.foreign))
+		})
+	}
+}
+
 // Guards against an index that grows without bound, and against one that keeps
 // or forgets the wrong entries when events come late or twice.
 func TestPrefixIndexIsBoundedAndCorrected(t *testing.T) {
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -289,9 +289,8 @@
 	u.incarnation = load.Incarnation
 	u.load = load
 	u.lastReport = now
-	u.foreign = max(0, load.Running+load.Waiting-u.peak)
+	u.foreign = max(0, load.Running+load.Waiting-u.recent.highest(now))
 	u.foreignUntil = now.Add(foreignLife)
-	u.peak = u.requests
 	if u.leaving != load.Leaving {
 		u.leaving = load.Leaving
 		for _, m := range u.serving {
