sched: value cached prefixes above waiting for them

A second of prefill now costs as much as four seconds of waiting, the backlog bound is extended by the time that the cached prefix saves, and only uncached tokens make a long read.

--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -16,7 +16,7 @@
 		use:           m.tierOf(p.queue.tierFor(request.Work.Tier)),
 		granted:       now,
 		need:          p.need(&request.Work, u),
-		long:          c.long,
+		long:          uncached >= p.config.LongTokens,
 		suspect:       c.suspect,
 		uncached:      uncached,
 		expectedFirst: time.Duration(first * float64(time.Second)),
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -56,6 +56,7 @@
 func scores() []score {
 	return []score{
 		{"first token", scoreFirstToken},
+		{"prefill", scorePrefill},
 		{"decode", scoreDecode},
 	}
 }
@@ -81,15 +82,19 @@
 // filterBacklog rejects an upstream whose granted prefill work will take longer
 // than the bound. Requests wait in the queue instead, where their tier counts
 // and where they go to whichever upstream is free first; engines know no
-// priorities.
+// priorities. An upstream that holds a prefix of the request may have as much
+// more work ahead as the cached prefix saves.
 func filterBacklog(p *Pool, c *candidate, u *upstream) bool {
-	return u.estimate.backlogUntil-c.now <= int64(p.config.MaxBacklog)
+	backlog := u.estimate.backlogUntil - c.now
+	return backlog <= int64(p.config.MaxBacklog)+u.estimate.prefillTime(p.prefixes.cached[u.index])
 }
 
 // filterLimits applies the limits of the upstream and the reservation for
 // higher tiers.
 func filterLimits(p *Pool, c *candidate, u *upstream) bool {
-	return u.fits(p.share, u.reserved(c.priority), p.need(c.work, u), c.long, p.config.LongShare)
+	// A long prompt that is mostly cached does not hold up short requests.
+	long := c.long && p.uncached(c.work, u) >= p.config.LongTokens
+	return u.fits(p.share, u.reserved(c.priority), p.need(c.work, u), long, p.config.LongShare)
 }
 
 // filterOutranked rejects an upstream for which a request of a higher tier
@@ -132,6 +137,17 @@
 	return false
 }
 
+// prefillWeight is the value of a second of prefill against a second of
+// waiting. Prefill that a cached prefix would save delays other requests, too,
+// and evicts what others have cached.
+const prefillWeight = 4.0
+
+// scorePrefill is the prefill work that the request costs beyond the time that
+// its caller waits for it.
+func scorePrefill(p *Pool, c *candidate, u *upstream) float64 {
+	return (prefillWeight - 1) * float64(p.uncached(c.work, u)) / u.estimate.prefillRate
+}
+
 // scoreFirstToken is the expected time to the first token: the prefill work
 // ahead, counted by ourselves, and the request's own uncached prompt.
 func scoreFirstToken(p *Pool, c *candidate, u *upstream) float64 {
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -76,6 +76,13 @@
 			u.estimate.start(c.now, 2001)
 			c.deadline += int64(time.Minute)
 		}, false},
+		{"backlog that a cached prefix makes up for", "", func(p *Pool, u *upstream, c *candidate) {
+			u.estimate.start(c.now, 2400)
+			c.deadline += int64(time.Minute)
+			c.work.PrefixHashes = []uint64{1}
+			c.work.PrefixTokens = []int{400}
+			p.prefixes.add(u.index, 1)
+		}, true},
 		{"no request left", "limits", func(_ *Pool, u *upstream, _ *candidate) { u.requests = 10 }, false},
 		{"reported surplus", "limits", func(_ *Pool, u *upstream, _ *candidate) {
 			u.requests = 5
@@ -109,15 +116,30 @@
 		}, false},
 		{"long beyond its share", "limits", func(_ *Pool, u *upstream, c *candidate) {
 			c.long = true
+			c.work.PromptTokens = 4000
+			c.deadline += int64(time.Minute)
 			u.requests = 1
 			u.longs = 1
-			u.longTokens = 4401
+			u.longTokens = 901
 		}, false},
 		{"long within its share", "", func(_ *Pool, u *upstream, c *candidate) {
 			c.long = true
+			c.work.PromptTokens = 4000
+			c.deadline += int64(time.Minute)
+			u.requests = 1
+			u.longs = 1
+			u.longTokens = 900
+		}, true},
+		{"long, but cached", "", func(p *Pool, u *upstream, c *candidate) {
+			c.long = true
+			c.work.PromptTokens = 4000
+			c.deadline += int64(time.Minute)
+			c.work.PrefixHashes = []uint64{1}
+			c.work.PrefixTokens = []int{1}
+			p.prefixes.add(u.index, 1)
 			u.requests = 1
 			u.longs = 1
-			u.longTokens = 4400
+			u.longTokens = 5000
 		}, true},
 		{"reserved for a higher tier", "limits", func(p *Pool, u *upstream, _ *candidate) {
 			u.requests = 1
