sched: discount what the prefix index promises by the observed hit rate

The scheduler had counted prompts as cached that the engine had evicted. The part of the promised tokens that was cached is now learned per upstream from releases.

The test was seen to fail with a hit rate that stays at one.

--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -32,6 +32,8 @@
 	// deviation is the mean absolute error of the expected time to the first
 	// token, in seconds.
 	deviation float64
+	// hitRate is the part of the tokens believed to be cached that were cached.
+	hitRate float64
 	// backlogUntil is in nanoseconds since the epoch.
 	backlogUntil int64
 }
@@ -43,7 +45,7 @@
 	if decodeRate <= 0 {
 		decodeRate = defaultDecodeRate
 	}
-	return estimate{prefillRate: float64(prefillRate), tokenTime: 1 / float64(decodeRate)}
+	return estimate{prefillRate: float64(prefillRate), tokenTime: 1 / float64(decodeRate), hitRate: 1}
 }
 
 // first returns the expected time to the first token, in seconds.
@@ -90,6 +92,13 @@
 	}
 }
 
+// observeCache compares the cached tokens with those that the index promised.
+func (e *estimate) observeCache(promised, cached int) {
+	if promised >= minRateTokens {
+		e.hitRate += rateWeight * (min(1, float64(cached)/float64(promised)) - e.hitRate)
+	}
+}
+
 // observeFirst attributes the time to the first token to the prefill rate for
 // long prompts, and to the overhead for short ones.
 func (e *estimate) observeFirst(g *grant, first float64) {
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -19,6 +19,7 @@
 		long:          uncached >= p.config.LongTokens,
 		suspect:       c.suspect,
 		uncached:      uncached,
+		promised:      p.prefixes.cached[u.index],
 		expectedFirst: time.Duration(first * float64(time.Second)),
 	}
 	out := Grant{
@@ -82,6 +83,7 @@
 	u.backoff = 0
 	if !g.foreign {
 		u.estimate.observe(g, result)
+		u.estimate.observeCache(g.promised, result.CachedTokens)
 	}
 	p.prefixes.learn(u.index, &g.work, result.CachedTokens, true)
 	p.strikes.complete(g.work.Fingerprint)
--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -114,6 +114,8 @@
 
 	expectedFirst time.Duration
 	uncached      int
+	// promised is the number of tokens that the index took for cached.
+	promised int
 }
 
 // model is what upstreams have in common that a request can ask for: a model,
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -166,7 +166,7 @@
 // uncached is the prefill work of the request on the upstream; match must
 // have been called for the request.
 func (p *Pool) uncached(work *Work, u *upstream) int {
-	return work.PromptTokens - p.prefixes.cached[u.index]
+	return work.PromptTokens - int(u.estimate.hitRate*float64(p.prefixes.cached[u.index]))
 }
 
 // need is what the request counts against the token limit of the upstream.
--- a/pkg/sched/pool_test.go
+++ b/pkg/sched/pool_test.go
@@ -169,6 +169,27 @@
 	t.Error("the estimate still expects the first token in time")
 }
 
+// Guards against trust in an index whose prefixes the upstream has evicted: the
+// work of what it grants would be underestimated.
+func TestBrokenPromisesOfTheIndexAreDiscounted(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 4, 0)})
+	uncached := 0
+	for i := range 30 {
+		r := request(fmt.Sprint(i), 1, 3000)
+		r.Work.PrefixHashes = []uint64{9}
+		r.Work.PrefixTokens = []int{2000}
+		now := start.Add(time.Duration(i) * time.Second)
+		uncached = p.Acquire(now, r).Grants[0].UncachedTokens
+		if i == 1 {
+			g.Expect(uncached).To(Equal(1000))
+		}
+		p.Release(now, sched.Result{RequestID: r.ID, Holder: "entry", Outcome: sched.Completed})
+	}
+	g.Expect(uncached).To(BeNumerically(">", 2800))
+}
+
 // Guards against a full queue that refuses the wrong request.
 func TestAFullQueueShedsTheLowestTierAndTheHeaviestTeam(t *testing.T) {
 	g := NewWithT(t)
