--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -18,6 +18,9 @@
 // accounts is believed.
 const foreignLife = 10 * time.Second
 
+// congestedLife is the time for which a reported queue is believed.
+const congestedLife = 2 * time.Second
+
 // upstream is what the pool keeps about one upstream.
 type upstream struct {
 	name   string
@@ -51,6 +54,8 @@
 
 	backoff    time.Duration
 	avoidUntil int64
+	// congestedUntil is when a reported queue is no longer believed.
+	congestedUntil int64
 
 	estimate estimate
 	detector slowness
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -48,6 +48,7 @@
 		{"suspect", filterSuspect},
 		{"deadline", filterDeadline},
 		{"backlog", filterBacklog},
+		{"congested", filterCongested},
 		{"limits", filterLimits},
 		{"outranked", filterOutranked},
 	}
@@ -89,6 +90,16 @@
 	return backlog <= int64(p.config.MaxBacklog)+u.estimate.prefillTime(p.prefixes.cached[u.index])
 }
 
+// congestedWaiting is the number of waiting requests from which an upstream's
+// report means a queue; one or two wait between the steps of a batch anyway.
+const congestedWaiting = 3
+
+// filterCongested rejects an upstream that reported a queue of its own: it has
+// less room than our accounts say. A report is believed for a short time only.
+func filterCongested(_ *Pool, c *candidate, u *upstream) bool {
+	return u.load.Waiting < congestedWaiting || c.now >= u.congestedUntil || u.requests == 0
+}
+
 // filterLimits applies the limits of the upstream and the reservation for
 // higher tiers.
 func filterLimits(p *Pool, c *candidate, u *upstream) bool {
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -83,6 +83,16 @@
 			c.work.PrefixTokens = []int{400}
 			p.prefixes.add(u.index, 1)
 		}, true},
+		{"queue reported", "congested", func(_ *Pool, u *upstream, c *candidate) {
+			u.requests = 1
+			u.load.Waiting = 3
+			u.congestedUntil = c.now + 1
+		}, false},
+		{"queue reported before", "", func(_ *Pool, u *upstream, c *candidate) {
+			u.requests = 1
+			u.load.Waiting = 3
+			u.congestedUntil = c.now
+		}, true},
 		{"no request left", "limits", func(_ *Pool, u *upstream, _ *candidate) { u.requests = 10 }, false},
 		{"reported surplus", "limits", func(_ *Pool, u *upstream, _ *candidate) {
 			u.requests = 5
