--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -65,8 +65,11 @@
 // filterOpen rejects upstreams that were withdrawn or are leaving.
 func filterOpen(_ *Pool, _ *candidate, u *upstream) bool { return u.present && !u.leaving }
 
-// filterAvoided rejects upstreams that failed a moment ago.
-func filterAvoided(_ *Pool, c *candidate, u *upstream) bool { return c.now >= u.avoidUntil }
+// filterAvoided rejects upstreams that failed a moment ago. After that, one
+// request at a time probes the upstream until one has completed.
+func filterAvoided(_ *Pool, c *candidate, u *upstream) bool {
+	return c.now >= u.avoidUntil && (u.backoff == 0 || u.requests == 0)
+}
 
 // filterSlow rejects slow upstreams but for probes.
 func filterSlow(_ *Pool, c *candidate, u *upstream) bool {
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -53,6 +53,10 @@
 		{"failed before", "", func(_ *Pool, u *upstream, c *candidate) {
 			u.avoid(time.Unix(0, c.now).Add(-firstBackoff))
 		}, true},
+		{"second probe after a failure", "avoided", func(_ *Pool, u *upstream, c *candidate) {
+			u.avoid(time.Unix(0, c.now).Add(-firstBackoff))
+			u.requests = 1
+		}, false},
 		{"slow", "slow", func(_ *Pool, u *upstream, c *candidate) {
 			u.detector.slow = true
 			u.detector.nextProbe = c.now + 1
