--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -59,7 +59,6 @@
 		{"first token", scoreFirstToken},
 		{"prefill", scorePrefill},
 		{"decode", scoreDecode},
-		{"contended", scoreContended},
 	}
 }
 
@@ -178,30 +177,6 @@
 	return decodeWeight * u.estimate.tokenTime * float64(c.work.OutputTokens)
 }
 
-// contendedCost is the cost in seconds of using an upstream for which requests
-// of other models wait.
-const contendedCost = 0.5
-
-// scoreContended keeps upstreams that serve several models for the models that
-// have few.
-func scoreContended(_ *Pool, c *candidate, u *upstream) float64 {
-	for _, m := range u.serving {
-		if m.name != c.work.Model && m.waits() {
-			return contendedCost
-		}
-	}
-	return 0
-}
-
-func (m *model) waits() bool {
-	for _, mt := range m.tiers {
-		if mt.waiting > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // uncached is the prefill work of the request on the upstream; match must
 // have been called for the request.
 func (p *Pool) uncached(work *Work, u *upstream) int {
