--- a/cmd/rosemarywing-bench/main.go
+++ b/cmd/rosemarywing-bench/main.go
@@ -19,6 +19,7 @@
 	Policies  []string `long:"policy" description:"policy to run; may be repeated (default: all)"`
 	Seeds     int      `long:"seeds" default:"5" description:"number of seeds"`
 	Queue     int      `long:"queue" description:"bound of the queue in requests (default: the scheduler's)"`
+	Detectors bool     `long:"detectors" description:"compare the detectors of slow upstreams instead"`
 	JSON      string   `long:"json" description:"file for the results as JSON"`
 }
 
@@ -37,6 +38,9 @@
 }
 
 func run(o options) error {
+	if o.Detectors {
+		return bench.CompareDetectors(os.Stdout, o.Seeds)
+	}
 	results, err := bench.RunAll(bench.Options{
 		Scenarios: orAll(o.Scenarios, bench.Scenarios()),
 		Workloads: orAll(o.Workloads, bench.Workloads()),
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -43,6 +43,8 @@
 	open    int
 	tickAt  time.Duration
 	ticking uint64
+	// completed, if set, is called with each completed request.
+	completed func(engine string, result sched.Result)
 }
 
 // inFlight is a request between its arrival and its end.
@@ -349,6 +351,9 @@
 	if r.firstAt > 0 {
 		result.FirstToken = r.firstAt - r.granted
 	}
+	if w.completed != nil && outcome == sched.Completed {
+		w.completed(r.engine.name, result)
+	}
 	w.loop.after(networkDelay, func() { w.apply(w.pool.Release(w.now(), result)) })
 }
 
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -35,6 +35,7 @@
 	}
 	d.Grants = append(d.Grants, out)
 	u.estimate.start(c.now, uncached)
+	u.detector.nextProbe = c.now + int64(probeInterval)
 	for _, hash := range request.Work.PrefixHashes {
 		p.prefixes.add(u.index, hash)
 	}
@@ -83,6 +84,7 @@
 	u.backoff = 0
 	if !g.foreign {
 		u.estimate.observe(g, result)
+		u.detector.observe(&p.common, result, p.mayBeSlow())
 		u.estimate.observeCache(g.promised, result.CachedTokens)
 	}
 	p.prefixes.learn(u.index, &g.work, result.CachedTokens, true)
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -29,6 +29,7 @@
 	holders  map[string]*holder
 	prefixes prefixIndex
 	strikes  strikeTable
+	common   Common
 
 	// pending holds refusals that were decided by a call that returns none.
 	pending []Refusal
