sched: compute what a decision needs once per set of models

The reservation and the claims of higher tiers were summed over all models for each upstream; upstreams with the same models now share the result. The prefix match was made twice for a request that is granted at once.

--- a/pkg/sched/dispatch.go
+++ b/pkg/sched/dispatch.go
@@ -103,7 +103,9 @@
 
 func (p *Pool) candidate(now time.Time, request *Request) candidate {
 	work := &request.Work
+	p.decision++
 	return candidate{
+		decision:  p.decision,
 		now:       now.UnixNano(),
 		work:      work,
 		priority:  work.Tier,
--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -30,7 +30,7 @@
 	// the entry stays until its last grant has ended.
 	present bool
 	leaving bool
-	serving []*model
+	serving *servingSet
 
 	maxRequests int
 	maxTokens   int
@@ -147,11 +147,52 @@
 	at      time.Time
 }
 
+// servingSet is the set of models that an upstream serves. Upstreams with the
+// same models share it, so that what a decision needs to know about the models
+// is computed once for all of them.
+type servingSet struct {
+	models []*model
+	// decision is the one for which reserved and outranked hold.
+	decision uint64
+	// reserved is the share of tokens kept free for higher tiers.
+	reserved float64
+	// outranked is set when a request of a higher tier waits for the models.
+	outranked bool
+}
+
+// prepare computes what holds for all upstreams of the set.
+func (s *servingSet) prepare(decision uint64, priority int) {
+	if s.decision == decision {
+		return
+	}
+	s.decision = decision
+	s.reserved = 0
+	s.outranked = false
+	for _, m := range s.models {
+		s.reserved += m.reservedShare(priority)
+		s.outranked = s.outranked || m.waitsAbove(priority)
+	}
+	s.reserved = min(1, s.reserved)
+}
+
+// waitsAbove reports whether a request of a higher tier waits for the model.
+func (m *model) waitsAbove(priority int) bool {
+	for _, mt := range m.tiers {
+		if mt.tier.priority <= priority {
+			return false
+		}
+		if mt.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // open reports whether the upstream may get new work.
 func (u *upstream) open() bool { return u.present && !u.leaving }
 
 func (u *upstream) serves(m *model) bool {
-	for _, other := range u.serving {
+	for _, other := range u.serving.models {
 		if other == m {
 			return true
 		}
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -20,6 +20,7 @@
 	now      int64
 	work     *Work
 	priority int
+	decision uint64
 	long     bool
 	suspect  bool
 	// outranked is set when a request of a higher tier waits in the pool.
@@ -108,7 +109,7 @@
 func filterLimits(p *Pool, c *candidate, u *upstream) bool {
 	// A long prompt that is mostly cached does not hold up short requests.
 	long := c.long && p.uncached(c.work, u) >= p.config.LongTokens
-	return u.fits(p.share, u.reserved(c.priority), p.need(c.work, u), long, p.config.LongShare)
+	return u.fits(p.share, u.reserved(c), p.need(c.work, u), long, p.config.LongShare)
 }
 
 // filterOutranked rejects an upstream for which a request of a higher tier
@@ -118,7 +119,11 @@
 	if !c.outranked {
 		return true
 	}
-	for _, m := range u.serving {
+	u.serving.prepare(c.decision, c.priority)
+	if !u.serving.outranked {
+		return true
+	}
+	for _, m := range u.serving.models {
 		for _, scope := range m.tiers {
 			if scope.tier.priority <= c.priority {
 				break
@@ -188,13 +193,10 @@
 	return p.uncached(work, u) + work.OutputTokens
 }
 
-// reserved is the number of tokens kept free for tiers above the priority.
-func (u *upstream) reserved(priority int) int {
-	share := 0.0
-	for _, m := range u.serving {
-		share += m.reservedShare(priority)
-	}
-	return int(min(1, share) * float64(u.maxTokens))
+// reserved is the number of tokens kept free for higher tiers.
+func (u *upstream) reserved(c *candidate) int {
+	u.serving.prepare(c.decision, c.priority)
+	return int(u.serving.reserved * float64(u.maxTokens))
 }
 
 // placement is the outcome of a decision.
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -189,6 +189,7 @@
 			g := NewWithT(t)
 			p, u, c := fixture()
 			row.setup(p, u, c)
+			c.decision = 1
 			c.outranked = p.waitsAbove(c.priority)
 			p.prefixes.match(c.work)
 			rejecting := ""
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -39,6 +39,8 @@
 	nextSweep time.Time
 	scratch   []*upstream
 	one       [1]*upstream
+	// decision counts decisions; what a servingSet computed is valid for one.
+	decision uint64
 }
 
 var _ Scheduler = (*Pool)(nil)
@@ -137,7 +139,7 @@
 		tokens:  request.Work.PromptTokens + request.Work.OutputTokens,
 	}
 	w.group = &w.scope.groups[p.classOf(&request.Work)]
-	w.giveUp = request.Deadline.Add(-p.shortest(&request.Work, m))
+	w.giveUp = request.Deadline.Add(-p.shortest(&w.request.Work, m))
 	w.stale = now.Add(time.Duration(patience * float64(w.giveUp.Sub(now))))
 	p.queue.push(w)
 	if p.nextSweep.Before(now) {
@@ -295,7 +297,7 @@
 	u.foreignUntil = now.Add(foreignLife)
 	if u.leaving != load.Leaving {
 		u.leaving = load.Leaving
-		for _, m := range u.serving {
+		for _, m := range u.serving.models {
 			m.measure()
 		}
 		p.refuseStranded(&d)
--- a/pkg/sched/prefix.go
+++ b/pkg/sched/prefix.go
@@ -12,6 +12,11 @@
 	// under consideration; touched lists the entries that are set.
 	cached  []int
 	touched []int32
+	// version counts the changes; matched and matchedVersion tell for which
+	// request and which state of the index cached holds.
+	version        uint64
+	matched        *Work
+	matchedVersion uint64
 }
 
 // prefixCache is the index of one upstream: a bounded list in order of use.
@@ -54,6 +59,7 @@
 	if len(c.slots) >= p.limit {
 		p.remove(upstream, c.nodes[c.last].hash)
 	}
+	p.version++
 	slot := c.allocate(hash)
 	c.slots[hash] = slot
 	c.linkFirst(slot)
@@ -67,6 +73,7 @@
 	if !ok {
 		return
 	}
+	p.version++
 	c.unlink(slot)
 	c.free = append(c.free, slot)
 	delete(c.slots, hash)
@@ -97,6 +104,11 @@
 
 // match fills cached with the tokens of the longest prefix each upstream holds.
 func (p *prefixIndex) match(work *Work) {
+	if p.matched == work && p.matchedVersion == p.version {
+		return
+	}
+	p.matched = work
+	p.matchedVersion = p.version
 	for _, index := range p.touched {
 		p.cached[index] = 0
 	}
--- a/pkg/sched/upstreams.go
+++ b/pkg/sched/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
@@ -91,11 +92,14 @@
 	for _, m := range p.models {
 		m.upstreams = m.upstreams[:0]
 	}
+	sets := map[string]*servingSet{}
 	for _, u := range p.sortedUpstreams() {
-		u.serving = u.serving[:0]
+		u.serving = &noModels
 		if !u.present {
 			continue
 		}
+		set := &servingSet{}
+		u.serving = set
 		for _, name := range targets(&u.record) {
 			m := p.models[name]
 			if m == nil {
@@ -103,10 +107,11 @@
 				p.models[name] = m
 			}
 			if !u.serves(m) {
-				u.serving = append(u.serving, m)
+				set.models = append(set.models, m)
 				m.upstreams = append(m.upstreams, u)
 			}
 		}
+		u.serving = shareSet(set, sets)
 	}
 	for name, m := range p.models {
 		if len(m.upstreams) == 0 {
@@ -117,6 +122,23 @@
 	}
 }
 
+// noModels is the set of an upstream that is no longer in force.
+var noModels servingSet
+
+// shareSet returns the set with the same models that another upstream has.
+func shareSet(set *servingSet, sets map[string]*servingSet) *servingSet {
+	names := make([]string, len(set.models))
+	for i, m := range set.models {
+		names[i] = m.name
+	}
+	sort.Strings(names)
+	key := strings.Join(names, "\n")
+	if sets[key] == nil {
+		sets[key] = set
+	}
+	return sets[key]
+}
+
 func (p *Pool) sortedUpstreams() []*upstream {
 	sorted := make([]*upstream, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
