sched: evaluate an upstream's expected times once per decision

The filters and scores computed the uncached tokens and the expected time to the first token again each. What they read of an upstream now comes first in its struct.

--- a/pkg/sched/detector.go
+++ b/pkg/sched/detector.go
@@ -70,11 +70,11 @@
 // slowness is the detector of one upstream: a moving average of the ratio of
 // observed to expected service times against a threshold.
 type slowness struct {
+	slow      bool
+	nextProbe int64
 	reference Reference
 	ratios    [slownessWindow]float64
 	count     int
-	slow      bool
-	nextProbe int64
 }
 
 // average is the mean of the last ratios, or 1 before there are enough.
--- a/pkg/sched/dispatch.go
+++ b/pkg/sched/dispatch.go
@@ -83,7 +83,8 @@
 		return
 	}
 	p.dequeue(w)
-	w.charge(p.need(work, chosen.best))
+	c.consider(p, chosen.best)
+	w.charge(c.uncached + work.OutputTokens)
 	p.grant(now, &w.request, g.model, chosen, &c, d)
 }
 
--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -48,16 +48,10 @@
 	return estimate{prefillRate: float64(prefillRate), tokenTime: 1 / float64(decodeRate), hitRate: 1}
 }
 
-// first returns the expected time to the first token, in seconds.
-func (e *estimate) first(now int64, uncached int) float64 {
-	backlog := float64(max(0, e.backlogUntil-now)) / float64(time.Second)
-	return e.overhead + backlog + float64(uncached)/e.prefillRate
-}
-
-// atMost returns a time within which the first token is likely, in seconds. As
-// with retransmission timers, a multiple of the mean deviation is added.
-func (e *estimate) atMost(now int64, uncached int) float64 {
-	return e.first(now, uncached) + deviations*e.deviation
+// wait returns the expected time until the prefill of a new request starts, in
+// seconds.
+func (e *estimate) wait(now int64) float64 {
+	return e.overhead + float64(max(0, e.backlogUntil-now))*time.Nanosecond.Seconds()
 }
 
 // start adds granted prefill work.
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -7,20 +7,20 @@
 // grant records a grant and adds it to the decisions.
 func (p *Pool) grant(now time.Time, request *Request, m *model, chosen placement, c *candidate, d *Decisions) {
 	u := chosen.best
-	uncached := p.uncached(&request.Work, u)
-	first := u.estimate.first(c.now, uncached)
+	c.consider(p, u)
+	uncached := c.uncached
 	g := &grant{
 		key:           requestKey{request.Holder, request.ID},
 		work:          request.Work,
 		upstream:      u,
 		use:           m.tierOf(p.queue.tierFor(request.Work.Tier)),
 		granted:       now,
-		need:          p.need(&request.Work, u),
+		need:          uncached + request.Work.OutputTokens,
 		long:          uncached >= p.config.LongTokens,
 		suspect:       c.suspect,
 		uncached:      uncached,
 		promised:      p.prefixes.cached[u.index],
-		expectedFirst: time.Duration(first * float64(time.Second)),
+		expectedFirst: time.Duration(c.first * float64(time.Second)),
 	}
 	out := Grant{
 		RequestID:      request.ID,
--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -23,13 +23,13 @@
 
 // upstream is what the pool keeps about one upstream.
 type upstream struct {
-	name   string
-	index  int32
-	record record.Upstream
+	// What the plugins read comes first, so that it shares cache lines.
+
 	// present is false once the configuration no longer names the upstream;
 	// the entry stays until its last grant has ended.
 	present bool
 	leaving bool
+	index   int32
 	serving *servingSet
 
 	maxRequests int
@@ -39,26 +39,25 @@
 	longTokens  int
 	longs       int
 	suspects    int
-	grants      []*grant
-
 	// foreign is the number of requests that the upstream reported beyond our
 	// own accounts.
-	foreign      int
-	foreignUntil time.Time
-	recent       recentPeak
-
-	load        Load
-	incarnation string
-	// lastReport is when the last report of the incarnation arrived.
-	lastReport time.Time
-
+	foreign    int
 	backoff    time.Duration
 	avoidUntil int64
 	// congestedUntil is when a reported queue is no longer believed.
 	congestedUntil int64
+	estimate       estimate
+	detector       slowness
 
-	estimate estimate
-	detector slowness
+	name         string
+	record       record.Upstream
+	grants       []*grant
+	foreignUntil time.Time
+	recent       recentPeak
+	load         Load
+	incarnation  string
+	// lastReport is when the last report of the incarnation arrived.
+	lastReport time.Time
 }
 
 // peakSeconds is the time for which peaks of the own count are kept. A load
--- a/pkg/sched/machine_test.go
+++ b/pkg/sched/machine_test.go
@@ -179,7 +179,8 @@
 			continue
 		}
 		w := m.p.queue.byKey[key]
-		inTime := u.estimate.first(m.now.UnixNano(), high.Work.PromptTokens) < high.Deadline.Sub(m.now).Seconds()
+		first := u.estimate.wait(m.now.UnixNano()) + float64(high.Work.PromptTokens)/u.estimate.prefillRate
+		inTime := first < high.Deadline.Sub(m.now).Seconds()
 		if fits && !w.parked && inTime {
 			t.Fatalf("tier %d granted on %s while %s of tier %d waits", low.request.Work.Tier, u.name, high.ID, high.Work.Tier)
 		}
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -26,6 +26,12 @@
 	// outranked is set when a request of a higher tier waits in the pool.
 	outranked bool
 	deadline  int64
+
+	// These belong to the upstream under consideration: the expected prefill
+	// in tokens and in seconds, and the expected time to the first token.
+	uncached int
+	prefill  float64
+	first    float64
 }
 
 // filter is a plugin that decides whether an upstream may get the request.
@@ -82,7 +88,7 @@
 
 // filterDeadline rejects an upstream that is not expected to produce the first
 // token in time, because the prefill would be wasted.
-func filterDeadline(p *Pool, c *candidate, u *upstream) bool { return c.inTime(u, p) }
+func filterDeadline(_ *Pool, c *candidate, u *upstream) bool { return c.inTime(u) }
 
 // filterBacklog rejects an upstream whose granted prefill work will take longer
 // than the bound. Requests wait in the queue instead, where their tier counts
@@ -108,8 +114,8 @@
 // higher tiers.
 func filterLimits(p *Pool, c *candidate, u *upstream) bool {
 	// A long prompt that is mostly cached does not hold up short requests.
-	long := c.long && p.uncached(c.work, u) >= p.config.LongTokens
-	return u.fits(p.share, u.reserved(c), p.need(c.work, u), long, p.config.LongShare)
+	long := c.long && c.uncached >= p.config.LongTokens
+	return u.fits(p.share, u.reserved(c), c.uncached+c.work.OutputTokens, long, p.config.LongShare)
 }
 
 // filterOutranked rejects an upstream for which a request of a higher tier
@@ -163,15 +169,13 @@
 
 // scorePrefill is the prefill work that the request costs beyond the time that
 // its caller waits for it.
-func scorePrefill(p *Pool, c *candidate, u *upstream) float64 {
-	return (prefillWeight - 1) * float64(p.uncached(c.work, u)) / u.estimate.prefillRate
+func scorePrefill(_ *Pool, c *candidate, _ *upstream) float64 {
+	return (prefillWeight - 1) * c.prefill
 }
 
 // scoreFirstToken is the expected time to the first token: the prefill work
 // ahead, counted by ourselves, and the request's own uncached prompt.
-func scoreFirstToken(p *Pool, c *candidate, u *upstream) float64 {
-	return u.estimate.first(c.now, p.uncached(c.work, u))
-}
+func scoreFirstToken(_ *Pool, c *candidate, _ *upstream) float64 { return c.first }
 
 // decodeWeight is the value of a second of decoding against a second of
 // waiting for the first token, on which deadlines depend.
@@ -188,11 +192,6 @@
 	return work.PromptTokens - int(u.estimate.hitRate*float64(p.prefixes.cached[u.index]))
 }
 
-// need is what the request counts against the token limit of the upstream.
-func (p *Pool) need(work *Work, u *upstream) int {
-	return p.uncached(work, u) + work.OutputTokens
-}
-
 // reserved is the number of tokens kept free for higher tiers.
 func (u *upstream) reserved(c *candidate) int {
 	u.serving.prepare(c.decision, c.priority)
@@ -233,6 +232,7 @@
 }
 
 func (p *Pool) passes(c *candidate, u *upstream) bool {
+	c.consider(p, u)
 	for i := range p.filters {
 		if !p.filters[i].passes(p, c, u) {
 			return false
@@ -241,17 +241,29 @@
 	return true
 }
 
-// inTime reports whether the first token is expected before the deadline.
-func (c *candidate) inTime(u *upstream, p *Pool) bool {
-	first := u.estimate.atMost(c.now, p.uncached(c.work, u))
-	return c.now+int64(first*float64(time.Second)) <= c.deadline
+// consider makes u the upstream under consideration.
+func (c *candidate) consider(p *Pool, u *upstream) {
+	c.uncached = p.uncached(c.work, u)
+	c.prefill = float64(c.uncached) / u.estimate.prefillRate
+	c.first = u.estimate.wait(c.now) + c.prefill
+}
+
+// inTime reports whether the first token is expected before the deadline. As
+// with retransmission timers, a multiple of the mean deviation must be left.
+func (c *candidate) inTime(u *upstream) bool {
+	likely := c.first + deviations*u.estimate.deviation
+	return c.now+int64(likely*float64(time.Second)) <= c.deadline
 }
 
 // meetable reports whether any of the upstreams is expected to produce the
 // first token before the deadline, whether it has room now or not.
 func (p *Pool) meetable(c *candidate, upstreams []*upstream) bool {
 	for _, u := range upstreams {
-		if u.open() && c.inTime(u, p) {
+		if !u.open() {
+			continue
+		}
+		c.consider(p, u)
+		if c.inTime(u) {
 			return true
 		}
 	}
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -192,6 +192,7 @@
 			c.decision = 1
 			c.outranked = p.waitsAbove(c.priority)
 			p.prefixes.match(c.work)
+			c.consider(p, u)
 			rejecting := ""
 			for _, f := range p.filters {
 				if !f.passes(p, c, u) {
