sched: bound the comparison in a large pool

With 600 upstreams that all serve all 36 models, a decision compares 600 candidates. It now compares 128, from a point that moves on, goes on until it has found one that passes, and compares up to 32 holders of the longest prefixes in any case.

The test was seen to fail with a bound that is not extended, and without the holders.

--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -208,29 +208,67 @@
 // so that several schedulers of a pool do not all choose the same upstream.
 const tie = 0.002
 
-// choose applies the plugins to the upstreams.
+// Bounds of one decision in a large pool: the number of upstreams compared, and
+// the number of those that hold a prefix of the request which are compared in
+// any case. With more, the choice hardly improves and the decision gets slow.
+const (
+	comparedUpstreams = 128
+	comparedHolders   = 32
+)
+
+// choose applies the plugins to the upstreams. In a large pool it compares a
+// part of them, from a point that moves on, and stops only once it has found
+// one that passes: a request never waits while an upstream could take it.
 func (p *Pool) choose(c *candidate, upstreams []*upstream) placement {
 	var out placement
-	for _, u := range upstreams {
-		if !p.passes(c, u) {
-			continue
-		}
-		cost := 0.0
-		for i := range p.scores {
-			cost += p.scores[i].cost(p, c, u)
-		}
-		switch {
-		case out.best == nil || cost < out.cost-tie || (cost < out.cost+tie && p.config.Random.IntN(2) == 0):
-			out.second = out.best
-			out.best = u
-			out.cost = cost
-		case out.second == nil:
-			out.second = u
+	if len(upstreams) <= comparedUpstreams {
+		for _, u := range upstreams {
+			p.compare(c, u, &out)
 		}
+		return out
+	}
+	for i := 0; i < len(upstreams) && (i < comparedUpstreams || out.best == nil); i++ {
+		p.turn++
+		p.compare(c, upstreams[p.turn%len(upstreams)], &out)
 	}
+	p.compareHolders(c, p.models[c.work.Model], &out)
 	return out
 }
 
+// compareHolders compares upstreams that hold the longest prefixes.
+func (p *Pool) compareHolders(c *candidate, m *model, out *placement) {
+	left := comparedHolders
+	for i := len(c.work.PrefixHashes) - 1; i >= 0; i-- {
+		for _, index := range p.prefixes.holders[c.work.PrefixHashes[i]] {
+			if u := p.byIndex[index]; u != out.best && u.serves(m) {
+				p.compare(c, u, out)
+			}
+			if left--; left == 0 {
+				return
+			}
+		}
+	}
+}
+
+// compare keeps u if it passes the filters and costs least so far.
+func (p *Pool) compare(c *candidate, u *upstream, out *placement) {
+	if !p.passes(c, u) {
+		return
+	}
+	cost := 0.0
+	for i := range p.scores {
+		cost += p.scores[i].cost(p, c, u)
+	}
+	switch {
+	case out.best == nil || cost < out.cost-tie || (cost < out.cost+tie && p.config.Random.IntN(2) == 0):
+		out.second = out.best
+		out.best = u
+		out.cost = cost
+	case out.second == nil:
+		out.second = u
+	}
+}
+
 func (p *Pool) passes(c *candidate, u *upstream) bool {
 	c.consider(p, u)
 	for i := range p.filters {
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -236,6 +237,35 @@
 	}
 }
 
+// Guards against a bound on the comparison that misses the only upstream with
+// room, or the one that holds the prefix.
+func TestALargePoolIsSearchedFarEnough(t *testing.T) {
+	g := NewWithT(t)
+	p, _, c := fixture()
+	var records []record.Upstream
+	for i := range 5 * comparedUpstreams {
+		r := p.upstreams["u"].record
+		r.Name = fmt.Sprintf("u%04d", i)
+		records = append(records, r)
+	}
+	p.SetUpstreams(time.Unix(0, c.now), records)
+	m := p.models["m"]
+	holder := m.upstreams[400]
+	c.work.PrefixHashes = []uint64{1}
+	c.work.PrefixTokens = []int{400}
+	p.prefixes.add(holder.index, 1)
+	for range 10 {
+		p.prefixes.match(c.work)
+		g.Expect(p.choose(c, m.upstreams).best).To(Equal(holder))
+	}
+	for _, u := range m.upstreams {
+		u.leaving = u.name != "u0300"
+	}
+	for range 10 {
+		g.Expect(p.choose(c, m.upstreams).best.name).To(Equal("u0300"))
+	}
+}
+
 // Guards against a lagging load report whose requests are our own and have
 // ended since, and against one that hides the requests of others.
 func TestOnlyASurplusOverOurRecentPeakIsForeign(t *testing.T) {
