sched: bound the prefix index of a whole pool, measure the state

At 135 bytes per entry, 600 upstreams with 4,096 entries each would take 330 MB of an instance's 256 MB. The pool now holds at most 200,000 entries. Measured by BenchmarkState: 125 to 135 bytes per prefix entry, 1,166 per upstream and 707 per waiting request (without its prefix hashes).

--- a/pkg/sched/bench_test.go
+++ b/pkg/sched/bench_test.go
@@ -102,7 +102,7 @@
 		runtime.ReadMemStats(&stats)
 		return float64(stats.HeapAlloc)
 	}
-	const upstreams, waiting, entries = 600, 1500, 1000
+	const upstreams, filling, waiting, entries = 600, 1500, 1000, 300
 	for range b.N {
 		before := heap()
 		p, next := crowd(upstreams, 3)
@@ -115,26 +115,31 @@
 			p.ReportCache(start, fmt.Sprintf("u%03d", u), hashes, nil)
 		}
 		afterPrefixes := heap()
+		// With a share of nothing each upstream takes one request.
+		p.SetShare(start, 0)
 		var requests []sched.Request
-		for i := range waiting {
+		for i := range filling + waiting {
 			r := next(i)
-			r.Work.PromptTokens = 200_000
+			r.Work.PromptTokens = 100
 			r.Work.PrefixHashes, r.Work.PrefixTokens = nil, nil
 			r.Deadline = start.Add(time.Hour)
 			requests = append(requests, r)
 		}
-		for _, r := range p.Acquire(start, requests[0]).Grants {
-			_ = r
+		for _, r := range requests[:filling] {
+			p.Acquire(start, r)
 		}
-		p.SetShare(start, 0)
 		beforeWaiting := heap()
-		for _, r := range requests[1:] {
-			p.Acquire(start, r)
+		granted := 0
+		for _, r := range requests[filling:] {
+			granted += len(p.Acquire(start, r).Grants)
 		}
 		afterWaiting := heap()
+		if granted > 0 {
+			b.Fatalf("%d requests were granted instead of queued", granted)
+		}
 		b.ReportMetric((afterUpstreams-before)/upstreams, "B/upstream")
 		b.ReportMetric((afterPrefixes-afterUpstreams)/(upstreams*entries), "B/prefix")
-		b.ReportMetric((afterWaiting-beforeWaiting)/(waiting-1), "B/request")
+		b.ReportMetric((afterWaiting-beforeWaiting)/waiting, "B/request")
 		runtime.KeepAlive(p)
 		runtime.KeepAlive(requests)
 	}
--- a/pkg/sched/config.go
+++ b/pkg/sched/config.go
@@ -29,6 +29,8 @@
 	defaultLongShare     = 0.5
 	defaultMaxBacklog    = 200 * time.Millisecond
 	defaultPrefixEntries = 4096
+	// At about 140 bytes per entry the whole index takes up to 28 MB.
+	defaultPrefixTotal   = 200_000
 	defaultStrikeEntries = 10_000
 	defaultStrikeLife    = time.Hour
 	defaultReserveDecay  = 20 * time.Second
@@ -63,6 +65,8 @@
 	MaxBacklog time.Duration
 	// PrefixEntries bounds the prefix index of one upstream.
 	PrefixEntries int
+	// PrefixTotal bounds the prefix index of the pool.
+	PrefixTotal int
 	// StrikeEntries bounds the table of crash strikes.
 	StrikeEntries int
 	// StrikeLife is the time after which a strike is forgotten.
@@ -89,6 +93,7 @@
 	orDefault(&c.LongShare, defaultLongShare)
 	orDefault(&c.MaxBacklog, defaultMaxBacklog)
 	orDefault(&c.PrefixEntries, defaultPrefixEntries)
+	orDefault(&c.PrefixTotal, defaultPrefixTotal)
 	orDefault(&c.StrikeEntries, defaultStrikeEntries)
 	orDefault(&c.StrikeLife, defaultStrikeLife)
 	orDefault(&c.ReserveDecay, defaultReserveDecay)
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -308,6 +308,14 @@
 	}
 	index.add(0, 3)
 	index.add(0, 6)
+	g.Expect(index.caches[0].slots).To(HaveLen(3))
+	index.limit = 2
+	index.add(1, 7)
+	index.add(1, 1)
+	index.add(1, 8)
+	g.Expect(index.caches[1].slots).To(HaveLen(2))
+	index.remove(1, 8)
+	index.limit = 3
 	work := &Work{PromptTokens: 90, PrefixHashes: []uint64{1, 3, 4}, PrefixTokens: []int{10, 20, 100}}
 	index.match(work)
 	g.Expect(index.cached).To(Equal([]int{20, 10}))
--- a/pkg/sched/prefix.go
+++ b/pkg/sched/prefix.go
@@ -56,7 +56,7 @@
 		c.linkFirst(slot)
 		return
 	}
-	if len(c.slots) >= p.limit {
+	for len(c.slots) >= p.limit {
 		p.remove(upstream, c.nodes[c.last].hash)
 	}
 	p.version++
--- a/pkg/sched/upstreams.go
+++ b/pkg/sched/upstreams.go
@@ -46,6 +46,7 @@
 	for _, u := range p.upstreams {
 		p.forget(u)
 	}
+	p.prefixes.limit = max(1, min(p.config.PrefixEntries, p.config.PrefixTotal/max(1, len(p.upstreams))))
 	p.relate()
 	var d Decisions
 	p.refuseStranded(&d)
