sched: hold requests back for a prefix in the making

A request now waits, once and for at most two seconds, until the upstream that it would go to has completed the prefix. It competes for nothing meanwhile.

The tests were seen to fail without the wait, its bound, the least prefix length, and the removal of what is cancelled.

--- a/pkg/sched/dispatch.go
+++ b/pkg/sched/dispatch.go
@@ -11,6 +11,7 @@
 // considers that upstream alone, because nothing changed elsewhere.
 func (p *Pool) schedule(now time.Time, only *upstream, d *Decisions) {
 	p.expire(now, d)
+	p.resume(now.UnixNano())
 	for _, t := range p.queue.tiers {
 		for _, g := range t.groups {
 			g.blocked = false
@@ -82,6 +83,9 @@
 		p.late(w, d)
 		return
 	}
+	if p.hold(&c, w, chosen.best) {
+		return
+	}
 	p.dequeue(w)
 	c.consider(p, chosen.best)
 	w.charge(c.uncached + work.OutputTokens)
--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -12,6 +12,9 @@
 	largestRateStep = 4.0
 	// deviations is the number of mean deviations that a deadline must leave.
 	deviations = 1.0
+	// doneDeviations is the number of mean deviations after which prefill work
+	// counts as done.
+	doneDeviations = 2.0
 	// minRateTokens is the prefill from which the time to the first token says
 	// more about the prefill rate than about the steps of the running batch.
 	minRateTokens = 1024
@@ -59,6 +62,12 @@
 	e.backlogUntil = max(now, e.backlogUntil) + e.prefillTime(uncached)
 }
 
+// likelyDone returns a time by which the granted prefill work is likely to be
+// done, in nanoseconds since the epoch.
+func (e *estimate) likelyDone() int64 {
+	return e.backlogUntil + int64((e.overhead+doneDeviations*e.deviation)*float64(time.Second))
+}
+
 // undo takes back prefill work that was granted but not dispatched.
 func (e *estimate) undo(uncached int) { e.backlogUntil -= e.prefillTime(uncached) }
 
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -35,6 +35,10 @@
 	}
 	d.Grants = append(d.Grants, out)
 	u.estimate.start(c.now, uncached)
+	p.prefilling.expire(c.now)
+	if uncached >= holdTokens {
+		p.prefilling.add(u.index, &request.Work, p.prefixes.cached[u.index], u.estimate.likelyDone())
+	}
 	u.detector.nextProbe = c.now + int64(probeInterval)
 	for _, hash := range request.Work.PrefixHashes {
 		p.prefixes.add(u.index, hash)
--- a/pkg/sched/machine_test.go
+++ b/pkg/sched/machine_test.go
@@ -377,10 +377,11 @@
 		m.apply(t, m.p.Release(m.now, Result{RequestID: key.id, Holder: key.holder, Outcome: Completed}))
 	}
 	m.Check(t)
+	m.apply(t, m.p.Tick(m.now.Add(time.Hour)))
 	m.setUpstreams(nil)
 	p := m.p
 	left := len(p.holders) + len(p.upstreams) + len(p.models) + len(p.queue.deadlines) + p.queue.tokens +
-		len(p.strikes.inFlight) + len(p.prefixes.holders) + len(p.pending)
+		len(p.strikes.inFlight) + len(p.prefixes.holders) + len(p.pending) + len(p.held) + len(p.prefilling.byHash)
 	for _, tier := range p.queue.tiers {
 		left += tier.waiting + len(tier.accounts) + len(tier.active) + len(tier.groups)
 	}
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -29,7 +29,10 @@
 	holders  map[string]*holder
 	prefixes prefixIndex
 	strikes  strikeTable
-	common   Common
+	// prefilling and held make requests wait for prefixes in the making.
+	prefilling prefilling
+	held       []*waiting
+	common     Common
 
 	// pending holds refusals that were decided by a call that returns none.
 	pending []Refusal
@@ -56,18 +59,19 @@
 func New(config Config) *Pool {
 	config = config.withDefaults()
 	return &Pool{
-		config:    config,
-		baseline:  baselines[config.Policy],
-		filters:   filters(),
-		scores:    scores(),
-		share:     1,
-		upstreams: map[string]*upstream{},
-		models:    map[string]*model{},
-		queue:     newQueue(),
-		grants:    map[requestKey]*grant{},
-		holders:   map[string]*holder{},
-		prefixes:  newPrefixIndex(config.PrefixEntries),
-		strikes:   newStrikeTable(config.StrikeEntries, config.StrikeLife),
+		config:     config,
+		baseline:   baselines[config.Policy],
+		filters:    filters(),
+		scores:     scores(),
+		share:      1,
+		upstreams:  map[string]*upstream{},
+		models:     map[string]*model{},
+		queue:      newQueue(),
+		grants:     map[requestKey]*grant{},
+		holders:    map[string]*holder{},
+		prefixes:   newPrefixIndex(config.PrefixEntries),
+		prefilling: prefilling{byHash: map[uint64]pendingPrefix{}},
+		strikes:    newStrikeTable(config.StrikeEntries, config.StrikeLife),
 	}
 }
 
@@ -185,6 +189,7 @@
 }
 
 func (p *Pool) dequeue(w *waiting) {
+	p.unhold(w)
 	p.queue.remove(w)
 	p.dropIdle(w.holder)
 }
@@ -326,6 +331,7 @@
 	d.Refusals = append(d.Refusals, p.pending...)
 	p.pending = nil
 	p.strikes.expire(now)
+	p.prefilling.expire(now.UnixNano())
 	for _, m := range p.models {
 		m.measure()
 		for _, mt := range m.tiers {
@@ -350,8 +356,12 @@
 	if p.queue.len() == 0 {
 		return time.Time{}
 	}
-	if first := p.queue.deadlines[0].giveUp; first.Before(p.nextSweep) {
-		return first
+	due := p.nextSweep
+	if first := p.queue.deadlines[0].giveUp; first.Before(due) {
+		due = first
 	}
-	return p.nextSweep
+	if next := p.nextResume(); next > 0 && next < due.UnixNano() {
+		due = time.Unix(0, next)
+	}
+	return due
 }
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -30,7 +30,11 @@
 	// giveUp is the time after which the deadline cannot be met.
 	giveUp time.Time
 	// stale is the time after which newer requests of the team go first.
-	stale     time.Time
+	stale time.Time
+	// resume is when a held request competes again, in nanoseconds since the
+	// epoch; holds counts how often it was held.
+	resume    int64
+	holds     int
 	heapIndex int
 	inTeam    *list.Element
 	inAccount *list.Element
