sched: serve the smallest of the newest requests in an overload

Within a team, in an overload, the smallest of its eight newest requests goes first. Tiers, and the shares of teams in tokens, are as before; larger requests of the same team fail instead.

The test was seen to fail without the choice.

--- a/pkg/sched/pool_test.go
+++ b/pkg/sched/pool_test.go
@@ -133,8 +133,13 @@
 func TestOrderWithinATeamTurnsInAnOverload(t *testing.T) {
 	rows := []struct {
 		waited time.Duration
+		newest int
 		served string
-	}{{40 * time.Second, "oldest"}, {50 * time.Second, "newest"}}
+	}{
+		{40 * time.Second, 100, "oldest"},
+		{50 * time.Second, 100, "newest"},
+		{50 * time.Second, 101, "middle"},
+	}
 	for _, row := range rows {
 		t.Run(row.served, func(t *testing.T) {
 			g := NewWithT(t)
@@ -143,7 +148,7 @@
 			p.Acquire(start, request("running", 1, 100))
 			p.Acquire(start, request("oldest", 1, 100))
 			p.Acquire(start.Add(time.Second), request("middle", 1, 100))
-			p.Acquire(start.Add(2*time.Second), request("newest", 1, 100))
+			p.Acquire(start.Add(2*time.Second), request("newest", 1, row.newest))
 			d := p.Cancel(start.Add(row.waited), "entry", "running")
 			g.Expect(d.Grants).To(ConsistOf(HaveField("RequestID", row.served)))
 		})
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -268,16 +268,32 @@
 // patience is the share of its time that a request waits in order of arrival.
 const patience = 0.75
 
-// first returns the request to serve next: the oldest, or the newest once the
-// oldest has waited for half of its time. In an overload, order of arrival
-// would serve every request shortly before its deadline, where few upstreams
-// are fast enough and each misjudgement wastes a prefill.
+// overloadChoice is the number of the newest requests among which the smallest
+// is served in an overload.
+const overloadChoice = 8
+
+// first returns the request to serve next: the oldest, or in an overload, once
+// the oldest has waited for most of its time, the smallest of the newest. Order
+// of arrival would then serve every request shortly before its deadline, where
+// few upstreams are fast enough; and as some of the team's requests must fail,
+// fewer fail when the smaller ones are served.
 func (q *teamQueue) first(now time.Time) *waiting {
 	oldest := q.items.Front().Value.(*waiting)
 	if now.Before(oldest.stale) {
 		return oldest
 	}
-	return q.items.Back().Value.(*waiting)
+	element := q.items.Back()
+	best := element.Value.(*waiting)
+	for range overloadChoice - 1 {
+		element = element.Prev()
+		if element == nil {
+			break
+		}
+		if w := element.Value.(*waiting); w.tokens < best.tokens {
+			best = w
+		}
+	}
+	return best
 }
 
 // deadlineHeap orders waiting requests by the time at which to give up.
