--- a/cmd/rosemarywing-bench/main.go
+++ b/cmd/rosemarywing-bench/main.go
@@ -18,6 +18,8 @@
 	Workloads []string `long:"workload" description:"workload to run; may be repeated (default: all)"`
 	Policies  []string `long:"policy" description:"policy to run; may be repeated (default: all)"`
 	Seeds     int      `long:"seeds" default:"5" description:"number of seeds"`
+	Queue     int      `long:"queue" description:"bound of the queue in requests (default: the scheduler's)"`
+	Detectors bool     `long:"detectors" description:"compare the detectors of slow upstreams instead"`
 	JSON      string   `long:"json" description:"file for the results as JSON"`
 }
 
@@ -36,11 +38,15 @@
 }
 
 func run(o options) error {
+	if o.Detectors {
+		return bench.CompareDetectors(os.Stdout, o.Seeds)
+	}
 	results, err := bench.RunAll(bench.Options{
 		Scenarios: orAll(o.Scenarios, bench.Scenarios()),
 		Workloads: orAll(o.Workloads, bench.Workloads()),
 		Policies:  orAll(o.Policies, sched.Policies()),
 		Seeds:     o.Seeds,
+		Queue:     o.Queue,
 		Parallel:  max(1, runtime.GOMAXPROCS(0)/2),
 	})
 	if err != nil {
--- a/pkg/sched/dispatch.go
+++ b/pkg/sched/dispatch.go
@@ -11,6 +11,7 @@
 // considers that upstream alone, because nothing changed elsewhere.
 func (p *Pool) schedule(now time.Time, only *upstream, d *Decisions) {
 	p.expire(now, d)
+	p.resume(now.UnixNano())
 	for _, t := range p.queue.tiers {
 		for _, g := range t.groups {
 			g.blocked = false
@@ -65,7 +66,7 @@
 		g.blocked = true
 		return
 	}
-	w := g.head().items.Front().Value.(*waiting)
+	w := g.head().first(now)
 	work := &w.request.Work
 	p.prefixes.match(work)
 	c := p.candidate(now, &w.request)
@@ -82,8 +83,12 @@
 		p.late(w, d)
 		return
 	}
+	if p.hold(&c, w, chosen.best) {
+		return
+	}
 	p.dequeue(w)
-	w.charge(p.need(work, chosen.best))
+	c.consider(p, chosen.best)
+	w.charge(c.uncached + work.OutputTokens)
 	p.grant(now, &w.request, g.model, chosen, &c, d)
 }
 
@@ -103,7 +108,9 @@
 
 func (p *Pool) candidate(now time.Time, request *Request) candidate {
 	work := &request.Work
+	p.decision++
 	return candidate{
+		decision:  p.decision,
 		now:       now.UnixNano(),
 		work:      work,
 		priority:  work.Tier,
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -7,19 +7,20 @@
 // grant records a grant and adds it to the decisions.
 func (p *Pool) grant(now time.Time, request *Request, m *model, chosen placement, c *candidate, d *Decisions) {
 	u := chosen.best
-	uncached := p.uncached(&request.Work, u)
-	first := u.estimate.first(c.now, uncached)
+	c.consider(p, u)
+	uncached := c.uncached
 	g := &grant{
 		key:           requestKey{request.Holder, request.ID},
 		work:          request.Work,
 		upstream:      u,
 		use:           m.tierOf(p.queue.tierFor(request.Work.Tier)),
 		granted:       now,
-		need:          p.need(&request.Work, u),
-		long:          c.long,
+		need:          uncached + request.Work.OutputTokens,
+		long:          uncached >= p.config.LongTokens,
 		suspect:       c.suspect,
 		uncached:      uncached,
-		expectedFirst: time.Duration(first * float64(time.Second)),
+		promised:      p.prefixes.cached[u.index],
+		expectedFirst: time.Duration(c.first * float64(time.Second)),
 	}
 	out := Grant{
 		RequestID:      request.ID,
@@ -34,6 +35,12 @@
 	}
 	d.Grants = append(d.Grants, out)
 	u.estimate.start(c.now, uncached)
+	u.estimate.store(c.now, uncached)
+	p.prefilling.expire(c.now)
+	if uncached >= holdTokens {
+		p.prefilling.add(u.index, &request.Work, p.prefixes.cached[u.index], u.estimate.likelyDone())
+	}
+	u.detector.nextProbe = c.now + int64(probeInterval)
 	for _, hash := range request.Work.PrefixHashes {
 		p.prefixes.add(u.index, hash)
 	}
@@ -47,7 +54,7 @@
 	g.holder = p.holderFor(holderName)
 	g.holder.grants[g] = struct{}{}
 	p.grants[g.key] = g
-	g.upstream.occupy(g)
+	g.upstream.occupy(now, g)
 	g.use.change(now, g.need, p.config.ReserveDecay)
 	p.strikes.start(g.work.Fingerprint)
 }
@@ -55,7 +62,7 @@
 // end takes a grant out of all accounts and learns from its result.
 func (p *Pool) end(now time.Time, g *grant, result Result) {
 	u := g.upstream
-	u.vacate(g)
+	u.vacate(now, g)
 	g.use.change(now, -g.need, p.config.ReserveDecay)
 	p.strikes.end(g.work.Fingerprint)
 	delete(p.grants, g.key)
@@ -72,6 +79,7 @@
 		u.estimate.undo(g.uncached)
 		u.avoid(now)
 	case Cancelled:
+		u.estimate.observeGivenUp(g, result)
 	}
 	p.forget(u)
 }
@@ -81,6 +89,8 @@
 	u.backoff = 0
 	if !g.foreign {
 		u.estimate.observe(g, result)
+		u.detector.observe(&p.common, result, p.mayBeSlow())
+		u.estimate.observeCache(g.promised, result.CachedTokens)
 	}
 	p.prefixes.learn(u.index, &g.work, result.CachedTokens, true)
 	p.strikes.complete(g.work.Fingerprint)
--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -17,16 +18,19 @@
 // accounts is believed.
 const foreignLife = 10 * time.Second
 
+// congestedLife is the time for which a reported queue is believed.
+const congestedLife = 2 * time.Second
+
 // upstream is what the pool keeps about one upstream.
 type upstream struct {
-	name   string
-	index  int32
-	record record.Upstream
+	// What the plugins read comes first, so that it shares cache lines.
+
 	// present is false once the configuration no longer names the upstream;
 	// the entry stays until its last grant has ended.
 	present bool
 	leaving bool
-	serving []*model
+	index   int32
+	serving *servingSet
 
 	maxRequests int
 	maxTokens   int
@@ -35,24 +39,56 @@
 	longTokens  int
 	longs       int
 	suspects    int
-	grants      []*grant
-
 	// foreign is the number of requests that the upstream reported beyond our
-	// own accounts; peak is the highest count of our own since the last report.
-	foreign      int
-	foreignUntil time.Time
-	peak         int
+	// own accounts.
+	foreign    int
+	backoff    time.Duration
+	avoidUntil int64
+	// congestedUntil is when a reported queue is no longer believed.
+	congestedUntil int64
+	estimate       estimate
+	detector       slowness
 
-	load        Load
-	incarnation string
+	name         string
+	record       record.Upstream
+	grants       []*grant
+	foreignUntil time.Time
+	recent       recentPeak
+	load         Load
+	incarnation  string
 	// lastReport is when the last report of the incarnation arrived.
 	lastReport time.Time
+}
 
-	backoff    time.Duration
-	avoidUntil int64
+// peakSeconds is the time for which peaks of the own count are kept. A load
+// report that lags by less is never mistaken for requests of others.
+const peakSeconds = 16
+
+// recentPeak keeps the highest value of each of the last seconds.
+type recentPeak struct {
+	peaks  [peakSeconds]int32
+	second int64
+	value  int32
+}
+
+func (r *recentPeak) set(now time.Time, value int) {
+	r.advance(now)
+	r.value = int32(value)
+	slot := &r.peaks[r.second%peakSeconds]
+	*slot = max(*slot, r.value)
+}
+
+func (r *recentPeak) advance(now time.Time) {
+	second := now.Unix()
+	for r.second = max(r.second, second-peakSeconds); r.second < second; {
+		r.second++
+		r.peaks[r.second%peakSeconds] = r.value
+	}
+}
 
-	estimate estimate
-	detector slowness
+func (r *recentPeak) highest(now time.Time) int {
+	r.advance(now)
+	return int(slices.Max(r.peaks[:]))
 }
 
 // grant is a request that an upstream may be running. It counts against the
@@ -82,6 +118,8 @@
 
 	expectedFirst time.Duration
 	uncached      int
+	// promised is the number of tokens that the index took for cached.
+	promised int
 }
 
 // model is what upstreams have in common that a request can ask for: a model,
@@ -108,11 +146,52 @@
 	at      time.Time
 }
 
+// servingSet is the set of models that an upstream serves. Upstreams with the
+// same models share it, so that what a decision needs to know about the models
+// is computed once for all of them.
+type servingSet struct {
+	models []*model
+	// decision is the one for which reserved and outranked hold.
+	decision uint64
+	// reserved is the share of tokens kept free for higher tiers.
+	reserved float64
+	// outranked is set when a request of a higher tier waits for the models.
+	outranked bool
+}
+
+// prepare computes what holds for all upstreams of the set.
+func (s *servingSet) prepare(decision uint64, priority int) {
+	if s.decision == decision {
+		return
+	}
+	s.decision = decision
+	s.reserved = 0
+	s.outranked = false
+	for _, m := range s.models {
+		s.reserved += m.reservedShare(priority)
+		s.outranked = s.outranked || m.waitsAbove(priority)
+	}
+	s.reserved = min(1, s.reserved)
+}
+
+// waitsAbove reports whether a request of a higher tier waits for the model.
+func (m *model) waitsAbove(priority int) bool {
+	for _, mt := range m.tiers {
+		if mt.tier.priority <= priority {
+			return false
+		}
+		if mt.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // open reports whether the upstream may get new work.
 func (u *upstream) open() bool { return u.present && !u.leaving }
 
 func (u *upstream) serves(m *model) bool {
-	for _, other := range u.serving {
+	for _, other := range u.serving.models {
 		if other == m {
 			return true
 		}
@@ -146,10 +225,10 @@
 }
 
 // occupy adds a grant to the accounts.
-func (u *upstream) occupy(g *grant) {
+func (u *upstream) occupy(now time.Time, g *grant) {
 	u.requests++
 	u.tokens += g.need
-	u.peak = max(u.peak, u.requests)
+	u.recent.set(now, u.requests)
 	if g.long {
 		u.longs++
 		u.longTokens += g.need
@@ -162,8 +241,9 @@
 }
 
 // vacate removes a grant from the accounts.
-func (u *upstream) vacate(g *grant) {
+func (u *upstream) vacate(now time.Time, g *grant) {
 	u.requests--
+	u.recent.set(now, u.requests)
 	u.tokens -= g.need
 	if g.long {
 		u.longs--
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -29,6 +29,10 @@
 	holders  map[string]*holder
 	prefixes prefixIndex
 	strikes  strikeTable
+	// prefilling and held make requests wait for prefixes in the making.
+	prefilling prefilling
+	held       []*waiting
+	common     Common
 
 	// pending holds refusals that were decided by a call that returns none.
 	pending []Refusal
@@ -38,6 +42,8 @@
 	nextSweep time.Time
 	scratch   []*upstream
 	one       [1]*upstream
+	// decision counts decisions; what a servingSet computed is valid for one.
+	decision uint64
 }
 
 var _ Scheduler = (*Pool)(nil)
@@ -53,18 +59,19 @@
 func New(config Config) *Pool {
 	config = config.withDefaults()
 	return &Pool{
-		config:    config,
-		baseline:  baselines[config.Policy],
-		filters:   filters(),
-		scores:    scores(),
-		share:     1,
-		upstreams: map[string]*upstream{},
-		models:    map[string]*model{},
-		queue:     newQueue(),
-		grants:    map[requestKey]*grant{},
-		holders:   map[string]*holder{},
-		prefixes:  newPrefixIndex(config.PrefixEntries),
-		strikes:   newStrikeTable(config.StrikeEntries, config.StrikeLife),
+		config:     config,
+		baseline:   baselines[config.Policy],
+		filters:    filters(),
+		scores:     scores(),
+		share:      1,
+		upstreams:  map[string]*upstream{},
+		models:     map[string]*model{},
+		queue:      newQueue(),
+		grants:     map[requestKey]*grant{},
+		holders:    map[string]*holder{},
+		prefixes:   newPrefixIndex(config.PrefixEntries),
+		prefilling: prefilling{byHash: map[uint64]pendingPrefix{}},
+		strikes:    newStrikeTable(config.StrikeEntries, config.StrikeLife),
 	}
 }
 
@@ -136,7 +143,8 @@
 		tokens:  request.Work.PromptTokens + request.Work.OutputTokens,
 	}
 	w.group = &w.scope.groups[p.classOf(&request.Work)]
-	w.giveUp = request.Deadline.Add(-p.shortest(&request.Work, m))
+	w.giveUp = request.Deadline.Add(-p.shortest(&w.request.Work, m))
+	w.stale = now.Add(time.Duration(patience * float64(w.giveUp.Sub(now))))
 	p.queue.push(w)
 	if p.nextSweep.Before(now) {
 		p.nextSweep = now.Add(p.config.SweepInterval)
@@ -181,6 +189,7 @@
 }
 
 func (p *Pool) dequeue(w *waiting) {
+	p.unhold(w)
 	p.queue.remove(w)
 	p.dropIdle(w.holder)
 }
@@ -288,12 +297,12 @@
 	u.incarnation = load.Incarnation
 	u.load = load
 	u.lastReport = now
-	u.foreign = max(0, load.Running+load.Waiting-u.peak)
+	u.foreign = max(0, load.Running+load.Waiting-u.recent.highest(now))
+	u.congestedUntil = now.Add(congestedLife).UnixNano()
 	u.foreignUntil = now.Add(foreignLife)
-	u.peak = u.requests
 	if u.leaving != load.Leaving {
 		u.leaving = load.Leaving
-		for _, m := range u.serving {
+		for _, m := range u.serving.models {
 			m.measure()
 		}
 		p.refuseStranded(&d)
@@ -322,6 +331,7 @@
 	d.Refusals = append(d.Refusals, p.pending...)
 	p.pending = nil
 	p.strikes.expire(now)
+	p.prefilling.expire(now.UnixNano())
 	for _, m := range p.models {
 		m.measure()
 		for _, mt := range m.tiers {
@@ -346,8 +356,12 @@
 	if p.queue.len() == 0 {
 		return time.Time{}
 	}
-	if first := p.queue.deadlines[0].giveUp; first.Before(p.nextSweep) {
-		return first
+	due := p.nextSweep
+	if first := p.queue.deadlines[0].giveUp; first.Before(due) {
+		due = first
 	}
-	return p.nextSweep
+	if next := p.nextResume(); next > 0 && next < due.UnixNano() {
+		due = time.Unix(0, next)
+	}
+	return due
 }
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -28,7 +28,13 @@
 	// tokens is the request's whole work, without regard to any cache.
 	tokens int
 	// giveUp is the time after which the deadline cannot be met.
-	giveUp    time.Time
+	giveUp time.Time
+	// stale is the time after which newer requests of the team go first.
+	stale time.Time
+	// resume is when a held request competes again, in nanoseconds since the
+	// epoch; holds counts how often it was held.
+	resume    int64
+	holds     int
 	heapIndex int
 	inTeam    *list.Element
 	inAccount *list.Element
@@ -259,6 +265,37 @@
 	return best
 }
 
+// patience is the share of its time that a request waits in order of arrival.
+const patience = 0.75
+
+// overloadChoice is the number of the newest requests among which the smallest
+// is served in an overload.
+const overloadChoice = 8
+
+// first returns the request to serve next: the oldest, or in an overload, once
+// the oldest has waited for most of its time, the smallest of the newest. Order
+// of arrival would then serve every request shortly before its deadline, where
+// few upstreams are fast enough; and as some of the team's requests must fail,
+// fewer fail when the smaller ones are served.
+func (q *teamQueue) first(now time.Time) *waiting {
+	oldest := q.items.Front().Value.(*waiting)
+	if now.Before(oldest.stale) {
+		return oldest
+	}
+	element := q.items.Back()
+	best := element.Value.(*waiting)
+	for range overloadChoice - 1 {
+		element = element.Prev()
+		if element == nil {
+			break
+		}
+		if w := element.Value.(*waiting); w.tokens < best.tokens {
+			best = w
+		}
+	}
+	return best
+}
+
 // deadlineHeap orders waiting requests by the time at which to give up.
 type deadlineHeap []*waiting
 
