Run the whole path: local deployment, service requests, faster joining

Found by the first run of the whole path: - a request to a service named no model, so that its scheduler knew no upstream; - an instance that started beside others knew none of them for up to five seconds, since a new address was probed only at its turn; it is now probed in the next period (test seen to fail without it); - prefix hashes of the entry began with the model's name and could never match the engines' cache events; both now use one function.

--- /dev/null
+++ b/cmd/rosemarywing-local/main.go
@@ -0,0 +1,44 @@
+// Command rosemarywing-local runs a small deployment in one process: stand-ins
+// of the platform, of two engines and of a booking service, and three entry
+// instances.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/rosemarywing/rosemarywing/internal/local"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+)
+
+type flagSet struct {
+	Port         int `long:"port" default:"8080" description:"first port; the instances use port, port+10 and port+20, and the two ports behind each"`
+	PlatformPort int `long:"platform-port" default:"8099" description:"port of the platform's stand-in"`
+}
+
+func main() {
+	var chosen flagSet
+	if _, err := flags.Parse(&chosen); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(errkind.AnswerFor(errkind.BadSettings).ExitCode)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	write := func(line string) { _, _ = fmt.Fprintln(os.Stderr, line) }
+	err := local.Run(ctx, local.Options{
+		FirstPort: chosen.Port, PlatformPort: chosen.PlatformPort, Out: os.Stdout,
+		Log: funcr.NewJSON(write, funcr.Options{LogTimestamp: true}),
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(errkind.AnswerFor(errkind.KindOf(err)).ExitCode)
+	}
+}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -119,7 +119,7 @@
 		write(record.KindTier, "high", record.Tier{Priority: 3, DeadlineMs: 10000}),
 		write(record.KindTier, "low", record.Tier{Priority: 1, DeadlineMs: 60000}),
 		write(record.KindTeam, "default", record.Team{Weight: 1, DefaultTier: "low", HighestTier: "high"}),
-		write(record.KindModel, "assistant", record.Model{Versions: []string{modelVersion}}),
+		write(record.KindModel, "assistant", record.Model{Versions: []string{"1"}}),
 	)
 }
 
--- a/pkg/entry/estimate.go
+++ b/pkg/entry/estimate.go
@@ -1,18 +1,17 @@
 package entry
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
 
 const (
 	// bytesPerToken is the usual estimate for text.
 	bytesPerToken = 4
-	// blockBytes is the block size of prefix hashes, the one of cache events.
-	blockBytes = 256
 	// maxHashes limits the prefix hashes of one request. Powers of two up to
 	// 2^10 blocks and the end cover prompts of 256 KiB.
 	maxHashes = 12
@@ -23,20 +22,16 @@
 )
 
 // prefixHashes returns the hashes of growing prefixes of the prompt, of 1, 2,
-// 4, ... blocks and of all whole blocks, and their lengths in tokens. Each
-// hash covers the hash of the previous block; the first covers the model's
-// name. Of more than maxHashes the longest are kept.
-func prefixHashes(model string, prompt []byte) (hashes []uint64, tokens []int) {
-	var chained [8 + blockBytes]byte
-	previous := xxhash.Sum64String(model)
-	whole := len(prompt) / blockBytes
-	for block := 1; block <= whole; block++ {
-		binary.LittleEndian.PutUint64(chained[:8], previous)
-		copy(chained[8:], prompt[(block-1)*blockBytes:block*blockBytes])
-		previous = xxhash.Sum64(chained[:])
-		if block&(block-1) == 0 || block == whole {
-			hashes = append(hashes, previous)
-			tokens = append(tokens, block*blockBytes/bytesPerToken)
+// 4, ... blocks and of all whole blocks, and their lengths in tokens. They are
+// the hashes of the engines' cache events. Of more than maxHashes the longest
+// are kept.
+func prefixHashes(prompt []byte) (hashes []uint64, tokens []int) {
+	blocks := upstream.PrefixHashes(prompt)
+	for i, hash := range blocks {
+		block := i + 1
+		if block&(block-1) == 0 || block == len(blocks) {
+			hashes = append(hashes, hash)
+			tokens = append(tokens, block*upstream.PrefixBlockBytes/bytesPerToken)
 		}
 	}
 	if extra := len(hashes) - maxHashes; extra > 0 {
--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -227,7 +227,7 @@
 		output = e.averages.get(chat.Model)
 	}
 	q.work = e.work(q, prompt, output)
-	q.work.PrefixHashes, q.work.PrefixTokens = prefixHashes(chat.Model, prompt)
+	q.work.PrefixHashes, q.work.PrefixTokens = prefixHashes(prompt)
 	var err *errkind.Error
 	q.idempotent, err = resolveIdempotent(true, q.header)
 	return err
@@ -276,7 +276,7 @@
 	return sched.Work{
 		Tier:         q.tier.Priority,
 		Team:         q.team.Name,
-		Model:        q.target.model,
+		Model:        q.scheduledAs(),
 		PromptTokens: (len(prompt) + bytesPerToken - 1) / bytesPerToken,
 		OutputTokens: output,
 		Fingerprint:  fingerprint(q.method, q.target.path, q.body),
@@ -284,6 +284,15 @@
 	}
 }
 
+// scheduledAs is the name under which the scheduler knows what the request
+// asks for: the model, or the service with its prefix.
+func (q *request) scheduledAs() string {
+	if q.target.engine() {
+		return q.target.model
+	}
+	return q.target.name
+}
+
 // upstreamHeader returns the headers that are passed on to the upstream. The
 // caller's key and its identity stay here.
 func (q *request) upstreamHeader() http.Header {
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -111,9 +111,10 @@
 	return Parts{
 		Config: b.cache, Members: b.members, Claimer: b.claims, Pool: b.client,
 		Engine: b.engines, Service: b.engines,
-		IsIssued: func(identity string) bool { _, ok := claim.ParseID(identity); return ok },
-		Run:      b.run,
-		Leave:    b.members.Leave,
+		RequestIDOf: func(reply claim.Reply) string { return reply.RequestID },
+		IsIssued:    func(identity string) bool { _, ok := claim.ParseID(identity); return ok },
+		Run:         b.run,
+		Leave:       b.members.Leave,
 	}, nil
 }
 
--- a/pkg/member/core.go
+++ b/pkg/member/core.go
@@ -112,6 +112,8 @@
 	self       Member
 	records    map[string]*record
 	candidates map[string]Candidate
+	// contactNext is true when an address was added that nobody has probed yet.
+	contactNext bool
 	// round holds the members still to be probed in this round.
 	round    []string
 	probe    *probe
@@ -166,8 +168,12 @@
 // SetCandidates replaces the seeds and the instances that the platform lists.
 // It marks leaving members and adds addresses; it never removes a member.
 func (c *Core) SetCandidates(now time.Time, candidates []Candidate) {
+	before := c.candidates
 	c.candidates = map[string]Candidate{}
 	for _, candidate := range candidates {
+		if _, known := before[candidate.Address]; !known {
+			c.contactNext = true
+		}
 		if candidate.Address != c.self.Address {
 			c.candidates[candidate.Address] = candidate
 		}
@@ -218,7 +224,10 @@
 		c.probe = &probe{number: c.number, target: target.member.ID, sentAt: now}
 		probes = append(probes, c.newProbe(c.number, target.member, ""))
 	}
-	if c.period%contactPeriods == 1 {
+	// An instance that knows nobody, or has just learned of an address, does
+	// not wait: until it has joined it can neither schedule nor check claims.
+	if c.contactNext || len(c.records) == 0 || c.period%contactPeriods == 1 {
+		c.contactNext = false
 		probes = append(probes, c.contact()...)
 	}
 	return probes
--- a/pkg/member/runner_test.go
+++ b/pkg/member/runner_test.go
@@ -93,3 +93,17 @@
 		running.Wait()
 	})
 }
+
+// Guards against an instance that starts beside others and knows none of them
+// for seconds, because it probes a newly listed address only at its turn.
+func TestNewAddressIsContactedInTheNextPeriod(t *testing.T) {
+	g := NewWithT(t)
+	core := member.NewCore(member.Config{}, member.Member{ID: "a", Address: "a"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	core.SetCandidates(now, nil)
+	g.Expect(core.Tick(now)).To(BeEmpty())
+	core.SetCandidates(now, []member.Candidate{{ID: "b", Address: "b"}})
+	probes := core.Tick(core.Next())
+	g.Expect(probes).To(HaveLen(1))
+	g.Expect(probes[0].To.Address).To(Equal("b"))
+}
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -59,7 +59,8 @@
 // Model is a model that callers can name.
 type Model struct {
 	Name string `json:"-"`
-	// Versions lists the versions that may serve the model, preferred first.
+	// Versions lists the versions that may serve the model, preferred first,
+	// without the name of the model.
 	Versions []string `json:"versions"`
 }
 
