--- a/cmd/rosemarywing-local/main.go
+++ b/cmd/rosemarywing-local/main.go
@@ -22,13 +22,15 @@
 	PlatformPort int `long:"platform-port" default:"8099" description:"port of the platform's stand-in"`
 }
 
-func main() {
+func main() { os.Exit(run()) }
+
+func run() int {
 	var chosen flagSet
 	if _, err := flags.Parse(&chosen); err != nil {
 		if flags.WroteHelp(err) {
-			return
+			return 0
 		}
-		os.Exit(errkind.AnswerFor(errkind.BadSettings).ExitCode)
+		return errkind.AnswerFor(errkind.BadSettings).ExitCode
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -39,6 +41,7 @@
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(errkind.AnswerFor(errkind.KindOf(err)).ExitCode)
+		return errkind.AnswerFor(errkind.KindOf(err)).ExitCode
 	}
+	return 0
 }
--- a/pkg/entry/request_test.go
+++ b/pkg/entry/request_test.go
@@ -421,7 +421,7 @@
 	short, long := strings.Repeat("a", 5*upstream.PrefixBlockBytes+7), strings.Repeat("a", 5000*upstream.PrefixBlockBytes)
 	hashes, tokens := prefixHashes([]byte(short))
 	g.Expect(tokens).To(Equal([]int{64, 128, 256, 320}))
-	longer, _ := prefixHashes([]byte(short+strings.Repeat("b", 4*upstream.PrefixBlockBytes)))
+	longer, _ := prefixHashes([]byte(short + strings.Repeat("b", 4*upstream.PrefixBlockBytes)))
 	g.Expect(longer[:3]).To(Equal(hashes[:3]))
 	g.Expect(longer[3]).NotTo(Equal(hashes[3]))
 	g.Expect(upstream.PrefixHashes([]byte(short))).To(ContainElements(hashes))
