--- a/pkg/sched/dispatch.go
+++ b/pkg/sched/dispatch.go
@@ -66,7 +66,7 @@
 		g.blocked = true
 		return
 	}
-	w := g.head().first(now, p.costOn(upstreams))
+	w := g.head().first(now)
 	work := &w.request.Work
 	p.prefixes.match(work)
 	c := p.candidate(now, &w.request)
@@ -92,25 +92,6 @@
 	p.grant(now, &w.request, g.model, chosen, &c, d)
 }
 
-// costOn returns a function for the work that a request costs, less the prefix
-// that is cached on the only upstream considered, or on any upstream.
-func (p *Pool) costOn(upstreams []*upstream) func(*Work) int {
-	return func(work *Work) int {
-		tokens := work.PromptTokens + work.OutputTokens
-		for i := min(len(work.PrefixHashes), len(work.PrefixTokens)) - 1; i >= 0; i-- {
-			hash := work.PrefixHashes[i]
-			cached := len(p.prefixes.holders[hash]) > 0
-			if cached && len(upstreams) == 1 {
-				_, cached = p.prefixes.caches[upstreams[0].index].slots[hash]
-			}
-			if cached {
-				return tokens - work.PrefixTokens[i]
-			}
-		}
-		return tokens
-	}
-}
-
 // late handles a request that no upstream is expected to serve in time. It is
 // refused before prefill is spent on it; but while a request of a lower tier
 // waits, it is kept up to its deadline, so that no tier is refused for
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -273,27 +273,24 @@
 const overloadChoice = 8
 
 // first returns the request to serve next: the oldest, or in an overload, once
-// the oldest has waited for most of its time, the cheapest of the newest. Order
+// the oldest has waited for most of its time, the smallest of the newest. Order
 // of arrival would then serve every request shortly before its deadline, where
 // few upstreams are fast enough; and as some of the team's requests must fail,
-// fewer fail when the cheaper ones are served.
-func (q *teamQueue) first(now time.Time, cost func(*Work) int) *waiting {
+// fewer fail when the smaller ones are served.
+func (q *teamQueue) first(now time.Time) *waiting {
 	oldest := q.items.Front().Value.(*waiting)
 	if now.Before(oldest.stale) {
 		return oldest
 	}
 	element := q.items.Back()
 	best := element.Value.(*waiting)
-	least := cost(&best.request.Work)
 	for range overloadChoice - 1 {
 		element = element.Prev()
 		if element == nil {
 			break
 		}
-		w := element.Value.(*waiting)
-		if tokens := cost(&w.request.Work); tokens < least {
+		if w := element.Value.(*waiting); w.tokens < best.tokens {
 			best = w
-			least = tokens
 		}
 	}
 	return best
