entry: choose pools with pkg/route and its byte budget

pkg/entry ordered pools by its own code, which knew no distances and no budget. It now asks route.Candidates for the order, route.MayTryNext after a refusal and route.Budget before it asks a pool of another region. Bytes that were reserved for a grant under which nothing was dispatched are given back. The link is shared by the live members of the own domain times the number of the region's domains.

instance.region_domains replaces instance.fallback_domains. Without it every other domain counts as another region, so it is used within the budget only. A request that only another region could serve is refused as overloaded, not as no_upstream, while the budget is used up.

Each decision to ask a pool outside the domain is logged with its reason and the pool it was preferred to.

TestFallbackDomains is replaced by TestPoolsAreAskedNearestFirst and TestNoSecondPoolAfterARefusalThatMayHaveRun, which cover its cases. Seen to fail with the mechanism taken out: the budget check, the check of MayTryNext, the return of bytes on a refusal and on a release, and the condition that keeps the bytes of a dispatched request.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -18,6 +17,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
 	"github.com/rosemarywing/rosemarywing/pkg/member"
 	"github.com/rosemarywing/rosemarywing/pkg/pool"
+	"github.com/rosemarywing/rosemarywing/pkg/route"
 	"github.com/rosemarywing/rosemarywing/pkg/settings"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
@@ -71,7 +71,7 @@
 	instance     *chart.Machine
 	handler      http.Handler
 	averages     averages
-	routes       atomic.Pointer[routes]
+	budget       *route.Budget
 
 	mu sync.Mutex
 	// held are the requests in progress; requests are found by their ID, and
@@ -109,6 +109,7 @@
 		held:         map[*request]struct{}{},
 		requests:     map[string]*request{},
 	}
+	e.budget = route.NewBudget(options.Clock, e.linkShares)
 	e.instance.Fire(eventConfigured)
 	if e.handler, err = newHandler(restConf(), e.callerRoutes(), options.Log); err != nil {
 		return nil, fmt.Errorf("HTTP server for callers: %w", err)
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -100,8 +100,10 @@
 	granted atomic.Bool
 
 	// The goroutine that serves the request owns what follows.
-	pool         string
-	address      string
+	pool    string
+	address string
+	// linkBytes is what the grant reserved of the budget between regions.
+	linkBytes    int
 	dispatched   time.Time
 	firstToken   time.Time
 	outputTokens int
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -12,7 +12,6 @@
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
-	"github.com/rosemarywing/rosemarywing/pkg/pool"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
@@ -204,23 +203,6 @@
 	return nil, errkind.New(errkind.NoUpstream, "no grant of %d could be used", maxGrants)
 }
 
-// acquire gets a grant from the first pool that can serve the request in time.
-func (e *Entry) acquire(q *request) (sched.Grant, *errkind.Error) {
-	pools := e.poolsFor(e.Config.Snapshot(), q.target.name)
-	last := errkind.New(errkind.NoUpstream, "no pool serves %s", q.target.name)
-	for _, name := range pools {
-		grant, err := e.Pool.Acquire(q.ctx, name, pool.Request{ID: q.id, Work: q.work, Deadline: q.deadline})
-		if err == nil {
-			return grant, e.accept(q, name, grant)
-		}
-		last = typed(err, "the scheduler refused")
-		if !elsewhere(last.Kind) || q.refusal.Load() != nil {
-			break
-		}
-	}
-	return sched.Grant{}, last
-}
-
 // accept records the grant. If the request was refused meanwhile, the grant is
 // returned.
 func (e *Entry) accept(q *request, poolName string, grant sched.Grant) *errkind.Error {
@@ -235,16 +217,6 @@
 	return errkind.New(errkind.Internal, "refused while granted")
 }
 
-// elsewhere reports whether another failure domain may serve a request that
-// was refused with the kind.
-func elsewhere(kind errkind.Kind) bool {
-	switch kind {
-	case errkind.NoUpstream, errkind.SchedulerUnreachable, errkind.Overloaded, errkind.DeadlineUnmeetable:
-		return true
-	}
-	return false
-}
-
 // dispatch sends the request to the granted upstream. The state after it tells
 // whether a byte may have been sent.
 func (e *Entry) dispatch(q *request, grant sched.Grant) (*upstream.Answer, *errkind.Error) {
@@ -329,6 +301,9 @@
 func (e *Entry) release(q *request, outcome sched.Outcome) {
 	ctx, done := e.shortContext()
 	defer done()
+	if outcome == sched.NotDispatched || outcome == sched.DialFailed {
+		e.returnBytes(q)
+	}
 	result := sched.Result{
 		RequestID:    q.id,
 		Outcome:      outcome,
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/platform"
 	"github.com/rosemarywing/rosemarywing/pkg/pool"
 	"github.com/rosemarywing/rosemarywing/pkg/record"
+	"github.com/rosemarywing/rosemarywing/pkg/route"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
@@ -240,7 +241,7 @@
 func (b *builder) strikeTargets(model string) []string {
 	var addresses []string
 	for name, found := range b.cache.Snapshot().Pools {
-		if found.Domain == b.env.Settings.Instance.Domain || !serves(found, "model:"+model) {
+		if found.Domain == b.env.Settings.Instance.Domain || !route.Serves(found, "model:"+model) {
 			continue
 		}
 		if owners := b.directory.addresses(found.Domain, name); len(owners) > 0 {
@@ -250,15 +251,6 @@
 	return addresses
 }
 
-func serves(found *conf.Pool, target string) bool {
-	for _, served := range found.Targets {
-		if served == target {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *builder) ordering() error {
 	domain := b.env.Settings.Instance.Domain
 	lease, err := order.NewLease(order.LeaseConfig{
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -47,7 +47,7 @@
 func Candidates(snapshot *conf.Snapshot, place Place, target, requestID string) []Candidate {
 	var found []Candidate
 	for name, pool := range snapshot.Pools {
-		if serves(pool, target) {
+		if Serves(pool, target) {
 			found = append(found, Candidate{Pool: name, Distance: place.distance(pool.Domain)})
 		}
 	}
@@ -60,7 +60,8 @@
 	return found
 }
 
-func serves(pool *conf.Pool, target string) bool {
+// Serves reports whether the pool serves the target.
+func Serves(pool *conf.Pool, target string) bool {
 	for _, served := range pool.Targets {
 		if served == target {
 			return true
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -33,9 +33,8 @@
 	ID     string
 	Domain string
 	Region string
-	// FallbackDomains are the failure domains asked when the local one
-	// cannot serve a request, in order.
-	FallbackDomains []string
+	// RegionDomains are the failure domains of the instance's own region.
+	RegionDomains []string
 }
 
 // Listen holds the listen addresses.
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -166,8 +166,8 @@
 		func(s *Settings) *string { return &s.Instance.Domain }),
 	name("instance", "region", "local", "Region of the failure domain.",
 		func(s *Settings) *string { return &s.Instance.Region }),
-	names("instance", "fallback_domains", "Failure domains asked when the local one cannot serve a request, in this order; list those of the same region first.",
-		func(s *Settings) *[]string { return &s.Instance.FallbackDomains }),
+	names("instance", "region_domains", "Failure domains of the instance's own region. They are asked when the local one cannot serve a request; all others count as other regions and are asked last, within the byte budget between regions.",
+		func(s *Settings) *[]string { return &s.Instance.RegionDomains }),
 
 	address("listen", "callers", "127.0.0.1:8080", "Address for callers.", false,
 		func(s *Settings) *string { return &s.Listen.Callers }),
