upstream: one reader of server-sent events

pkg/entry had its own reader. The one in pkg/upstream now consists of a RawReader, which the entry uses for a service's stream, and the EventReader on top of it. NewEngineReader also accepts bare sequence numbers and events without an ID, as the entry did; NewEventReader is as strict as before. Last-Event-ID is parsed by upstream.ParseEventID alone, so the sequence number 0, which no event carries, is refused as bad_request.

An event larger than the limit is now answer_incomplete at the entry; it counted as a broken upstream before and gave a strike to a live engine.

TestEngineReader was seen to fail without the acceptance of bare IDs, without the check of the request ID and without the check for gaps.

--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -1,100 +1,18 @@
 package entry
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
 
-// event is one server-sent event of an engine.
-type event struct {
-	name string
-	// requestID is empty when the engine sent a bare sequence number.
-	requestID string
-	// sequence is zero when the engine sent no ID.
-	sequence uint64
-	data     []byte
-}
-
-var lastData = []byte("[DONE]")
-
-func (v event) last() bool { return bytes.Equal(bytes.TrimSpace(v.data), lastData) }
-
-// errEnded means that a body ended whole; in an engine's stream the last event
-// is missing then.
-var errEnded error = errkind.New(errkind.AnswerIncomplete, "the stream ended without its last event")
-
-// eventReader reads server-sent events.
-type eventReader struct{ scanner *bufio.Scanner }
-
-func newEventReader(body io.Reader, limit int64) *eventReader {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4096), int(limit))
-	return &eventReader{scanner}
-}
-
-// next returns the next event that has data. An event without the empty line
-// at its end was cut and is not returned.
-func (r *eventReader) next() (event, error) {
-	var current event
-	hasData := false
-	for r.scanner.Scan() {
-		line := r.scanner.Bytes()
-		if len(line) == 0 {
-			if hasData {
-				return current, nil
-			}
-			current = event{}
-			continue
-		}
-		field, value, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(field) {
-		case "id":
-			if err := current.setID(string(value)); err != nil {
-				return current, err
-			}
-		case "event":
-			current.name = string(value)
-		case "data":
-			if hasData {
-				current.data = append(current.data, '\n')
-			}
-			current.data = append(current.data, value...)
-			hasData = true
-		}
-	}
-	if err := r.scanner.Err(); err != nil {
-		return current, err
-	}
-	return current, errEnded
-}
-
-// setID reads "upstream/request/sequence", or a bare sequence number.
-func (v *event) setID(text string) error {
-	id, sequence := "", text
-	if cut := strings.LastIndexByte(text, '/'); cut >= 0 {
-		id, sequence = text[:cut], text[cut+1:]
-		_, id, _ = strings.Cut(id, "/")
-	}
-	number, err := strconv.ParseUint(sequence, 10, 64)
-	if err != nil {
-		return errkind.New(errkind.AnswerIncomplete, "the engine sent an event with a malformed ID")
-	}
-	v.requestID, v.sequence = id, number
-	return nil
-}
-
 // stream passes an engine's stream on from the event after last, and resumes
 // it from the engine as often as it breaks and goes on.
 func (e *Entry) stream(w http.ResponseWriter, q *request, answer *upstream.Answer, last uint64) {
@@ -152,43 +70,31 @@
 	if id := answer.Header.Get(headerUpstreamID); id != "" && id != q.id {
 		return errkind.New(errkind.CrossedAnswer, "the engine answered another request")
 	}
-	reader := newEventReader(answer.Body, e.Settings.Limits.EventBytes)
+	reader := upstream.NewEngineReader(answer.Body, q.id, *last+1, int(e.Settings.Limits.EventBytes))
 	for {
-		received, err := reader.next()
+		event, err := reader.Next()
 		if err != nil {
 			return err
 		}
-		if received.requestID != "" && received.requestID != q.id {
-			return errkind.New(errkind.CrossedAnswer, "the engine sent an event of another request")
-		}
-		if received.sequence == 0 {
-			received.sequence = *last + 1
-		}
-		if received.sequence <= *last {
-			continue
-		}
-		if received.sequence != *last+1 {
-			return errkind.New(errkind.AnswerIncomplete, "the events after number %d are missing", *last)
-		}
-		*last = received.sequence
-		e.observe(q, received)
-		out.write(received)
-		if received.last() {
+		*last = event.Sequence
+		e.observe(q, event)
+		out.write(event)
+		if event.Last {
 			return nil
 		}
 	}
 }
 
-func (e *Entry) observe(q *request, received event) {
+func (e *Entry) observe(q *request, event upstream.Event) {
 	if q.firstToken.IsZero() {
 		q.firstToken = e.Clock.Now()
 	}
-	if received.last() {
+	if event.Last {
 		return
 	}
 	q.outputTokens++
-	if bytes.Contains(received.data, []byte(`"usage"`)) {
-		q.readUsage(received.data)
+	if bytes.Contains(event.Data, []byte(`"usage"`)) {
+		q.readUsage(event.Data)
 	}
 }
 
@@ -215,19 +121,19 @@
 	o.w.WriteHeader(http.StatusOK)
 }
 
-func (o *eventWriter) write(v event) {
+func (o *eventWriter) write(v upstream.Event) {
 	if o.failed || o.q.callerGone() {
 		return
 	}
 	o.start()
 	var text bytes.Buffer
-	if v.sequence > 0 {
-		fmt.Fprintf(&text, "id: %s/%s/%d\n", o.q.upstreamName(), o.q.id, v.sequence)
+	if v.Sequence > 0 {
+		fmt.Fprintf(&text, "id: %s\n", upstream.EventID{Upstream: o.q.upstreamName(), RequestID: o.q.id, Sequence: v.Sequence})
 	}
-	if v.name != "" {
-		fmt.Fprintf(&text, "event: %s\n", v.name)
+	if v.Name != "" {
+		fmt.Fprintf(&text, "event: %s\n", v.Name)
 	}
-	for line := range bytes.SplitSeq(v.data, []byte("\n")) {
+	for line := range bytes.SplitSeq(v.Data, []byte("\n")) {
 		text.WriteString("data: ")
 		text.Write(line)
 		text.WriteByte('\n')
@@ -248,22 +154,21 @@
 		return
 	}
 	err = e.endBroken(out.q, err)
-	out.write(event{name: "error", data: errorBody(err, errkind.AnswerFor(err.Kind).RunState)})
+	out.write(upstream.Event{Name: "error", Data: errorBody(err, errkind.AnswerFor(err.Kind).RunState)})
 }
 
 // pass copies a service's stream, which cannot be resumed.
 func (e *Entry) pass(w http.ResponseWriter, q *request, answer *upstream.Answer) {
 	defer func() { _ = answer.Body.Close() }()
 	out := &eventWriter{w: w, q: q}
-	reader := newEventReader(answer.Body, e.Settings.Limits.EventBytes)
+	reader := upstream.NewRawReader(answer.Body, int(e.Settings.Limits.EventBytes))
 	for {
-		received, err := reader.next()
+		event, err := reader.Next()
 		switch {
 		case err == nil:
 			// IDs of a service are not those of an engine's stream.
-			received.sequence = 0
-			out.write(received)
-		case errors.Is(err, errEnded):
+			out.write(upstream.Event{Name: event.Name, Data: event.Data})
+		case errors.Is(err, io.EOF):
 			e.endComplete(q)
 			return
 		default:
@@ -329,11 +234,12 @@
 		e.refuseResume(w, err)
 		return
 	}
-	name, id, last, err := parseEventID(r.Header.Get(headerLastEventID))
-	if err != nil {
-		e.refuseResume(w, err)
+	event, parseErr := upstream.ParseEventID(r.Header.Get(headerLastEventID))
+	if parseErr != nil {
+		e.refuseResume(w, typed(parseErr, headerLastEventID))
 		return
 	}
+	name, id := event.Upstream, event.RequestID
 	if held := e.find(id); held != nil && held.team.Name != team.Name {
 		e.refuseResume(w, errkind.New(errkind.Unauthorized, "the request is another team's"))
 		return
@@ -361,18 +267,7 @@
 	stop := context.AfterFunc(r.Context(), func() { e.onCallerGone(q) })
 	defer stop()
 	e.announceResumed(q)
-	e.attach(w, q, last)
-}
-
-// parseEventID reads "upstream/request/sequence".
-func parseEventID(text string) (upstreamName, requestID string, sequence uint64, err *errkind.Error) {
-	first, last := strings.IndexByte(text, '/'), strings.LastIndexByte(text, '/')
-	if first > 0 && last > first+1 {
-		if number, parseErr := strconv.ParseUint(text[last+1:], 10, 64); parseErr == nil {
-			return text[:first], text[first+1 : last], number, nil
-		}
-	}
-	return "", "", 0, errkind.New(errkind.BadRequest, "%s: expected upstream/request/sequence", headerLastEventID)
+	e.attach(w, q, event.Sequence)
 }
 
 // resumed is the target of a request that is only known by its last event.
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -484,6 +484,44 @@
 	g.Expect(kindOf(err)).To(Equal(errkind.UpstreamBroken))
 }
 
+// Guards against a stream that is refused only because its engine sends bare
+// sequence numbers or no IDs, and against a gap, a duplicate, another request's
+// event or a cut event that is accepted for the same reason.
+func TestEngineReader(t *testing.T) {
+	event := func(id, data string) string { return "id: " + id + "\nevent: e\ndata: " + data + "\n\n" }
+	for _, c := range []struct {
+		name, text string
+		read       int
+		kind       errkind.Kind
+	}{
+		{"no IDs", "event: e\ndata: a\n\nevent: e\ndata: [DONE] \n\n", 2, ""},
+		{"bare numbers", event("1", "a") + event("1", "a") + event("2", "[DONE]"), 2, ""},
+		{"full IDs", event("e/r1/1", "a") + event("e/r1/2", "[DONE]"), 2, ""},
+		{"gap of bare numbers", event("2", "a"), 0, errkind.AnswerIncomplete},
+		{"malformed number", event("x", "a"), 0, errkind.AnswerIncomplete},
+		{"other request", event("e/r2/1", "a"), 0, errkind.CrossedAnswer},
+		{"ends early", event("1", "a"), 1, errkind.AnswerIncomplete},
+		{"ends inside an event", "data: [DONE]\n", 0, errkind.AnswerIncomplete},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			reader := upstream.NewEngineReader(strings.NewReader(c.text), "r1", 1, 100)
+			count := 0
+			read, err := reader.Next()
+			for ; err == nil; read, err = reader.Next() {
+				g.Expect(read.Name).To(Equal("e"))
+				count++
+			}
+			g.Expect(count).To(Equal(c.read))
+			if c.kind == "" {
+				g.Expect(err).To(MatchError(io.EOF))
+				return
+			}
+			g.Expect(kindOf(err)).To(Equal(c.kind))
+		})
+	}
+}
+
 // Guards against an event reader that accepts what it must not.
 func TestEventReader(t *testing.T) {
 	event := func(id, data string) string { return "id: " + id + "\ndata: " + data + "\n\n" }
--- a/pkg/upstream/event.go
+++ b/pkg/upstream/event.go
@@ -53,27 +53,29 @@
 // duplicates and reports gaps, events of other requests, and streams that end
 // without their last event. It is not safe for concurrent use.
 type EventReader struct {
-	source    *bufio.Reader
+	raw       *RawReader
 	requestID string
 	next      uint64
-	maxBytes  int
-	done      bool
-	err       error
+	// bareIDs accepts events with a bare sequence number or without an ID.
+	bareIDs bool
+	done    bool
+	err     error
 }
 
 // NewEventReader returns a reader of the events of requestID from sequence
 // number next on, which counts from 1. An event of more than maxBytes is an
 // error; zero means DefaultMaxEventBytes.
 func NewEventReader(source io.Reader, requestID string, next uint64, maxBytes int) *EventReader {
-	if maxBytes == 0 {
-		maxBytes = DefaultMaxEventBytes
-	}
-	return &EventReader{
-		source:    bufio.NewReaderSize(source, eventBufferBytes),
-		requestID: requestID,
-		next:      max(1, next),
-		maxBytes:  maxBytes,
-	}
+	return &EventReader{raw: NewRawReader(source, maxBytes), requestID: requestID, next: max(1, next)}
+}
+
+// NewEngineReader is like NewEventReader, but it also accepts events with a
+// bare sequence number, and events without an ID, which count as the next ones:
+// not every engine names the request in each event.
+func NewEngineReader(source io.Reader, requestID string, next uint64, maxBytes int) *EventReader {
+	reader := NewEventReader(source, requestID, next, maxBytes)
+	reader.bareIDs = true
+	return reader
 }
 
 // Expected returns the sequence number of the next event, from which an
@@ -103,42 +105,89 @@
 // find skips duplicates and returns the event that is expected next.
 func (r *EventReader) find() (Event, error) {
 	for {
-		raw, err := r.readEvent()
+		raw, err := r.raw.Next()
 		if err != nil {
-			return Event{}, err
+			return Event{}, r.endError(err)
 		}
-		id, err := ParseEventID(raw.id)
+		sequence, err := r.sequenceOf(raw.ID)
 		if err != nil {
-			return Event{}, errkind.Wrap(errkind.AnswerIncomplete, err, "an event without a valid ID")
-		}
-		if id.RequestID != r.requestID {
-			return Event{}, errkind.New(errkind.CrossedAnswer, "an event of request %q in the stream of %q", id.RequestID, r.requestID)
+			return Event{}, err
 		}
-		if id.Sequence < r.next {
+		if sequence < r.next {
 			continue
 		}
-		if id.Sequence > r.next {
-			return Event{}, errkind.New(errkind.AnswerIncomplete, "event %d follows event %d", id.Sequence, r.next-1)
+		if sequence > r.next {
+			return Event{}, errkind.New(errkind.AnswerIncomplete, "event %d follows event %d", sequence, r.next-1)
+		}
+		last := bytes.Equal(bytes.TrimSpace(raw.Data), lastData)
+		return Event{Sequence: sequence, Name: raw.Name, Data: raw.Data, Last: last}, nil
+	}
+}
+
+// sequenceOf returns the sequence number in the ID of an event.
+func (r *EventReader) sequenceOf(text string) (uint64, error) {
+	if r.bareIDs && text == "" {
+		return r.next, nil
+	}
+	if r.bareIDs && !strings.Contains(text, "/") {
+		sequence, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return 0, errkind.Wrap(errkind.AnswerIncomplete, err, "an event without a valid ID")
 		}
-		return Event{Sequence: id.Sequence, Data: raw.data, Last: bytes.Equal(raw.data, lastData)}, nil
+		return sequence, nil
 	}
+	id, err := ParseEventID(text)
+	if err != nil {
+		return 0, errkind.Wrap(errkind.AnswerIncomplete, err, "an event without a valid ID")
+	}
+	if id.RequestID != r.requestID {
+		return 0, errkind.New(errkind.CrossedAnswer, "an event of request %q in the stream of %q", id.RequestID, r.requestID)
+	}
+	return id.Sequence, nil
 }
 
-// rawEvent is an event as it was received.
-type rawEvent struct {
-	id      string
-	data    []byte
+func (r *EventReader) endError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return errkind.New(errkind.AnswerIncomplete, "the stream ended before its last event, at event %d", r.next)
+	}
+	return errkind.Wrap(errkind.AnswerIncomplete, err, "the stream broke before event %d", r.next)
+}
+
+// RawEvent is an event as it was received.
+type RawEvent struct {
+	ID      string
+	Name    string
+	Data    []byte
 	hasData bool
 }
 
-// readEvent returns the next event that has data.
-func (r *EventReader) readEvent() (rawEvent, error) {
-	var event rawEvent
+// RawReader reads server-sent events without regard to their IDs, as a service
+// sends them.
+type RawReader struct {
+	source   *bufio.Reader
+	maxBytes int
+}
+
+// NewRawReader returns a reader of events of at most maxBytes; zero means
+// DefaultMaxEventBytes.
+func NewRawReader(source io.Reader, maxBytes int) *RawReader {
+	if maxBytes == 0 {
+		maxBytes = DefaultMaxEventBytes
+	}
+	return &RawReader{source: bufio.NewReaderSize(source, eventBufferBytes), maxBytes: maxBytes}
+}
+
+// Next returns the next event that has data, and io.EOF at the end of the
+// source. An event without the empty line at its end was cut and is not
+// returned. Other errors are those of the source, or of kind AnswerIncomplete
+// for an event that is too large.
+func (r *RawReader) Next() (RawEvent, error) {
+	var event RawEvent
 	size := 0
 	for {
 		line, err := r.readLine(r.maxBytes - size)
 		if err != nil {
-			return rawEvent{}, err
+			return RawEvent{}, err
 		}
 		size += len(line)
 		if len(line) > 0 {
@@ -148,29 +197,31 @@
 		if event.hasData {
 			return event, nil
 		}
-		event = rawEvent{}
+		event = RawEvent{}
 		size = 0
 	}
 }
 
 // add applies one field line. Comments and other fields are ignored.
-func (e *rawEvent) add(line []byte) {
+func (e *RawEvent) add(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "id":
-		e.id = string(value)
+		e.ID = string(value)
+	case "event":
+		e.Name = string(value)
 	case "data":
 		if e.hasData {
-			e.data = append(e.data, '\n')
+			e.Data = append(e.Data, '\n')
 		}
-		e.data = append(e.data, value...)
+		e.Data = append(e.Data, value...)
 		e.hasData = true
 	}
 }
 
 // readLine returns one line without its end, of at most limit bytes.
-func (r *EventReader) readLine(limit int) ([]byte, error) {
+func (r *RawReader) readLine(limit int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.source.ReadSlice('\n')
@@ -184,13 +235,6 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		return nil, r.endError(err)
+		return nil, err
 	}
 }
-
-func (r *EventReader) endError(err error) error {
-	if errors.Is(err, io.EOF) {
-		return errkind.New(errkind.AnswerIncomplete, "the stream ended before its last event, at event %d", r.next)
-	}
-	return errkind.Wrap(errkind.AnswerIncomplete, err, "the stream broke before event %d", r.next)
-}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -46,7 +46,9 @@
 type Event struct {
 	// Sequence counts from 1 without gaps.
 	Sequence uint64
-	Data     []byte
+	// Name is the type of the event; empty for a plain message.
+	Name string
+	Data []byte
 	// Last marks the end of the whole answer.
 	Last bool
 }
