claim: bind issued request IDs to their team

The fields of a request ID could be guessed, and an instance that did not hold a request checked no team, so a caller of another team could resume a stream through it or attach to the request with a second attempt.

An ID now carries a hash of the team's name and the issuer's MAC over all fields, with a key that the issuer draws at its start. The claimer refuses an ID of another team as unauthorized, GET /v1/streams compares the hash before it asks the engine, and the issuer grants no claim for an ID that it did not sign.

IDs of the old form no longer parse and are answered as lost, as other damaged IDs are. The rows of the tests with literal IDs got the new fields.

Seen to fail with the mechanism taken out: the comparison at the entry, the one in Claim, the check of the tag, and the strict forms of both fields.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -51,9 +51,11 @@
 // An error leaves the run state of an earlier attempt unknown; this holder
 // must not dispatch.
 type Claimer interface {
-	// NewID issues a request ID whose issuer is this instance.
-	NewID() string
+	// NewID issues a request ID to a team; its issuer is this instance.
+	NewID(team string) string
 	// Claim claims an issued ID or a key of the caller's own (scoped by team).
+	// An ID that was issued to another team is refused as Unauthorized: no
+	// request of this team can have run under it.
 	Claim(ctx context.Context, team, identity string) (Reply, error)
 	// Update tells the issuer that the phase changed. It does not fail: what
 	// does not arrive is asked for through the holder's status. The identity is
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -13,17 +13,65 @@
 	"github.com/rosemarywing/rosemarywing/pkg/member"
 )
 
+// Tails of IDs that no issuer signed.
+const (
+	noTag  = ".00000000000000000000000000000000"
+	noTeam = ".0123456789abcdef" + noTag
+)
+
+// unsigned returns an ID of the team "team" without a valid tag.
+func unsigned(fields string) string { return fields + "." + claim.TeamHash("team") + noTag }
+
 // Guards against a second spelling of an issued ID, which would be a second identity.
 func TestParseIDIsStrict(t *testing.T) {
 	g := NewWithT(t)
-	id, ok := claim.ParseID("rw1.balaton-north.e_1.17.4")
+	id, ok := claim.ParseID("rw1.balaton-north.e_1.17.4" + noTeam)
 	g.Expect(ok).To(BeTrue())
-	g.Expect(id).To(Equal(claim.ID{Domain: "balaton-north", Instance: "e_1", Incarnation: 17, Sequence: 4}))
+	g.Expect(id).To(Equal(claim.ID{
+		Domain: "balaton-north", Instance: "e_1", Incarnation: 17, Sequence: 4, Team: "0123456789abcdef", Tag: noTag[1:],
+	}))
+	g.Expect(id.String()).To(Equal("rw1.balaton-north.e_1.17.4" + noTeam))
 	for _, text := range []string{"", "rw1", "rw1.d.a.1", "rw1.d.a.1.2.3", "rw2.d.a.1.2", "rw1.d.a.01.2", "rw1.d.a.1.+2",
 		"rw1.d.a.1.2 ", "RW1.d.a.1.2", "rw1..a.1.2", "rw1.d.é.1.2", "rw1.d.a.-1.2", "rw1.d.a.1.18446744073709551616"} {
-		_, ok := claim.ParseID(text)
-		g.Expect(ok).To(BeFalse(), text)
+		for _, tail := range []string{"", noTeam} {
+			_, ok := claim.ParseID(text + tail)
+			g.Expect(ok).To(BeFalse(), text+tail)
+		}
 	}
+	for _, tail := range []string{"", ".", "..", noTag, ".0123456789abcdef", ".0123456789ABCDEF" + noTag, ".0123456789abcde" + noTag,
+		".0123456789abcdef0" + noTag, ".0123456789abcdeg" + noTag, noTeam[:len(noTeam)-1], noTeam + "0", noTeam[:len(noTeam)-1] + "F",
+		noTeam[:len(noTeam)-1] + "g", noTeam + " ", noTeam + ".", noTeam + ".1"} {
+		_, ok := claim.ParseID("rw1.d.a.1.2" + tail)
+		g.Expect(ok).To(BeFalse(), tail)
+	}
+}
+
+// Guards against an ID that serves another team than the one it was issued to:
+// one that it guessed or that leaked, and one into which it put its own hash.
+func TestIDsAreBoundToTheirTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld("a", "b")
+		w.immediate = true
+		defer w.close()
+		issued := w.instances["a"].node.NewID("team")
+		g.Expect(claim.Owns("team", issued)).To(BeTrue())
+		g.Expect(claim.Owns("other", issued)).To(BeFalse())
+		g.Expect(claim.Owns("team", "key")).To(BeFalse())
+		id, ok := claim.ParseID(issued)
+		g.Expect(ok).To(BeTrue())
+		id.Team = claim.TeamHash("other")
+		for _, at := range []string{"a", "b"} {
+			_, err := w.instances[at].node.Claim(context.Background(), "other", issued)
+			g.Expect(errkind.KindOf(err)).To(Equal(errkind.Unauthorized))
+			reply, err := w.instances[at].node.Claim(context.Background(), "other", id.String())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(reply.Result).To(Equal(claim.Lost))
+		}
+		reply, err := w.instances["b"].node.Claim(context.Background(), "team", issued)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Result).To(Equal(claim.Granted), "the attempts of the other team held the claim")
+	})
 }
 
 // Guards against wrong answers in the cases that callers meet; each row says which.
@@ -61,7 +109,7 @@
 					defer w.close()
 					identity := identity
 					if identity == "issued" {
-						identity = w.instances["a"].node.NewID()
+						identity = w.instances["a"].node.NewID("team")
 					}
 					requestID := ""
 					for _, s := range c.steps {
@@ -102,25 +150,25 @@
 			_, _ = w.instances["c"].node.Claim(context.Background(), "team", "key")
 			delete(w.view, "c")
 		}, claim.Lost, ""},
-		{"the issuer is not known", func(*world) string { return "rw1.d.x.1.1" }, nil, claim.Lost, ""},
-		{"the ID is damaged", func(*world) string { return "rw1.d.a.1" }, nil, claim.Lost, ""},
-		{"the ID was never issued", func(*world) string { return "rw1.d.a.1.77" }, nil, claim.Lost, ""},
-		{"the issuer does not answer", func(w *world) string { return w.instances["a"].node.NewID() },
+		{"the issuer is not known", func(*world) string { return unsigned("rw1.d.x.1.1") }, nil, claim.Lost, ""},
+		{"the ID is damaged", func(*world) string { return unsigned("rw1.d.a.1") }, nil, claim.Lost, ""},
+		{"the ID was never issued", func(*world) string { return unsigned("rw1.d.a.1.77") }, nil, claim.Lost, ""},
+		{"the issuer does not answer", func(w *world) string { return w.instances["a"].node.NewID("team") },
 			func(w *world) { w.instances["a"].dead = true }, 0, errkind.IssuerLost},
-		{"the issuer restarted", func(w *world) string { return w.instances["a"].node.NewID() },
+		{"the issuer restarted", func(w *world) string { return w.instances["a"].node.NewID("team") },
 			func(w *world) { w.start("a") }, claim.Lost, ""},
-		{"the issuer is dead", func(w *world) string { return w.instances["a"].node.NewID() },
+		{"the issuer is dead", func(w *world) string { return w.instances["a"].node.NewID("team") },
 			func(w *world) { w.view["a"] = member.Member{ID: "a", Incarnation: 1, Status: member.Dead} }, claim.Lost, ""},
 		{"the ID is past its age", func(w *world) string {
-			id := w.instances["a"].node.NewID()
+			id := w.instances["a"].node.NewID("team")
 			w.clock.Advance(2 * time.Hour)
 			return id
 		}, nil, claim.Lost, ""},
 		{"the ID is below the retention floor", func(w *world) string {
 			a := w.instances["a"].node
-			id := a.NewID()
+			id := a.NewID("team")
 			for range 7 {
-				_, _ = a.Claim(context.Background(), "team", a.NewID())
+				_, _ = a.Claim(context.Background(), "team", a.NewID("team"))
 			}
 			return id
 		}, nil, claim.Lost, ""},
--- a/pkg/claim/keys.go
+++ b/pkg/claim/keys.go
@@ -39,7 +39,7 @@
 // claimKey claims a key of the caller's own with an object in the platform.
 func (n *Node) claimKey(ctx context.Context, team, key string) (Reply, error) {
 	name := objectName(team, key)
-	requestID := n.NewID()
+	requestID := n.NewID(team)
 	a, reply := n.begin(requestID, requestID, name)
 	if a == nil {
 		return reply, nil
--- a/pkg/claim/model_test.go
+++ b/pkg/claim/model_test.go
@@ -201,7 +201,7 @@
 			a.finished = true
 		},
 		"issue": func(rt *rapid.T) {
-			m.identities = append(m.identities, m.up(rt).node.NewID())
+			m.identities = append(m.identities, m.up(rt).node.NewID("team"))
 		},
 		"send request ID": func(rt *rapid.T) {
 			a := m.pick(rt, func(a *modelAttempt) bool { return a.returned && a.reply.RequestID != "" })
@@ -252,7 +252,7 @@
 		granted, takenOver := 0, 0
 		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
 			m := &model{world: newWorld("a", "b", "c"), dispatches: map[string]int{}, roots: map[string]string{}}
-			m.identities = []string{"key1", "key2", m.instances["a"].node.NewID()}
+			m.identities = []string{"key1", "key2", m.instances["a"].node.NewID("team")}
 			defer m.close()
 			rt.Repeat(m.actions())
 			granted += m.granted
--- a/pkg/claim/node.go
+++ b/pkg/claim/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/rand"
 	"fmt"
 	"strings"
 	"sync"
@@ -61,6 +63,9 @@
 // one owner of both tables; it is not held during calls.
 type Node struct {
 	options Options
+	// secret is the key of the tags in issued IDs. It is never sent, and a new
+	// incarnation has a new one, since it knows no claim of the old one's IDs.
+	secret  []byte
 	updates chan outgoing
 
 	mu     sync.Mutex
@@ -80,8 +85,13 @@
 	if !validName(options.Domain) || !validName(options.Self.ID) {
 		return nil, errkind.New(errkind.BadSettings, "failure domain %q and instance %q must consist of letters, digits, hyphens and underscores", options.Domain, options.Self.ID)
 	}
+	secret := make([]byte, secretBytes)
+	if _, err := rand.Read(secret); err != nil {
+		return nil, fmt.Errorf("the key of request IDs: %w", err)
+	}
 	return &Node{
 		options: options,
+		secret:  secret,
 		updates: make(chan outgoing, updateQueue),
 		table:   newTable(options.MaxClaims, options.MaxAge),
 		holder:  newHolder(options.MaxEnded, options.MaxAge),
@@ -111,15 +121,16 @@
 }
 
 // NewID implements Claimer.
-func (n *Node) NewID() string {
+func (n *Node) NewID(team string) string {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.newID()
-}
-
-func (n *Node) newID() string {
 	sequence := n.table.issue(n.options.Clock.Now())
-	return ID{n.options.Domain, n.options.Self.ID, n.options.Self.Incarnation, sequence}.String()
+	n.mu.Unlock()
+	id := ID{
+		Domain: n.options.Domain, Instance: n.options.Self.ID, Incarnation: n.options.Self.Incarnation,
+		Sequence: sequence, Team: TeamHash(team),
+	}
+	id.Tag = id.sign(n.secret)
+	return id.String()
 }
 
 // Claim implements Claimer.
@@ -132,6 +143,9 @@
 	if !ok {
 		return Reply{Result: Lost}, nil
 	}
+	if id.Team != TeamHash(team) {
+		return Reply{}, errkind.New(errkind.Unauthorized, "the request ID was issued to another team")
+	}
 	return n.claimIssued(ctx, identity, id)
 }
 
@@ -160,7 +174,8 @@
 // issued reports whether this incarnation issued the ID.
 func (n *Node) issued(id ID) bool {
 	o := n.options
-	return id.Domain == o.Domain && id.Instance == o.Self.ID && id.Incarnation == o.Self.Incarnation
+	here := id.Domain == o.Domain && id.Instance == o.Self.ID && id.Incarnation == o.Self.Incarnation
+	return here && hmac.Equal([]byte(id.Tag), []byte(id.sign(n.secret)))
 }
 
 // begin records an attempt, or returns the answer that an earlier attempt of
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -45,6 +45,10 @@
 	// IsIssued reports whether an identity has the form of an issued request
 	// ID. Nil takes all for keys; it is not used when RequestIDOf is set.
 	IsIssued func(identity string) bool
+	// OwnsID reports whether a request ID was issued to the team. IDs can be
+	// guessed, so a stream is resumed only for the team that it belongs to.
+	// Nil allows every ID, except those of another team's requests held here.
+	OwnsID func(team, requestID string) bool
 	// NotifyResumed tells the other instances that a stream continues here, so
 	// that an instance whose caller left does not cancel it. Without it, a
 	// request whose caller is gone runs to its end: a cancellation could cut
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -202,7 +202,7 @@
 
 func (f *fixture) Changed() <-chan struct{} { return nil }
 
-func (f *fixture) NewID() string {
+func (f *fixture) NewID(string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.issued++
--- a/pkg/entry/request_test.go
+++ b/pkg/entry/request_test.go
@@ -291,6 +291,33 @@
 	f.Expect(w.Header().Get(headerError)).To(Equal("unauthorized"))
 }
 
+// Guards against a team that gets the answer of another team's request by its
+// ID, through an instance that does not hold the request: by resuming its
+// stream, or by a second attempt with the ID.
+func TestOtherTeamsRequestsAreNotResumed(t *testing.T) {
+	f := newFixture(t)
+	f.entry.OwnsID = claim.Owns
+	id := claim.ID{Domain: "north", Instance: "i2", Incarnation: 1, Sequence: 7, Team: claim.TeamHash("t"), Tag: strings.Repeat("0", 32)}.String()
+	resumed := 0
+	f.onResume = func(id string, sequence uint64) (*upstream.Answer, error) {
+		resumed++
+		return events(id, sequence, 4, nil), nil
+	}
+	for team, told := range map[string]string{"u": "unauthorized", "t": ""} {
+		w := f.call(context.Background(), http.MethodGet, "/v1/streams", "", headerLastEventID, "e1/"+id+"/2", headerTeam, team)
+		f.Expect(w.Header().Get(headerError)).To(Equal(told))
+		f.Expect(w.Header().Get(headerRunState)).NotTo(Equal("not_run"))
+	}
+	f.Expect(resumed).To(Equal(1))
+	f.onClaim = func(string) (claim.Reply, error) {
+		return claim.Reply{}, errkind.New(errkind.Unauthorized, "another team's")
+	}
+	w := f.chat(chatBody, headerIdentity, id, headerTeam, "u")
+	f.Expect(w.Header().Get(headerError)).To(Equal("unauthorized"))
+	f.Expect(resumed).To(Equal(1))
+	f.Expect(f.dispatches).To(BeEmpty())
+}
+
 // Guards against a shutdown that cuts a running request, keeps a waiting one,
 // takes new ones, or turns unready after the listener has closed.
 func TestDrain(t *testing.T) {
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -98,7 +98,7 @@
 func (e *Entry) claim(w http.ResponseWriter, q *request) (claim.Reply, *errkind.Error) {
 	identity := q.identity
 	if identity == "" {
-		identity = e.Claimer.NewID()
+		identity = e.Claimer.NewID(q.team.Name)
 	}
 	q.machine.Fire(eventClaim)
 	// One attempt per identity claims at a time: after a claim is granted, no
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -87,7 +87,8 @@
 
 // serveIssue issues request IDs.
 func (e *Entry) serveIssue(w http.ResponseWriter, r *http.Request) {
-	if _, err := e.resolveTeam(e.Config.Snapshot(), r.Header); err != nil {
+	team, err := e.resolveTeam(e.Config.Snapshot(), r.Header)
+	if err != nil {
 		e.refuseEarly(w, err)
 		return
 	}
@@ -104,7 +105,7 @@
 	}
 	ids := make([]string, asked.Count)
 	for i := range ids {
-		ids[i] = e.Claimer.NewID()
+		ids[i] = e.Claimer.NewID(team.Name)
 	}
 	writeJSON(w, map[string]any{"ids": ids})
 }
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -240,7 +240,9 @@
 		return
 	}
 	name, id := event.Upstream, event.RequestID
-	if held := e.find(id); held != nil && held.team.Name != team.Name {
+	held := e.find(id)
+	foreign := held != nil && held.team.Name != team.Name
+	if foreign || e.OwnsID != nil && !e.OwnsID(team.Name, id) {
 		e.refuseResume(w, errkind.New(errkind.Unauthorized, "the request is another team's"))
 		return
 	}
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -114,6 +114,7 @@
 		Engine: b.engines, Service: b.engines,
 		RequestIDOf: func(reply claim.Reply) string { return reply.RequestID },
 		IsIssued:    func(identity string) bool { _, ok := claim.ParseID(identity); return ok },
+		OwnsID:      claim.Owns,
 		Run:         b.run,
 		Leave:       b.members.Leave,
 	}, nil
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -45,7 +45,9 @@
 	Service upstream.Dispatcher
 	// RequestIDOf and IsIssued are as in entry.Options.
 	RequestIDOf func(reply claim.Reply) string
-	IsIssued    func(identity string) bool
+	// OwnsID reports whether a request ID was issued to the team.
+	OwnsID   func(team, requestID string) bool
+	IsIssued func(identity string) bool
 	// NotifyResumed tells other instances that a stream continues here.
 	NotifyResumed func(requestID, upstreamName string)
 	// Bind is called once with the entry, before any request is served, so
@@ -101,7 +103,7 @@
 	i.entry, err = entry.New(entry.Options{
 		Settings: options.Settings, Log: options.Log, Clock: options.Clock, Metrics: registry,
 		Config: parts.Config, Claimer: parts.Claimer, Pool: parts.Pool, Engine: parts.Engine, Service: parts.Service,
-		Members: parts.Members, IsIssued: parts.IsIssued, RequestIDOf: parts.RequestIDOf, NotifyResumed: parts.NotifyResumed,
+		Members: parts.Members, IsIssued: parts.IsIssued, RequestIDOf: parts.RequestIDOf, OwnsID: parts.OwnsID, NotifyResumed: parts.NotifyResumed,
 	})
 	if err != nil {
 		return nil, errors.Join(err, i.close())
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -39,7 +39,7 @@
 	}
 }
 func (fake) Changed() <-chan struct{}           { return nil }
-func (fake) NewID() string                      { return "id-1" }
+func (fake) NewID(string) string                { return "id-1" }
 func (fake) Update(string, claim.Phase, string) {}
 func (fake) Claim(context.Context, string, string) (claim.Reply, error) {
 	return claim.Reply{Result: claim.Granted}, nil
