--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -18,6 +17,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
 	"github.com/rosemarywing/rosemarywing/pkg/member"
 	"github.com/rosemarywing/rosemarywing/pkg/pool"
+	"github.com/rosemarywing/rosemarywing/pkg/route"
 	"github.com/rosemarywing/rosemarywing/pkg/settings"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
@@ -45,6 +45,10 @@
 	// IsIssued reports whether an identity has the form of an issued request
 	// ID. Nil takes all for keys; it is not used when RequestIDOf is set.
 	IsIssued func(identity string) bool
+	// OwnsID reports whether a request ID was issued to the team. IDs can be
+	// guessed, so a stream is resumed only for the team that it belongs to.
+	// Nil allows every ID, except those of another team's requests held here.
+	OwnsID func(team, requestID string) bool
 	// NotifyResumed tells the other instances that a stream continues here, so
 	// that an instance whose caller left does not cancel it. Without it, a
 	// request whose caller is gone runs to its end: a cancellation could cut
@@ -71,7 +75,7 @@
 	instance     *chart.Machine
 	handler      http.Handler
 	averages     averages
-	routes       atomic.Pointer[routes]
+	budget       *route.Budget
 
 	mu sync.Mutex
 	// held are the requests in progress; requests are found by their ID, and
@@ -109,6 +113,7 @@
 		held:         map[*request]struct{}{},
 		requests:     map[string]*request{},
 	}
+	e.budget = route.NewBudget(options.Clock, e.linkShares)
 	e.instance.Fire(eventConfigured)
 	if e.handler, err = newHandler(restConf(), e.callerRoutes(), options.Log); err != nil {
 		return nil, fmt.Errorf("HTTP server for callers: %w", err)
