--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -21,7 +22,7 @@
 
 // globalOptions apply to every command.
 type globalOptions struct {
-	Platform string        `long:"platform" env:"ROSEMARYWING_PLATFORM" description:"URL of the platform"`
+	Platform string        `long:"platform" env:"ROSEMARYWING_PLATFORM" description:"URL of the platform, or host:port"`
 	Output   string        `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"form of the output"`
 	Timeout  time.Duration `long:"timeout" default:"5s" description:"time-out of each call"`
 }
@@ -98,7 +99,7 @@
 
 func (a *app) connect() {
 	a.platform = platform.NewClient(platform.Options{
-		BaseURL: a.Platform, Timeout: a.Timeout, WatchIdle: a.Timeout,
+		BaseURL: baseURL(a.Platform), Timeout: a.Timeout, WatchIdle: a.Timeout,
 		Registry: metrics.NewRegistry(), Clock: clockwork.NewRealClock(),
 	})
 	a.http = &http.Client{
@@ -109,6 +110,15 @@
 	}
 }
 
+// baseURL accepts host:port as well as a URL, as the daemon's setting
+// platform.address does.
+func baseURL(text string) string {
+	if strings.Contains(text, "://") {
+		return text
+	}
+	return "http://" + text
+}
+
 // fail prints an error and returns the exit code.
 func (a *app) fail(err error) int {
 	if err == nil {
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -119,6 +119,19 @@
 	}
 }
 
+// Guards against a platform address that the daemon accepts and the tool does
+// not: host:port failed as a URL without a scheme.
+func TestPlatformAddressForms(t *testing.T) {
+	f := newFixture(t)
+	for _, address := range []string{f.url, strings.TrimPrefix(f.url, "http://")} {
+		t.Run(address, func(t *testing.T) {
+			var out, errors bytes.Buffer
+			code := cli.Run(context.Background(), []string{"--platform", address, "list"}, strings.NewReader(""), &out, &errors)
+			NewWithT(t).Expect(code).To(Equal(0), errors.String())
+		})
+	}
+}
+
 // Guards against an instance that is left out because it could not be reached.
 func TestInforceShowsSilentInstances(t *testing.T) {
 	g := NewWithT(t)
