conf: log records that are not understood

A record of a newer schema version or with an unknown field stayed out of effect without a trace. Each such version is now logged once, with kind, name, what is wrong, and the version that stays in effect.

TestRecordsThatAreNotUnderstoodAreLoggedOnce was seen to fail without the line and without the version in effect carried over (unknown field, unknown schema version, second version in a row).

--- a/pkg/conf/cache.go
+++ b/pkg/conf/cache.go
@@ -7,7 +7,9 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
 
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/record"
 )
 
@@ -17,6 +19,8 @@
 	// understood is the last version of the record that this build could parse;
 	// nil if there is none.
 	understood record.Record
+	// inEffect is the version of understood; 0 if there is none.
+	inEffect uint64
 }
 
 // Cache merges objects by version and publishes snapshots. It is safe for
@@ -35,17 +39,22 @@
 	usable   bool
 	snapshot atomic.Pointer[Snapshot]
 	changed  chan struct{}
+	log      logr.Logger
 }
 
 var _ Source = (*Cache)(nil)
 
-// NewCache returns an empty cache, which is not usable.
+// NewCache returns an empty cache, which is not usable and does not log.
 func NewCache() *Cache {
-	c := &Cache{entries: map[Key]entry{}, changed: make(chan struct{})}
+	c := &Cache{entries: map[Key]entry{}, changed: make(chan struct{}), log: logr.Discard()}
 	c.snapshot.Store(emptySnapshot())
 	return c
 }
 
+// LogTo logs each version of a record that is not understood. It is called
+// before the cache is used.
+func (c *Cache) LogTo(log logr.Logger) { c.log = log }
+
 // Snapshot implements Source.
 func (c *Cache) Snapshot() *Snapshot { return c.snapshot.Load() }
 
@@ -110,10 +119,12 @@
 	next := entry{object: object}
 	if object.Deleted {
 		next.object.Body = nil
-	} else if parsed, ok := understand(object); ok {
-		next.understood = parsed
+	} else if parsed, err := understand(object); err == nil {
+		next.understood, next.inEffect = parsed, object.Version
 	} else {
-		next.understood = known.understood
+		next.understood, next.inEffect = known.understood, known.inEffect
+		c.log.Error(err, "record not understood, not applied", "kind", object.Key.Kind, "name", object.Key.Name,
+			"version", object.Version, "version_in_effect", known.inEffect)
 	}
 	c.digest ^= digestOf(known.object) ^ digestOf(object)
 	c.newest = max(c.newest, object.Version)
@@ -126,12 +137,17 @@
 
 // understand parses a record. A record of another kind or name than its key is
 // not understood.
-func understand(object Object) (record.Record, bool) {
+func understand(object Object) (record.Record, error) {
 	envelope, parsed, err := record.Parse(object.Body)
-	if err != nil || envelope.Kind != object.Key.Kind || envelope.Name != object.Key.Name {
-		return nil, false
+	switch {
+	case err != nil:
+		return nil, err
+	case envelope.Kind != object.Key.Kind:
+		return nil, errkind.New(errkind.InvalidRecord, "%s %s: field kind: is %q in the body", object.Key.Kind, object.Key.Name, envelope.Kind)
+	case envelope.Name != object.Key.Name:
+		return nil, errkind.New(errkind.InvalidRecord, "%s %s: field name: is %q in the body", object.Key.Kind, object.Key.Name, envelope.Name)
 	}
-	return parsed, true
+	return parsed, nil
 }
 
 // digestOf is 0 for a tombstone: an instance that never knew the object has
--- a/pkg/conf/conf_test.go
+++ b/pkg/conf/conf_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 	metrics "github.com/rcrowley/go-metrics"
@@ -97,6 +98,51 @@
 	g.Expect(cache.Snapshot().Upstreams).To(BeEmpty())
 }
 
+// Guards against a record that silently stays out of effect, against a line that
+// does not say what is wrong or which version is in effect instead, and against
+// a line for each listing that repeats the record.
+func TestRecordsThatAreNotUnderstoodAreLoggedOnce(t *testing.T) {
+	understood := object(record.KindTier, "x", 1, `{"priority":1,"deadlineMs":1}`)
+	body := func(version uint64, text string) conf.Object {
+		return conf.Object{Key: understood.Key, Version: version, Body: []byte(text)}
+	}
+	table := []struct {
+		name    string
+		before  []conf.Object
+		object  conf.Object
+		mention []string
+	}{
+		{"unknown field", []conf.Object{understood}, object(record.KindTier, "x", 2, `{"priority":1,"deadlineMs":1,"burst":3}`),
+			[]string{`"burst\"`, `"version"=2`, `"version_in_effect"=1`}},
+		{"unknown schema version", []conf.Object{understood}, body(3, `{"schema":"rosemarywing/v9","kind":"Tier","name":"x","spec":{}}`),
+			[]string{"field schema", `"version"=3`, `"version_in_effect"=1`}},
+		{"second version in a row", []conf.Object{understood, body(2, `{}`)}, body(3, `{}`),
+			[]string{"field schema", `"version"=3`, `"version_in_effect"=1`}},
+		{"never understood", nil, object(record.KindTier, "x", 2, `{"priority":1}`),
+			[]string{"spec.deadlineMs", `"version_in_effect"=0`}},
+		{"another name in the body", nil, body(2, `{"schema":"rosemarywing/v2","kind":"Tier","name":"y","spec":{"priority":1,"deadlineMs":1}}`),
+			[]string{"field name"}},
+		{"another kind in the body", nil, body(2, `{"schema":"rosemarywing/v2","kind":"Model","name":"x","spec":{"versions":["1"]}}`),
+			[]string{"field kind"}},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var lines []string
+			cache := conf.NewCache()
+			cache.LogTo(funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{}))
+			cache.Merge(row.before, true)
+			lines = nil
+			cache.Merge([]conf.Object{row.object}, false)
+			cache.MergeComplete([]conf.Object{row.object}, row.object.Version, true)
+			g.Expect(lines).To(HaveLen(1))
+			for _, text := range append(row.mention, `"kind"="Tier"`, `"name"="x"`) {
+				g.Expect(lines[0]).To(ContainSubstring(text))
+			}
+		})
+	}
+}
+
 // Guards against a key that still admits callers after it moved or its team
 // was changed, and against instances that disagree on a key of two teams.
 func TestTeamKeys(t *testing.T) {
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -138,6 +138,7 @@
 
 func (b *builder) configuration() {
 	b.cache = conf.NewCache()
+	b.cache.LogTo(b.env.Log)
 	carrier := &exchange{dialer: b.dialer, directory: b.directory, syncer: func() *conf.Syncer { return b.syncer }}
 	b.syncer = conf.NewSyncer(b.cache, b.platform, carrier, conf.Options{
 		Address:    b.address,
