cli: refuse unknown kinds and empty files; order listings

list Tiers and an empty file passed for successes, a withdrawal under a name in use was refused without saying so, and list scattered the kinds by version.

Seen to fail without the changes: the rows 'apply an empty file', 'withdraw under a name in use', 'list an unknown kind' and 'describe an unknown kind' of TestCommands, and TestListIsOrderedByKindAndName.

--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -64,7 +64,8 @@
 
 // Guards against a command that reports success without a write, or a failure
 // after a write that took effect; against two operators who overwrite each
-// other; and against an invalid record that reaches the platform.
+// other; against an invalid record that reaches the platform; and against a
+// misspelt kind or an empty file that passes for a success.
 func TestCommands(t *testing.T) {
 	const e1 = `{"schema":"rosemarywing/v1","kind":"Upstream","name":"e1","spec":{"address":"h:1","domain":"d","model":"m@1","limit":1}}`
 	apply := []string{"apply", "-f", "-"}
@@ -89,6 +90,11 @@
 		{"validate offline", "", e1, []string{"validate", "--offline", "-f", "-"}, standin.Faults{Outage: standin.Outage503}, false, 0, "valid", 0},
 		{"withdraw", "", "", withdraw, standin.Faults{}, false, 0, "created", 1},
 		{"withdraw, lost answer", "", "", withdraw, standin.Faults{LoseAnswers: 1}, false, 0, "created", 1},
+		{"apply an empty file", "", " ", apply, standin.Faults{}, false, exit(errkind.InvalidRecord), "no record", 0},
+		{"withdraw under a name in use", `{"schema":"rosemarywing/v2","kind":"Withdrawal","name":"w","spec":{"batch":"a"}}`, "",
+			withdraw, standin.Faults{}, false, exit(errkind.Conflict), "Withdrawal w exists", 1},
+		{"list an unknown kind", tier("low", 1), "", []string{"list", "Tiers"}, standin.Faults{}, false, exit(errkind.BadRequest), "Tiers", 1},
+		{"describe an unknown kind", tier("low", 1), "", []string{"describe", "tier", "low"}, standin.Faults{}, false, exit(errkind.BadRequest), "Tier", 1},
 		{"withdraw nothing", "", "", []string{"withdraw", "--name", "w"}, standin.Faults{}, false, exit(errkind.InvalidRecord), "batch", 0},
 		{"restore", `{"schema":"rosemarywing/v2","kind":"Withdrawal","name":"w","spec":{"batch":"b"}}`, "",
 			[]string{"restore", "w"}, standin.Faults{LoseAnswers: 1}, false, 0, "deleted", 0},
@@ -119,6 +125,18 @@
 	}
 }
 
+// Guards against a listing in which the records of one kind stand apart.
+func TestListIsOrderedByKindAndName(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	for _, input := range []string{tier("low", 1), team("low"), tier("high", 2)} {
+		code, output := f.run(input, "apply", "-f", "-")
+		g.Expect(code).To(Equal(0), output)
+	}
+	_, listing := f.run("", "list")
+	g.Expect(listing).To(MatchRegexp(`(?s)Tier +high .*Tier +low .*Team +a `))
+}
+
 // Guards against a platform address that the daemon accepts and the tool does
 // not: host:port failed as a URL without a scheme.
 func TestPlatformAddressForms(t *testing.T) {
--- a/pkg/cli/records.go
+++ b/pkg/cli/records.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
@@ -108,6 +110,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(envelopes) == 0 {
+		return nil, errkind.New(errkind.InvalidRecord, "%s holds no record", path)
+	}
 	seen := map[conf.Key]bool{}
 	for _, envelope := range envelopes {
 		if _, err := envelope.Record(); err != nil {
@@ -218,6 +223,9 @@
 		return err
 	}
 	written, err := c.app.write(envelope, 0)
+	if errkind.KindOf(err) == errkind.Conflict {
+		return errkind.Wrap(errkind.Conflict, err, "Withdrawal %s exists; restore it or choose another name", c.Name)
+	}
 	if err != nil {
 		return err
 	}
@@ -259,6 +267,9 @@
 		kinds = nil
 	}
 	for _, kind := range c.Args.Kinds {
+		if err := checkKind(kind); err != nil {
+			return err
+		}
 		kinds = append(kinds, record.Kind(kind))
 	}
 	list, err := c.app.listAll(kinds...)
@@ -266,12 +277,27 @@
 		return err
 	}
 	var rows []row
+	// The platform lists by version, which scatters kinds.
+	slices.SortStableFunc(list.Objects, func(a, b platform.Object) int {
+		return cmp.Or(cmp.Compare(rank(a.Kind), rank(b.Kind)), cmp.Compare(a.Name, b.Name))
+	})
 	for _, object := range list.Objects {
 		rows = append(rows, describe(object, false))
 	}
 	return c.app.printRows(rows)
 }
 
+// rank orders kinds as they can be applied.
+func rank(kind string) int { return slices.Index(record.Kinds(), record.Kind(kind)) }
+
+// checkKind refuses a kind that the platform would list as empty.
+func checkKind(kind string) error {
+	if !slices.Contains(record.Kinds(), record.Kind(kind)) {
+		return errkind.New(errkind.BadRequest, "kind %q is not one of %q", kind, record.Kinds())
+	}
+	return nil
+}
+
 type describeCommand struct {
 	app  *app
 	Args struct {
@@ -282,6 +308,9 @@
 
 // Execute shows one record with its spec.
 func (c *describeCommand) Execute([]string) error {
+	if err := checkKind(c.Args.Kind); err != nil {
+		return err
+	}
 	object, err := c.app.platform.Get(c.app.ctx, c.Args.Kind, c.Args.Name)
 	if err != nil {
 		return err
