cli: find records that refer to nothing or have no effect

apply and validate refuse a change that leaves a Team or an Upstream of the platform without its tier or model version. Before, replacing the versions of a Model took its upstreams out of use, and validate called it valid. validate now also says when no upstream serves a version of a Model, or when a Withdrawal selects nothing; that is no error, since a Model is written before the first Upstream that serves it.

TestValidateFindsWhatRefersToNothing was seen to fail without the comparison of references (2 rows) and without the remarks (3 rows).

--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -125,6 +125,46 @@
 	}
 }
 
+// Guards against records that refer to nothing, or select nothing, and pass
+// without a word: a team without its tier, an upstream without its model, a
+// model that no upstream serves, and a change that leaves others behind.
+func TestValidateFindsWhatRefersToNothing(t *testing.T) {
+	const v2 = `{"schema":"rosemarywing/v2","kind":%q,"name":%q,"spec":%s}`
+	model := func(version string) string { return fmt.Sprintf(v2, "Model", "m", `{"versions":["`+version+`"]}`) }
+	upstream := func(version string) string {
+		return fmt.Sprintf(v2, "Upstream", "e", `{"type":"engine","address":"h:1","domain":"d","models":["m@`+version+`"],"maxRequests":1,"batch":"b"}`)
+	}
+	withdrawal := func(spec string) string { return fmt.Sprintf(v2, "Withdrawal", "w", spec) }
+	before := tier("low", 1) + tier("high", 2) + team("high") + model("1") + upstream("1")
+	table := []struct {
+		name, input string
+		code        int
+		output      string
+	}{
+		{"team without its tier", team("none"), exit(errkind.InvalidRecord), "highestTier"},
+		{"upstream without its model version", upstream("2"), exit(errkind.InvalidRecord), "m@2"},
+		{"model version that an upstream needs", model("2"), exit(errkind.InvalidRecord), "Upstream e: field spec.models[0]"},
+		{"model version and upstream together", model("2") + upstream("2"), 0, "valid"},
+		{"tier above that of a team", tier("low", 3), exit(errkind.InvalidRecord), "Team a: field spec.defaultTier"},
+		{"model that no upstream serves", fmt.Sprintf(v2, "Model", "n", `{"versions":["1"]}`), 0, "valid, but no upstream serves version 1"},
+		{"model that is served", model("1"), 0, "valid\n"},
+		{"withdrawal of no batch", withdrawal(`{"batch":"c"}`), 0, "valid, but no upstream is selected"},
+		{"withdrawal of no model version", withdrawal(`{"modelVersion":"m@2"}`), 0, "valid, but no upstream is selected"},
+		{"withdrawal of a batch", withdrawal(`{"batch":"b"}`), 0, "valid\n"},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(t)
+			code, output := f.run(before, "apply", "-f", "-")
+			g.Expect(code).To(Equal(0), output)
+			code, output = f.run(row.input, "validate", "-f", "-")
+			g.Expect(code).To(Equal(row.code), output)
+			g.Expect(output).To(ContainSubstring(row.output))
+		})
+	}
+}
+
 // Guards against a listing in which the records of one kind stand apart.
 func TestListIsOrderedByKindAndName(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/cli/records.go
+++ b/pkg/cli/records.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"io"
 	"os"
 	"slices"
@@ -49,13 +50,13 @@
 	if err != nil {
 		return err
 	}
-	versions, err := c.app.check(envelopes)
+	found, err := c.app.check(envelopes)
 	if err != nil {
 		return err
 	}
 	var rows []row
 	for _, envelope := range envelopes {
-		written, err := c.app.write(envelope, versions[keyOf(envelope)])
+		written, err := c.app.write(envelope, found.versions[keyOf(envelope)])
 		if err != nil {
 			// What was written before the error is in effect and is shown.
 			_ = c.app.printRows(rows)
@@ -78,14 +79,19 @@
 	if err != nil {
 		return err
 	}
+	var found checked
 	if !c.Offline {
-		if _, err := c.app.check(envelopes); err != nil {
+		if found, err = c.app.check(envelopes); err != nil {
 			return err
 		}
 	}
 	var rows []row
 	for _, envelope := range envelopes {
-		rows = append(rows, row{Kind: envelope.Kind, Name: envelope.Name, Schema: envelope.Schema, Result: "valid"})
+		result := "valid"
+		if remark := found.remarks[keyOf(envelope)]; remark != "" {
+			result = "valid, but " + remark
+		}
+		rows = append(rows, row{Kind: envelope.Kind, Name: envelope.Name, Schema: envelope.Schema, Result: result})
 	}
 	return c.app.printRows(rows)
 }
@@ -126,41 +132,59 @@
 	return envelopes, nil
 }
 
+// checked is what the check of records against the platform found.
+type checked struct {
+	// versions are those of the objects that the platform holds.
+	versions map[conf.Key]uint64
+	// remarks say why records would have no effect.
+	remarks map[conf.Key]string
+}
+
 // check validates the references of records within what the platform would
-// hold after they are written. It returns the versions of the present objects.
-func (a *app) check(envelopes []record.Envelope) (map[conf.Key]uint64, error) {
+// hold after they are written, and refuses records that would leave a Team or
+// an Upstream of the platform with a reference to nothing.
+func (a *app) check(envelopes []record.Envelope) (checked, error) {
 	list, err := a.listAll(record.Kinds()...)
 	if err != nil {
-		return nil, err
+		return checked{}, err
 	}
-	versions := map[conf.Key]uint64{}
+	found := checked{versions: map[conf.Key]uint64{}, remarks: map[conf.Key]string{}}
 	cache := conf.NewCache()
-	var objects []conf.Object
+	var present, written []conf.Object
 	for _, object := range list.Objects {
 		key := conf.Key{Kind: record.Kind(object.Kind), Name: object.Name}
-		versions[key] = object.Version
-		objects = append(objects, conf.Object{Key: key, Version: object.Version, Body: object.Body})
+		found.versions[key] = object.Version
+		present = append(present, conf.Object{Key: key, Version: object.Version, Body: object.Body})
 	}
 	for i, envelope := range envelopes {
 		body, err := encode(envelope)
 		if err != nil {
-			return nil, err
+			return checked{}, err
 		}
-		objects = append(objects, conf.Object{Key: keyOf(envelope), Version: list.Version + uint64(i) + 1, Body: body})
+		written = append(written, conf.Object{Key: keyOf(envelope), Version: list.Version + uint64(i) + 1, Body: body})
 	}
-	cache.Merge(objects, true)
-	snapshot := cache.Snapshot()
-	set := record.Set{Tiers: snapshot.Tiers, Teams: snapshot.Teams, Models: snapshot.Models, Upstreams: snapshot.Upstreams}
+	cache.Merge(present, true)
+	before := setOf(cache.Snapshot())
+	cache.Merge(written, true)
+	after := setOf(cache.Snapshot())
 	for _, envelope := range envelopes {
 		parsed, err := envelope.Record()
 		if err != nil {
-			return nil, err
+			return checked{}, err
 		}
-		if err := set.Check(parsed); err != nil {
-			return nil, err
+		if err := after.Check(parsed); err != nil {
+			return checked{}, err
 		}
+		found.remarks[keyOf(envelope)] = after.Remark(parsed)
+	}
+	if broken := after.Broken(before); len(broken) > 0 {
+		return checked{}, errkind.Wrap(errkind.InvalidRecord, errors.Join(broken...), "the change breaks references")
 	}
-	return versions, nil
+	return found, nil
+}
+
+func setOf(snapshot *conf.Snapshot) record.Set {
+	return record.Set{Tiers: snapshot.Tiers, Teams: snapshot.Teams, Models: snapshot.Models, Upstreams: snapshot.Upstreams}
 }
 
 func (a *app) listAll(kinds ...record.Kind) (platform.List, error) {
--- a/pkg/record/check.go
+++ b/pkg/record/check.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
@@ -29,6 +30,67 @@
 	}
 }
 
+// Broken returns the error of each Team and Upstream of the set whose references
+// were intact in before and are not in s, in the order of their names.
+func (s Set) Broken(before Set) []error {
+	var broken []error
+	for _, name := range slices.Sorted(maps.Keys(s.Teams)) {
+		broken = appendBroken(broken, before.Teams[name], s.Teams[name], before, s)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Upstreams)) {
+		broken = appendBroken(broken, before.Upstreams[name], s.Upstreams[name], before, s)
+	}
+	return broken
+}
+
+func appendBroken[T any](broken []error, old, current *T, before, after Set) []error {
+	err := after.Check(current)
+	if err == nil || old == nil || before.Check(old) != nil {
+		return broken
+	}
+	return append(broken, err)
+}
+
+// Remark says why a valid record has no effect yet; it is empty when it has.
+// That is no error: a Model is written before the first Upstream that serves it.
+func (s Set) Remark(r Record) string {
+	switch r := r.(type) {
+	case *Model:
+		return s.remarkModel(r)
+	case *Withdrawal:
+		if !s.selectsAny(r) {
+			return "no upstream is selected"
+		}
+	}
+	return ""
+}
+
+func (s Set) remarkModel(model *Model) string {
+	for _, version := range model.Versions {
+		if !s.anyUpstream(func(u *Upstream) bool { return slices.Contains(u.Models, model.Name+"@"+version) }) {
+			return "no upstream serves version " + version
+		}
+	}
+	return ""
+}
+
+func (s Set) selectsAny(w *Withdrawal) bool {
+	return s.anyUpstream(func(u *Upstream) bool {
+		return slices.Contains(w.Upstreams, u.Name) ||
+			w.Batch != "" && u.Batch == w.Batch ||
+			w.ModelVersion != "" && slices.Contains(u.Models, w.ModelVersion)
+	})
+}
+
+func (s Set) anyUpstream(matches func(*Upstream) bool) bool {
+	for _, upstream := range s.Upstreams {
+		if matches(upstream) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s Set) checkTeam(team *Team) error {
 	base, highest := s.Tiers[team.DefaultTier], s.Tiers[team.HighestTier]
 	switch {
