--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -64,7 +64,8 @@
 
 // Guards against a command that reports success without a write, or a failure
 // after a write that took effect; against two operators who overwrite each
-// other; and against an invalid record that reaches the platform.
+// other; against an invalid record that reaches the platform; and against a
+// misspelt kind or an empty file that passes for a success.
 func TestCommands(t *testing.T) {
 	const e1 = `{"schema":"rosemarywing/v1","kind":"Upstream","name":"e1","spec":{"address":"h:1","domain":"d","model":"m@1","limit":1}}`
 	apply := []string{"apply", "-f", "-"}
@@ -89,6 +90,11 @@
 		{"validate offline", "", e1, []string{"validate", "--offline", "-f", "-"}, standin.Faults{Outage: standin.Outage503}, false, 0, "valid", 0},
 		{"withdraw", "", "", withdraw, standin.Faults{}, false, 0, "created", 1},
 		{"withdraw, lost answer", "", "", withdraw, standin.Faults{LoseAnswers: 1}, false, 0, "created", 1},
+		{"apply an empty file", "", " ", apply, standin.Faults{}, false, exit(errkind.InvalidRecord), "no record", 0},
+		{"withdraw under a name in use", `{"schema":"rosemarywing/v2","kind":"Withdrawal","name":"w","spec":{"batch":"a"}}`, "",
+			withdraw, standin.Faults{}, false, exit(errkind.Conflict), "Withdrawal w exists", 1},
+		{"list an unknown kind", tier("low", 1), "", []string{"list", "Tiers"}, standin.Faults{}, false, exit(errkind.BadRequest), "Tiers", 1},
+		{"describe an unknown kind", tier("low", 1), "", []string{"describe", "tier", "low"}, standin.Faults{}, false, exit(errkind.BadRequest), "Tier", 1},
 		{"withdraw nothing", "", "", []string{"withdraw", "--name", "w"}, standin.Faults{}, false, exit(errkind.InvalidRecord), "batch", 0},
 		{"restore", `{"schema":"rosemarywing/v2","kind":"Withdrawal","name":"w","spec":{"batch":"b"}}`, "",
 			[]string{"restore", "w"}, standin.Faults{LoseAnswers: 1}, false, 0, "deleted", 0},
@@ -119,6 +125,71 @@
 	}
 }
 
+// Guards against records that refer to nothing, or select nothing, and pass
+// without a word: a team without its tier, an upstream without its model, a
+// model that no upstream serves, and a change that leaves others behind.
+func TestValidateFindsWhatRefersToNothing(t *testing.T) {
+	const v2 = `{"schema":"rosemarywing/v2","kind":%q,"name":%q,"spec":%s}`
+	model := func(version string) string { return fmt.Sprintf(v2, "Model", "m", `{"versions":["`+version+`"]}`) }
+	upstream := func(version string) string {
+		return fmt.Sprintf(v2, "Upstream", "e", `{"type":"engine","address":"h:1","domain":"d","models":["m@`+version+`"],"maxRequests":1,"batch":"b"}`)
+	}
+	withdrawal := func(spec string) string { return fmt.Sprintf(v2, "Withdrawal", "w", spec) }
+	before := tier("low", 1) + tier("high", 2) + team("high") + model("1") + upstream("1")
+	table := []struct {
+		name, input string
+		code        int
+		output      string
+	}{
+		{"team without its tier", team("none"), exit(errkind.InvalidRecord), "highestTier"},
+		{"upstream without its model version", upstream("2"), exit(errkind.InvalidRecord), "m@2"},
+		{"model version that an upstream needs", model("2"), exit(errkind.InvalidRecord), "Upstream e: field spec.models[0]"},
+		{"model version and upstream together", model("2") + upstream("2"), 0, "valid"},
+		{"tier above that of a team", tier("low", 3), exit(errkind.InvalidRecord), "Team a: field spec.defaultTier"},
+		{"model that no upstream serves", fmt.Sprintf(v2, "Model", "n", `{"versions":["1"]}`), 0, "valid, but no upstream serves version 1"},
+		{"model that is served", model("1"), 0, "valid\n"},
+		{"withdrawal of no batch", withdrawal(`{"batch":"c"}`), 0, "valid, but no upstream is selected"},
+		{"withdrawal of no model version", withdrawal(`{"modelVersion":"m@2"}`), 0, "valid, but no upstream is selected"},
+		{"withdrawal of a batch", withdrawal(`{"batch":"b"}`), 0, "valid\n"},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(t)
+			code, output := f.run(before, "apply", "-f", "-")
+			g.Expect(code).To(Equal(0), output)
+			code, output = f.run(row.input, "validate", "-f", "-")
+			g.Expect(code).To(Equal(row.code), output)
+			g.Expect(output).To(ContainSubstring(row.output))
+		})
+	}
+}
+
+// Guards against a listing in which the records of one kind stand apart.
+func TestListIsOrderedByKindAndName(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	for _, input := range []string{tier("low", 1), team("low"), tier("high", 2)} {
+		code, output := f.run(input, "apply", "-f", "-")
+		g.Expect(code).To(Equal(0), output)
+	}
+	_, listing := f.run("", "list")
+	g.Expect(listing).To(MatchRegexp(`(?s)Tier +high .*Tier +low .*Team +a `))
+}
+
+// Guards against a platform address that the daemon accepts and the tool does
+// not: host:port failed as a URL without a scheme.
+func TestPlatformAddressForms(t *testing.T) {
+	f := newFixture(t)
+	for _, address := range []string{f.url, strings.TrimPrefix(f.url, "http://")} {
+		t.Run(address, func(t *testing.T) {
+			var out, errors bytes.Buffer
+			code := cli.Run(context.Background(), []string{"--platform", address, "list"}, strings.NewReader(""), &out, &errors)
+			NewWithT(t).Expect(code).To(Equal(0), errors.String())
+		})
+	}
+}
+
 // Guards against an instance that is left out because it could not be reached.
 func TestInforceShowsSilentInstances(t *testing.T) {
 	g := NewWithT(t)
