Measure what an instance costs

The command rosemarywing-capacity starts deployments of several sizes and fits processor time, memory, messages and calls of the platform over the number of instances, upstreams, requests, events, team records and configuration changes. It also measures the spread of a change, the time until a new instance serves and the latency that an entry adds.

--- /dev/null
+++ b/cmd/rosemarywing-capacity/main.go
@@ -0,0 +1,109 @@
+// Command rosemarywing-capacity measures what an instance costs and how the
+// costs grow with the deployment. docs/CAPACITY.md uses its figures.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/rosemarywing/rosemarywing/internal/capacity"
+	"github.com/rosemarywing/rosemarywing/internal/testbed"
+)
+
+type options struct {
+	Root     string        `long:"root" default:"." description:"root of the repository, from which the programs are built"`
+	Bin      string        `long:"bin" description:"directory with the programs; empty builds them"`
+	Sizes    []int         `long:"size" default:"3" default:"6" default:"12" default:"24" description:"number of instances in the series over instances; repeatable"`
+	Duration time.Duration `long:"duration" default:"20s" description:"duration of each measurement of a series"`
+	Runs     int           `long:"runs" default:"3" description:"number of times that everything is measured"`
+	Teams    int           `long:"teams" default:"6300" description:"team records in the measurements of spread, joining and latency"`
+	JSON     string        `long:"json" description:"file for the report as JSON"`
+	Args     struct {
+		Parts []string `positional-arg-name:"PART" description:"what to measure: spread, joining, latency, or the name of a series; nothing measures all"`
+	} `positional-args:"yes"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	if err := run(opts); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(opts options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	dir, err := os.MkdirTemp("", "rosemarywing-capacity")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if opts.Bin == "" {
+		opts.Bin = filepath.Join(dir, "bin")
+		if err := os.Mkdir(opts.Bin, 0o700); err != nil {
+			return err
+		}
+		if err := testbed.Build(opts.Root, opts.Bin, "rosemarywing-entry", "standin-engine", "standin-platform"); err != nil {
+			return err
+		}
+	}
+	report, err := measure(ctx, opts, dir)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteTable(os.Stdout); err != nil || opts.JSON == "" {
+		return err
+	}
+	body, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(opts.JSON, body, 0o644)
+}
+
+// measure runs the chosen parts one after the other.
+func measure(ctx context.Context, opts options, dir string) (capacity.Report, error) {
+	var report capacity.Report
+	var err error
+	chosen := func(part string) bool { return len(opts.Args.Parts) == 0 || slices.Contains(opts.Args.Parts, part) }
+	settings := capacity.Options{Bin: opts.Bin, Dir: dir, Sizes: opts.Sizes, Duration: opts.Duration, Runs: opts.Runs, Teams: opts.Teams}
+	if chosen("latency") {
+		if report.Latencies, err = capacity.Latencies(ctx, settings); err != nil {
+			return report, err
+		}
+	}
+	if chosen("spread") {
+		if report.Spreads, err = capacity.Spreads(ctx, settings); err != nil {
+			return report, err
+		}
+	}
+	if chosen("joining") {
+		if report.Joinings, err = capacity.Joinings(ctx, settings); err != nil {
+			return report, err
+		}
+	}
+	for _, series := range capacity.AllSeries(opts.Sizes) {
+		if !chosen(series.Name) {
+			continue
+		}
+		fits, err := series.Run(ctx, opts.Bin, dir, opts.Duration, opts.Runs)
+		if err != nil {
+			return report, err
+		}
+		report.Series = append(report.Series, fits)
+	}
+	return report, nil
+}
--- a/internal/testbed/link.go
+++ b/internal/testbed/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // Cut says which direction of a link is cut.
@@ -32,6 +33,9 @@
 	cut     Cut
 	closed  bool
 	conns   map[net.Conn]struct{}
+
+	toServer atomic.Int64
+	toClient atomic.Int64
 }
 
 // NewLink listens on a free loopback port and forwards to target.
@@ -64,6 +68,12 @@
 	l.changed.Broadcast()
 }
 
+// Carried returns the bytes that the link has carried in each direction, TCP
+// and IP headers excluded.
+func (l *Link) Carried() (toServer, toClient int64) {
+	return l.toServer.Load(), l.toClient.Load()
+}
+
 // Reset closes every connection that is open.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -117,12 +127,17 @@
 func (l *Link) copy(to, from net.Conn, direction Cut, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, 32<<10)
+	carried := &l.toServer
+	if direction == ToClient {
+		carried = &l.toClient
+	}
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			if !l.pass(direction) {
 				return
 			}
+			carried.Add(int64(n))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_ = from.Close()
 				return
--- /dev/null
+++ b/pkg/claim/bench_test.go
@@ -0,0 +1,57 @@
+package claim_test
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/member"
+)
+
+// claimsPerHour is the number of requests of one instance in an hour at the
+// target size, which is how long claims are kept.
+const claimsPerHour = 19_080
+
+// BenchmarkState measures the memory per claim that an issuer and holder keeps,
+// and the time of a claim from its ID to its end.
+func BenchmarkState(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return float64(stats.HeapAlloc)
+	}
+	var bytes float64
+	var took time.Duration
+	for range b.N {
+		before := heap()
+		node, err := claim.New(claim.Options{
+			Domain: "domain-0", Self: claim.Ref{ID: "entry-0", Incarnation: 1}, Address: "10.0.0.1:8081",
+			Find:  func(string, string) (member.Member, bool) { return member.Member{}, false },
+			Clock: clockwork.NewFakeClock(), AskTimeout: time.Second,
+			MaxClaims: 50_000, MaxEnded: 50_000, MaxAge: time.Hour, Log: logr.Discard(),
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		began := time.Now()
+		for range claimsPerHour {
+			id := node.NewID()
+			if reply, err := node.Claim(context.Background(), "team", id); err != nil || reply.Result != claim.Granted {
+				b.Fatalf("claim: %v, %v", reply.Result, err)
+			}
+			node.Update(id, claim.Dispatched, "engine-1")
+			node.Update(id, claim.Finished, "engine-1")
+		}
+		took += time.Since(began)
+		bytes = (heap() - before) / claimsPerHour
+		runtime.KeepAlive(node)
+	}
+	b.ReportMetric(bytes, "B/claim")
+	b.ReportMetric(float64(took.Nanoseconds())/float64(b.N)/claimsPerHour, "ns/claim")
+}
