--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -68,13 +68,10 @@
 	if err != nil {
 		return nil, err
 	}
-	watchers, err := Watchers(c)
-	if err != nil {
-		return []Spread{idle}, err
-	}
-	cut(watchers, testbed.Both)
-	defer cut(watchers, testbed.Open)
-	name := fmt.Sprintf("%d watchers cut", len(watchers))
+	watching := Watchers(c)
+	cut(watching, testbed.Both)
+	defer cut(watching, testbed.Open)
+	name := fmt.Sprintf("%d watchers cut", len(watching))
 	alone, err := MeasureSpread(ctx, c, name, teams, cutChanges)
 	return []Spread{idle, alone}, err
 }
--- a/internal/capacity/spread.go
+++ b/internal/capacity/spread.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/internal/testbed"
+	"github.com/rosemarywing/rosemarywing/pkg/member"
 )
 
 const (
@@ -115,19 +116,31 @@
 	return getJSON(client, e.Admin()+"/status/config", &status) == nil && status.NewestVersion >= version
 }
 
-// Watchers returns the entries that hold a watch of the platform.
-func Watchers(c *testbed.Cluster) ([]*testbed.Entry, error) {
-	var found []*testbed.Entry
+// watcherKey and watchers are the key and the number by which the instances of
+// a domain choose who watches the platform, as in pkg/instance.
+const (
+	watcherKey = "role/watcher"
+	watchers   = 2
+)
+
+// Watchers returns the entries that watch the platform once all are members.
+// Their counters do not tell: an instance that has just started knows no other
+// member and watches as well.
+func Watchers(c *testbed.Cluster) []*testbed.Entry {
+	var members []member.Member
 	for _, e := range c.Entries {
-		values, err := counters(e.Admin() + "/metrics")
-		if err != nil {
-			return nil, err
-		}
-		if values["platform.calls.watch"] > 0 {
-			found = append(found, e)
+		members = append(members, member.Member{ID: e.ID})
+	}
+	owners := member.Order(members, watcherKey)
+	var found []*testbed.Entry
+	for _, owner := range owners[:min(watchers, len(owners))] {
+		for _, e := range c.Entries {
+			if e.ID == owner.ID {
+				found = append(found, e)
+			}
 		}
 	}
-	return found, nil
+	return found
 }
 
 // Joining is the time until an instance that starts in a running domain is
