--- a/pkg/claim/bench_test.go
+++ b/pkg/claim/bench_test.go
@@ -41,7 +41,7 @@
 		}
 		began := time.Now()
 		for range claimsPerHour {
-			id := node.NewID()
+			id := node.NewID("team")
 			if reply, err := node.Claim(context.Background(), "team", id); err != nil || reply.Result != claim.Granted {
 				b.Fatalf("claim: %v, %v", reply.Result, err)
 			}
