entry: release the grant on a panic; no not_run before the claim is decided

A panic in a handler after a grant left the grant and the claim held until the session ended. The request is now ended first: the grant is released, as not dispatched or as cancelled, never as a broken upstream, and the claim is updated.

A refusal before the claim was decided said not_run although an earlier attempt with the same identity may have run. It now says unknown when the request carries an identity, unless no attempt can have run: the request is malformed, or its ID belongs to another team. The run state of such an attempt in GET /v1/requests is unknown too. The kinds stay as they are. claim_unavailable remains not_run, as docs/design.md (section 6) and the G11 case of test/failure define it; that holds for the attempt only.

TestFaultsAtEachPoint runs each case with and without an identity. With one, it expects unknown for refusals before the claim, where it expected not_run: the entry cannot know it there. All other expectations are unchanged.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -69,11 +69,18 @@
 	writeRefusal(w, "", err)
 }
 
+// refuseUnread answers a request to run something that was not read.
+func (e *Entry) refuseUnread(w http.ResponseWriter, r *http.Request, err *errkind.Error) {
+	e.count(string(err.Kind), "")
+	unread := request{identity: r.Header.Get(headerIdentity)}
+	writeError(w, "", err, unread.refusalState(err.Kind))
+}
+
 // finishRefused answers a request that was not dispatched.
 func (e *Entry) finishRefused(w http.ResponseWriter, q *request, err *errkind.Error) {
 	e.logEnd(q, err)
 	if !q.callerGone() && err.Kind != errkind.CallerGone {
-		writeRefusal(w, q.id, err)
+		writeError(w, q.id, err, q.refusalState(err.Kind))
 	}
 }
 
--- a/pkg/entry/life_test.go
+++ b/pkg/entry/life_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
+	"github.com/rosemarywing/rosemarywing/pkg/conf"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
@@ -113,28 +114,31 @@
 		}},
 	} {
 		for _, point := range points {
-			told := c.told[point]
-			stale := c.fault == "grant expires" || c.fault == "withdrawal"
-			t.Run(c.fault+"/"+point, func(t *testing.T) {
-				f := newFixture(t)
-				ctx, gone := context.WithCancel(context.Background())
-				defer gone()
-				done := false
-				at := func(here string) error {
-					if here != point || done {
-						return nil
+			for _, identity := range []string{"k", ""} {
+				t.Run(c.fault+"/"+point+"/"+identity, func(t *testing.T) {
+					f := newFixture(t)
+					ctx, gone := context.WithCancel(context.Background())
+					defer gone()
+					done := false
+					at := func(here string) error {
+						if here != point || done {
+							return nil
+						}
+						done = true
+						return c.inject(f, gone)
 					}
-					done = true
-					return c.inject(f, gone)
-				}
-				script(f, at)
-				w := f.callFrom(ctx, &hooked{Reader: strings.NewReader(chatBody), at: at}, http.MethodPost, "/v1/chat/completions", headerIdentity, "k")
-				f.Expect(done).To(BeTrue())
-				checkTold(f, told, w.Body.String(), w.Header())
-				if stale && (point == atGranted || point == atDialling) {
-					f.Expect(f.dispatches[0].Address).To(Equal("10.0.0.2:1"), "not the grant that was no longer usable")
-				}
-			})
+					script(f, at)
+					w := f.callFrom(ctx, &hooked{Reader: strings.NewReader(chatBody), at: at}, http.MethodPost, "/v1/chat/completions", headerIdentity, identity)
+					f.Expect(done).To(BeTrue())
+					told := c.told[point]
+					undecided := identity != "" && point == atBody
+					checkTold(f, told, undecided, w.Body.String(), w.Header())
+					stale := c.fault == "grant expires" || c.fault == "withdrawal"
+					if stale && (point == atGranted || point == atDialling) {
+						f.Expect(f.dispatches[0].Address).To(Equal("10.0.0.2:1"), "not the grant that was no longer usable")
+					}
+				})
+			}
 		}
 	}
 }
@@ -202,7 +206,9 @@
 	return n, nil
 }
 
-func checkTold(f *fixture, told, body string, header http.Header) {
+// checkTold checks what the caller was told. undecided is true when the request
+// was refused before it was known whether an earlier attempt had run.
+func checkTold(f *fixture, told string, undecided bool, body string, header http.Header) {
 	dispatches, grants, releases := f.counts()
 	f.Expect(dispatches).To(BeNumerically("<=", 1))
 	f.Expect(releases).To(Equal(grants))
@@ -215,6 +221,9 @@
 		f.Expect(body).To(Equal(wholeStream(f.dispatches[0].RequestID, f.entry.Status)))
 	default:
 		runState := errkind.AnswerFor(errkind.Kind(told)).RunState
+		if undecided {
+			runState = errkind.Unknown
+		}
 		f.Expect(body).To(ContainSubstring(fmt.Sprintf(`"kind":%q,"run_state":%q`, told, runState)))
 		if runState == errkind.NotRun {
 			f.Expect(dispatches).To(BeZero())
@@ -235,6 +244,110 @@
 	return text.String()
 }
 
+// Guards against a refusal as not run before the claim was decided, although an
+// earlier attempt with the same identity may have run; and against a run state
+// of unknown where none can have.
+func TestRefusalBeforeTheClaimIsDecided(t *testing.T) {
+	const chat = "/v1/chat/completions"
+	for _, c := range []struct {
+		name, path, body string
+		header           []string
+		set              func(f *fixture)
+		kind             errkind.Kind
+		// told is for a request with an identity; without one, none ran.
+		told errkind.RunState
+	}{
+		{"not ready", chat, chatBody, nil, func(f *fixture) { f.setSnapshot(&conf.Snapshot{}) }, errkind.NotReady, errkind.Unknown},
+		{"leaving", chat, chatBody, nil, func(f *fixture) {
+			f.entry.Leave()
+			f.entry.refuseWaiting()
+		}, errkind.ShuttingDown, errkind.Unknown},
+		{"too many requests", chat, chatBody, nil, func(f *fixture) { f.entry.Settings.Limits.Requests = 0 }, errkind.Overloaded, errkind.Unknown},
+		{"model removed", chat, `{"model":"other"}`, nil, nil, errkind.UnknownModel, errkind.Unknown},
+		{"service removed", "/services/none/x", "", nil, nil, errkind.UnknownService, errkind.Unknown},
+		{"tier removed", chat, chatBody, []string{headerTier, "none"}, nil, errkind.BadRequest, errkind.Unknown},
+		{"tier not allowed any more", chat, chatBody, []string{headerTier, "top"}, nil, errkind.TierNotAllowed, errkind.Unknown},
+		{"key withdrawn", chat, chatBody, []string{"Authorization", "Bearer old"}, nil, errkind.Unauthorized, errkind.Unknown},
+		{"malformed body", chat, "{", nil, nil, errkind.BadRequest, errkind.NotRun},
+		{"malformed header", chat, chatBody, []string{headerTimeout, "1s"}, nil, errkind.BadRequest, errkind.NotRun},
+		{"another team's ID", chat, chatBody, nil, func(f *fixture) {
+			f.onClaim = func(string) (claim.Reply, error) { return claim.Reply{}, errkind.New(errkind.Unauthorized, "test") }
+		}, errkind.Unauthorized, errkind.NotRun},
+		{"platform out", chat, chatBody, nil, func(f *fixture) {
+			f.onClaim = func(string) (claim.Reply, error) { return claim.Reply{}, errkind.New(errkind.ClaimUnavailable, "test") }
+		}, errkind.ClaimUnavailable, errkind.NotRun},
+		{"refused after the claim", chat, chatBody, nil, func(f *fixture) {
+			f.onAcquire = func() error { return errkind.New(errkind.Overloaded, "test") }
+		}, errkind.Overloaded, errkind.NotRun},
+	} {
+		for identity, told := range map[string]errkind.RunState{"k": c.told, "": errkind.NotRun} {
+			t.Run(c.name+"/"+identity, func(t *testing.T) {
+				f := newFixture(t)
+				if c.set != nil {
+					c.set(f)
+				}
+				w := f.call(context.Background(), http.MethodPost, c.path, c.body, append(c.header, headerIdentity, identity)...)
+				f.Expect(w.Header().Get(headerError)).To(Equal(string(c.kind)))
+				f.Expect(w.Header().Get(headerRunState)).To(Equal(string(told)))
+				f.Expect(w.Body.String()).To(ContainSubstring(fmt.Sprintf(`"run_state":%q`, told)))
+			})
+		}
+	}
+}
+
+// Guards against the run state of a refused attempt that is asked for later
+// and says not_run, although the claim was not decided.
+func TestRunStateOfAnUndecidedAttempt(t *testing.T) {
+	for decided, told := range map[bool]string{false: "unknown", true: "not_run"} {
+		f := newFixture(t)
+		refuse := func() { f.one().refuse(errkind.New(errkind.DeadlineExceeded, "test")) }
+		f.onClaim = func(string) (claim.Reply, error) {
+			if !decided {
+				refuse()
+				return claim.Reply{}, errReset
+			}
+			return claim.Reply{Result: claim.Granted}, nil
+		}
+		f.onGrant = refuse
+		w := f.chat(wholeBody, headerIdentity, "k")
+		f.Expect(w.Header().Get(headerRunState)).To(Equal(told))
+		w = f.call(context.Background(), http.MethodGet, "/v1/requests/k", "")
+		f.Expect(w.Body.String()).To(ContainSubstring(fmt.Sprintf(`"run_state":%q`, told)))
+	}
+}
+
+// Guards against a grant or a claim that stays held after a panic, and against
+// strikes and a run state of not_run for what the entry did itself.
+func TestPanicReleasesGrantAndClaim(t *testing.T) {
+	for _, c := range []struct {
+		point    string
+		releases []sched.Outcome
+		last     claim.Phase
+	}{
+		{atWaiting, nil, claim.Abandoned},
+		{atDialling, []sched.Outcome{sched.NotDispatched}, claim.Abandoned},
+		{atDispatch, []sched.Outcome{sched.Cancelled}, claim.Finished},
+		{atHeaders, []sched.Outcome{sched.Cancelled}, claim.Finished},
+		{atMiddle, []sched.Outcome{sched.Cancelled}, claim.Finished},
+	} {
+		t.Run(c.point, func(t *testing.T) {
+			f := newFixture(t)
+			script(f, func(here string) error {
+				if here == c.point {
+					panic("test")
+				}
+				return nil
+			})
+			w := f.chat(chatBody)
+			f.Expect(f.releases).To(Equal(c.releases))
+			f.Expect(f.updates).NotTo(BeEmpty())
+			f.Expect(f.updates[len(f.updates)-1]).To(Equal(c.last))
+			f.Expect(f.entry.held).To(BeEmpty())
+			f.Expect(w.Header().Get(headerRunState)).NotTo(Equal("not_run"))
+		})
+	}
+}
+
 // Guards against a stream with duplicates, gaps, events of other requests, or
 // a silent end.
 func TestStreamIsRepairedOrEndsWithAnError(t *testing.T) {
@@ -271,7 +384,7 @@
 				}
 			}
 			w := f.chat(chatBody)
-			checkTold(f, c.told, w.Body.String(), w.Header())
+			checkTold(f, c.told, false, w.Body.String(), w.Header())
 		})
 	}
 }
--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -179,14 +179,15 @@
 		machine:  e.requestChart.New(),
 		method:   r.Method,
 		header:   r.Header,
-		identity: r.Header.Get(headerIdentity),
 		gone:     make(chan struct{}),
 		early:    r.ProtoAtLeast(1, 1),
 	}
 	q.ctx, q.cancel = context.WithCancelCause(context.Background())
-	if len(q.identity) > maxIdentityBytes {
+	identity := r.Header.Get(headerIdentity)
+	if len(identity) > maxIdentityBytes {
 		return q, errkind.New(errkind.BadRequest, "%s is longer than %d bytes", headerIdentity, maxIdentityBytes)
 	}
+	q.identity = identity
 	var err *errkind.Error
 	if q.team, err = e.resolveTeam(snapshot, r.Header); err != nil {
 		return q, err
@@ -198,6 +199,7 @@
 		return q, err
 	}
 	if q.body, err = e.readBody(w, r); err != nil {
+		q.cut = true
 		return q, err
 	}
 	if name, isService := serviceOf(r); isService {
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -94,6 +94,8 @@
 	// attempt counts dispatches that were tried, so that a late call of a
 	// dispatch that was given up cannot pass for the one in progress.
 	attempt atomic.Int64
+	// cut is true when the body was not received whole.
+	cut bool
 	// early is true when the caller understands a 103 response.
 	early bool
 	// granted is set once the claim was granted to this attempt.
@@ -102,6 +104,8 @@
 	// The goroutine that serves the request owns what follows.
 	pool    string
 	address string
+	// holdsGrant is true from a grant until its release.
+	holdsGrant bool
 	// linkBytes is what the grant reserved of the budget between regions.
 	linkBytes    int
 	dispatched   time.Time
@@ -152,7 +156,7 @@
 // runState is what is certain about the request.
 func (q *request) runState() errkind.RunState {
 	switch {
-	case !q.machine.Is(flagDispatched):
+	case !q.machine.Is(flagDispatched) && q.decided():
 		return errkind.NotRun
 	case q.machine.State() == "completed":
 		return errkind.Ran
@@ -161,6 +165,35 @@
 	}
 }
 
+// decided reports whether it is known that no earlier attempt with the same
+// identity was dispatched: there can be none, or the claim was granted.
+func (q *request) decided() bool { return q.identity == "" || q.granted.Load() }
+
+// refusalState is the run state of a request that was refused with the kind. A
+// refusal before the claim was decided says nothing about earlier attempts
+// with the same identity, unless none of them can have run either.
+func (q *request) refusalState(kind errkind.Kind) errkind.RunState {
+	told := errkind.AnswerFor(kind).RunState
+	if told != errkind.NotRun || q.decided() {
+		return told
+	}
+	switch {
+	case kind == errkind.BadRequest && q.tier != nil && !q.cut:
+		// Malformed requests are refused by every instance. An unknown tier
+		// may have been known before, and a cut body may have been whole.
+		return errkind.NotRun
+	case kind == errkind.Unauthorized && q.team != nil:
+		// The request ID is another team's, so no instance ran it for this one.
+		return errkind.NotRun
+	case kind == errkind.ClaimUnavailable:
+		// By contract a key that cannot be claimed in a platform outage is
+		// refused as not run (docs/design.md, G11). It holds for this attempt;
+		// one before the outage may have run.
+		return errkind.NotRun
+	}
+	return errkind.Unknown
+}
+
 // onCallerGone runs when the caller's connection ends while the request is held.
 func (e *Entry) onCallerGone(q *request) {
 	close(q.gone)
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -28,11 +28,11 @@
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
 	snapshot := e.Config.Snapshot()
 	if !snapshot.Usable {
-		e.refuseEarly(w, errkind.New(errkind.NotReady, "the configuration is not known yet"))
+		e.refuseUnread(w, r, errkind.New(errkind.NotReady, "the configuration is not known yet"))
 		return
 	}
 	if !e.instance.Is(flagAccepts) {
-		e.refuseEarly(w, errkind.New(errkind.ShuttingDown, "the instance is leaving"))
+		e.refuseUnread(w, r, errkind.New(errkind.ShuttingDown, "the instance is leaving"))
 		return
 	}
 	q, err := e.parse(snapshot, w, r)
@@ -47,6 +47,7 @@
 		return
 	}
 	defer e.drop(q)
+	defer e.endOnPanic(q)
 	deadline := e.Clock.AfterFunc(q.deadline.Sub(e.Clock.Now()), func() {
 		// After the dispatch a late answer is worth more than none.
 		q.refuse(errkind.New(errkind.DeadlineExceeded, "the deadline passed before the dispatch"))
@@ -57,6 +58,32 @@
 	e.run(w, q)
 }
 
+// endOnPanic ends a request whose handler panics, so that neither its grant nor
+// its claim stays held, and lets the panic go on to the handler's recovery.
+func (e *Entry) endOnPanic(q *request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	reason := errkind.New(errkind.Internal, "panic in the request handler")
+	outcome := sched.NotDispatched
+	q.refuse(reason)
+	phase := claim.Abandoned
+	if q.machine.Is(flagDispatched) {
+		// The panic is the entry's own and no sign of a broken upstream.
+		outcome, phase = sched.Cancelled, claim.Finished
+		q.machine.Fire(eventBreak)
+	}
+	if q.granted.Load() {
+		e.Claimer.Update(q.id, phase, q.upstreamName())
+	}
+	if q.holdsGrant {
+		e.release(q, outcome)
+	}
+	e.logEnd(q, reason)
+	panic(cause)
+}
+
 // inTime checks what may have happened while the request was read. The timers
 // that are set afterwards run in goroutines of their own and may come too late.
 func (e *Entry) inTime(r *http.Request, q *request) *errkind.Error {
@@ -207,6 +234,7 @@
 // returned.
 func (e *Entry) accept(q *request, poolName string, grant sched.Grant) *errkind.Error {
 	q.pool = poolName
+	q.holdsGrant = true
 	q.upstream.Store(&grant.Upstream)
 	e.Log.Info("granted", "request", q.id, "team", q.team.Name, "tier", q.tier.Name, "target", q.target.name,
 		"pool", poolName, "upstream", grant.Upstream, "reason", grant.Reason, "preferred_to", grant.PreferredTo)
@@ -299,6 +327,7 @@
 
 // release reports the end of the grant to its scheduler.
 func (e *Entry) release(q *request, outcome sched.Outcome) {
+	q.holdsGrant = false
 	ctx, done := e.shortContext()
 	defer done()
 	if outcome == sched.NotDispatched || outcome == sched.DialFailed {
