--- a/test/failure/lifecycle_test.go
+++ b/test/failure/lifecycle_test.go
@@ -57,6 +57,8 @@
 // is taken to be left out; chance alone would have to spare it 30 times.
 const quietSends = 10
 
+var leavingEngine = engine.Faults{Leaving: true}
+
 func standinLeaving(name, domain string) product.ListedInstance {
 	return product.ListedInstance{Name: name, Domain: domain, Role: "upstream", Leaving: true}
 }
