Send progress on a watch while objects of other kinds change

The stand-in restarted the second until the next progress line with every write to the store. Under two or more writes per second of claims, a watch of the configuration stayed silent, and the watchers took it for broken after 5 s and listed the whole configuration again.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -191,6 +191,9 @@
 	control := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
 	generation, skipped := -1, 0
+	// The time of the next progress line does not move when objects of other
+	// kinds change; a client would take the silence for a dead connection.
+	progress := s.clock.After(progressInterval)
 	for {
 		faults, current, faultsChanged := s.faults.get()
 		if faults.EndWatches || faults.Outage != OutageNone {
@@ -215,7 +218,8 @@
 		select {
 		case <-changed:
 		case <-faultsChanged:
-		case <-s.clock.After(progressInterval):
+		case <-progress:
+			progress = s.clock.After(progressInterval)
 			if stream.Encode(platform.Event{Type: "progress"}) != nil {
 				return
 			}
