--- a/cmd/rosemarywing-capacity/main.go
+++ b/cmd/rosemarywing-capacity/main.go
@@ -24,6 +24,7 @@
 	Bin      string        `long:"bin" description:"directory with the programs; empty builds them"`
 	Sizes    []int         `long:"size" default:"3" default:"6" default:"12" default:"24" description:"number of instances in the series over instances; repeatable"`
 	Duration time.Duration `long:"duration" default:"20s" description:"duration of each measurement of a series"`
+	Settle   time.Duration `long:"settle" default:"25s" description:"time after the start that a series does not measure; members join and the order lease of the first instance expires in it"`
 	Runs     int           `long:"runs" default:"3" description:"number of times that everything is measured"`
 	Teams    int           `long:"teams" default:"6300" description:"team records in the measurements of spread, joining and latency"`
 	JSON     string        `long:"json" description:"file for the report as JSON"`
@@ -79,7 +80,7 @@
 	var report capacity.Report
 	var err error
 	chosen := func(part string) bool { return len(opts.Args.Parts) == 0 || slices.Contains(opts.Args.Parts, part) }
-	settings := capacity.Options{Bin: opts.Bin, Dir: dir, Sizes: opts.Sizes, Duration: opts.Duration, Runs: opts.Runs, Teams: opts.Teams}
+	settings := capacity.Options{Bin: opts.Bin, Dir: dir, Sizes: opts.Sizes, Runs: opts.Runs, Teams: opts.Teams}
 	if chosen("latency") {
 		if report.Latencies, err = capacity.Latencies(ctx, settings); err != nil {
 			return report, err
@@ -99,7 +100,7 @@
 		if !chosen(series.Name) {
 			continue
 		}
-		fits, err := series.Run(ctx, opts.Bin, dir, opts.Duration, opts.Runs)
+		fits, err := series.Run(ctx, opts.Bin, dir, opts.Settle, opts.Duration, opts.Runs)
 		if err != nil {
 			return report, err
 		}
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -14,10 +14,6 @@
 	"github.com/rosemarywing/rosemarywing/internal/testbed"
 )
 
-// settle is the time after the start that is not measured: members join and
-// sessions open in it.
-const settle = 3 * time.Second
-
 // Values are the costs of one instance, per second where nothing else is said.
 type Values struct {
 	// Core is the share of one core.
@@ -65,7 +61,7 @@
 }
 
 // Measure starts a deployment, lets it settle, measures it and stops it.
-func Measure(ctx context.Context, bin, dir string, shape Shape, duration time.Duration) (Point, error) {
+func Measure(ctx context.Context, bin, dir string, shape Shape, settle, duration time.Duration) (Point, error) {
 	c, err := Start(bin, dir, shape)
 	if err != nil {
 		return Point{}, err
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/rosemarywing/rosemarywing/internal/testbed"
 )
@@ -25,7 +24,6 @@
 type Options struct {
 	Bin, Dir string
 	Sizes    []int
-	Duration time.Duration
 	Runs     int
 	// Teams is the number of team records in the spread and joining measurements.
 	Teams int
@@ -61,7 +59,7 @@
 }
 
 func spreadsOf(ctx context.Context, c *testbed.Cluster, teams int) ([]Spread, error) {
-	if err := wait(ctx, settle); err != nil {
+	if err := wait(ctx, joined); err != nil {
 		return nil, err
 	}
 	idle, err := MeasureSpread(ctx, c, "idle", teams, spreadChanges)
@@ -103,7 +101,7 @@
 		return nil, err
 	}
 	defer c.Stop()
-	if err := wait(ctx, settle); err != nil {
+	if err := wait(ctx, joined); err != nil {
 		return nil, err
 	}
 	var out []Latency
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -71,11 +71,11 @@
 }
 
 // Run measures every shape of the series the given number of times.
-func (s Series) Run(ctx context.Context, bin, dir string, duration time.Duration, runs int) (Fits, error) {
+func (s Series) Run(ctx context.Context, bin, dir string, settle, duration time.Duration, runs int) (Fits, error) {
 	fits := Fits{Series: s.Name, Per: s.Per, Lines: map[string]Line{}}
 	for range runs {
 		for _, shape := range s.Shapes {
-			point, err := Measure(ctx, bin, dir, shape, duration)
+			point, err := Measure(ctx, bin, dir, shape, settle, duration)
 			if err != nil {
 				return fits, fmt.Errorf("series %s, %+v: %w", s.Name, shape, err)
 			}
--- a/internal/capacity/spread.go
+++ b/internal/capacity/spread.go
@@ -20,6 +20,8 @@
 	// betweenChanges lets a change settle before the next.
 	betweenChanges = 500 * time.Millisecond
 	burst          = 100
+	// joined is the time in which members of a domain find each other.
+	joined = 3 * time.Second
 )
 
 // Spread is the time from the accepted write of a change until every instance
@@ -182,7 +184,7 @@
 			time.Sleep(statusPoll)
 		}
 		served = append(served, milliseconds(time.Since(began)))
-		if err := wait(ctx, settle); err != nil {
+		if err := wait(ctx, joined); err != nil {
 			return j, err
 		}
 	}
