--- a/internal/capacity/work.go
+++ b/internal/capacity/work.go
@@ -78,7 +78,9 @@
 	if shape.Keyed {
 		header["Idempotency-Key"] = fmt.Sprintf("capacity-%d", i)
 	}
-	body := chatBody(model(i%shape.pools()), i, shape.Tokens, true)
+	// Every instance uses every pool, whatever the two numbers have in common.
+	pool := i / len(c.Entries) % shape.pools()
+	body := chatBody(model(pool), i, shape.Tokens, true)
 	err := post(ctx, w.http, e.Callers(), header, body)
 	if ctx.Err() != nil {
 		return
