--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -42,6 +42,11 @@
 	Services []Engine
 	// Records are written before the entries start.
 	Records []record.Envelope
+	// Regions maps each failure domain to its region. Without it, each domain
+	// is a region of its own. With it, the instances of all domains are on the
+	// platform's list before the first one starts: the list is read rarely, and
+	// an instance that misses another domain sends nothing there until then.
+	Regions map[string]string
 	// Settings are further lines of settings, by section.
 	Settings map[string][]string
 }
@@ -164,6 +169,9 @@
 			inbound[domain] = append(inbound[domain], link)
 		}
 	}
+	if err := c.listEntries(inbound); err != nil {
+		return err
+	}
 	for _, domain := range c.spec.Domains {
 		for i, link := range inbound[domain] {
 			if err := c.startEntry(domain, i, link, inbound[domain]); err != nil {
@@ -174,12 +182,30 @@
 	return nil
 }
 
+// listEntries lists the entries that are about to start, if there are regions.
+func (c *Cluster) listEntries(inbound map[string][]*Link) error {
+	if len(c.spec.Regions) == 0 {
+		return nil
+	}
+	for domain, links := range inbound {
+		for i, link := range links {
+			err := c.List(platform.ListedInstance{Name: entryID(domain, i), Address: link.Address(), Domain: domain, Role: "entry"})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func entryID(domain string, number int) string { return fmt.Sprintf("%s-%d", domain, number) }
+
 func (c *Cluster) startEntry(domain string, number int, inbound *Link, peers []*Link) error {
 	toPlatform, err := NewLink(c.Platform.Ready["address"])
 	if err != nil {
 		return err
 	}
-	e := &Entry{ID: fmt.Sprintf("%s-%d", domain, number), Domain: domain, Inbound: inbound, ToPlatform: toPlatform}
+	e := &Entry{ID: entryID(domain, number), Domain: domain, Inbound: inbound, ToPlatform: toPlatform}
 	path := filepath.Join(c.spec.Dir, e.ID+".ini")
 	if err := os.WriteFile(path, []byte(c.settings(e, peers)), 0o600); err != nil {
 		return err
@@ -210,7 +236,7 @@
 		}
 	}
 	sections := map[string][]string{
-		"instance": {"id = " + e.ID, "domain = " + e.Domain, "region = test"},
+		"instance": c.place(e),
 		"listen":   {"callers = 127.0.0.1:0", "peer = 127.0.0.1:0", "admin = 127.0.0.1:0"},
 		"peer":     {"advertise = " + e.Inbound.Address()},
 		"platform": {"address = " + e.ToPlatform.Address()},
@@ -230,6 +256,21 @@
 	return out.String()
 }
 
+// place returns the settings that say where the entry runs.
+func (c *Cluster) place(e *Entry) []string {
+	region := c.spec.Regions[e.Domain]
+	if region == "" {
+		return []string{"id = " + e.ID, "domain = " + e.Domain, "region = test"}
+	}
+	var near []string
+	for _, domain := range c.spec.Domains {
+		if c.spec.Regions[domain] == region {
+			near = append(near, domain)
+		}
+	}
+	return []string{"id = " + e.ID, "domain = " + e.Domain, "region = " + region, "region_domains = " + strings.Join(near, ",")}
+}
+
 // ApplySpec writes a record.
 func (c *Cluster) ApplySpec(schema string, kind record.Kind, name string, spec any) error {
 	body, err := json.Marshal(spec)
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -211,6 +211,7 @@
 // from the configuration in force.
 func (b *builder) newScheduler(string) sched.Scheduler {
 	return sched.New(sched.Config{
+		Policy: b.env.Settings.Scheduler.Policy,
 		Weight: func(team string) int {
 			if found := b.cache.Snapshot().Teams[team]; found != nil {
 				return found.Weight
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -17,15 +17,16 @@
 
 // Settings are the settings of an entry instance.
 type Settings struct {
-	Instance Instance
-	Listen   Listen
-	Peer     Peer
-	Platform Platform
-	Callers  Callers
-	Limits   Limits
-	Timeouts Timeouts
-	Drain    Drain
-	Log      Log
+	Instance  Instance
+	Listen    Listen
+	Peer      Peer
+	Platform  Platform
+	Callers   Callers
+	Limits    Limits
+	Timeouts  Timeouts
+	Drain     Drain
+	Log       Log
+	Scheduler Scheduler
 }
 
 // Instance says who and where the instance is.
@@ -37,6 +38,12 @@
 	RegionDomains []string
 }
 
+// Scheduler chooses how pools place requests.
+type Scheduler struct {
+	// Policy is one of sched.Policies.
+	Policy string
+}
+
 // Listen holds the listen addresses.
 type Listen struct {
 	Callers string
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -49,6 +49,7 @@
 		{needed + "[peer]\nseeds = 10.0.0.1:1,:2\n", "test.ini: [peer] seeds: \":2\" has no host"},
 		{needed + "[callers]\nallow_anonymous = yes\n", "test.ini: [callers] allow_anonymous: \"yes\" is neither true nor false"},
 		{needed + "[log]\nlevel = loud\n", "test.ini: [log] level: \"loud\" is not allowed; expected one of debug, info, error"},
+		{needed + "[scheduler]\npolicy = fastest\n", "test.ini: [scheduler] policy: \"fastest\" is not allowed; expected one of rosemarywing, random, round-robin, least-load, power-of-two"},
 		{"[instance]\nid = E 1\ndomain = north\n", "test.ini: [instance] id: \"E 1\" is not a name"},
 		{"[instance]\nid = e.1\ndomain = north\n", "test.ini: [instance] id: \"e.1\" is not a name"},
 		{"[instance\n", "test.ini: not readable as INI"},
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/sched"
 )
 
 // row describes one setting; the table below is the only list of them.
@@ -233,6 +235,9 @@
 		"Time between not ready and refusing new requests, in which the load balancer stops sending them.",
 		func(s *Settings) *time.Duration { return &s.Drain.BalancerDelay }),
 
+	choice("scheduler", "policy", sched.PolicyRosemarywing, "Placement policy of the pools that this instance schedules. All but the default are baselines for comparison; they know no tiers, teams, prefixes or deadlines.",
+		sched.Policies(), func(s *Settings) *string { return &s.Scheduler.Policy }),
+
 	choice("log", "level", "info", "Lowest level that is logged.", []string{"debug", "info", "error"},
 		func(s *Settings) *string { return &s.Log.Level }),
 }
