--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -12,7 +12,6 @@
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
-	"github.com/rosemarywing/rosemarywing/pkg/pool"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
@@ -29,11 +28,11 @@
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
 	snapshot := e.Config.Snapshot()
 	if !snapshot.Usable {
-		e.refuseEarly(w, errkind.New(errkind.NotReady, "the configuration is not known yet"))
+		e.refuseUnread(w, r, errkind.New(errkind.NotReady, "the configuration is not known yet"))
 		return
 	}
 	if !e.instance.Is(flagAccepts) {
-		e.refuseEarly(w, errkind.New(errkind.ShuttingDown, "the instance is leaving"))
+		e.refuseUnread(w, r, errkind.New(errkind.ShuttingDown, "the instance is leaving"))
 		return
 	}
 	q, err := e.parse(snapshot, w, r)
@@ -48,6 +47,7 @@
 		return
 	}
 	defer e.drop(q)
+	defer e.endOnPanic(q)
 	deadline := e.Clock.AfterFunc(q.deadline.Sub(e.Clock.Now()), func() {
 		// After the dispatch a late answer is worth more than none.
 		q.refuse(errkind.New(errkind.DeadlineExceeded, "the deadline passed before the dispatch"))
@@ -58,6 +58,32 @@
 	e.run(w, q)
 }
 
+// endOnPanic ends a request whose handler panics, so that neither its grant nor
+// its claim stays held, and lets the panic go on to the handler's recovery.
+func (e *Entry) endOnPanic(q *request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	reason := errkind.New(errkind.Internal, "panic in the request handler")
+	outcome := sched.NotDispatched
+	q.refuse(reason)
+	phase := claim.Abandoned
+	if q.machine.Is(flagDispatched) {
+		// The panic is the entry's own and no sign of a broken upstream.
+		outcome, phase = sched.Cancelled, claim.Finished
+		q.machine.Fire(eventBreak)
+	}
+	if q.granted.Load() {
+		e.Claimer.Update(q.id, phase, q.upstreamName())
+	}
+	if q.holdsGrant {
+		e.release(q, outcome)
+	}
+	e.logEnd(q, reason)
+	panic(cause)
+}
+
 // inTime checks what may have happened while the request was read. The timers
 // that are set afterwards run in goroutines of their own and may come too late.
 func (e *Entry) inTime(r *http.Request, q *request) *errkind.Error {
@@ -99,7 +125,7 @@
 func (e *Entry) claim(w http.ResponseWriter, q *request) (claim.Reply, *errkind.Error) {
 	identity := q.identity
 	if identity == "" {
-		identity = e.Claimer.NewID()
+		identity = e.Claimer.NewID(q.team.Name)
 	}
 	q.machine.Fire(eventClaim)
 	// One attempt per identity claims at a time: after a claim is granted, no
@@ -204,27 +230,11 @@
 	return nil, errkind.New(errkind.NoUpstream, "no grant of %d could be used", maxGrants)
 }
 
-// acquire gets a grant from the first pool that can serve the request in time.
-func (e *Entry) acquire(q *request) (sched.Grant, *errkind.Error) {
-	pools := e.poolsFor(e.Config.Snapshot(), q.target.name)
-	last := errkind.New(errkind.NoUpstream, "no pool serves %s", q.target.name)
-	for _, name := range pools {
-		grant, err := e.Pool.Acquire(q.ctx, name, pool.Request{ID: q.id, Work: q.work, Deadline: q.deadline})
-		if err == nil {
-			return grant, e.accept(q, name, grant)
-		}
-		last = typed(err, "the scheduler refused")
-		if !elsewhere(last.Kind) || q.refusal.Load() != nil {
-			break
-		}
-	}
-	return sched.Grant{}, last
-}
-
 // accept records the grant. If the request was refused meanwhile, the grant is
 // returned.
 func (e *Entry) accept(q *request, poolName string, grant sched.Grant) *errkind.Error {
 	q.pool = poolName
+	q.holdsGrant = true
 	q.upstream.Store(&grant.Upstream)
 	e.Log.Info("granted", "request", q.id, "team", q.team.Name, "tier", q.tier.Name, "target", q.target.name,
 		"pool", poolName, "upstream", grant.Upstream, "reason", grant.Reason, "preferred_to", grant.PreferredTo)
@@ -235,16 +245,6 @@
 	return errkind.New(errkind.Internal, "refused while granted")
 }
 
-// elsewhere reports whether another failure domain may serve a request that
-// was refused with the kind.
-func elsewhere(kind errkind.Kind) bool {
-	switch kind {
-	case errkind.NoUpstream, errkind.SchedulerUnreachable, errkind.Overloaded, errkind.DeadlineUnmeetable:
-		return true
-	}
-	return false
-}
-
 // dispatch sends the request to the granted upstream. The state after it tells
 // whether a byte may have been sent.
 func (e *Entry) dispatch(q *request, grant sched.Grant) (*upstream.Answer, *errkind.Error) {
@@ -327,8 +327,12 @@
 
 // release reports the end of the grant to its scheduler.
 func (e *Entry) release(q *request, outcome sched.Outcome) {
+	q.holdsGrant = false
 	ctx, done := e.shortContext()
 	defer done()
+	if outcome == sched.NotDispatched || outcome == sched.DialFailed {
+		e.returnBytes(q)
+	}
 	result := sched.Result{
 		RequestID:    q.id,
 		Outcome:      outcome,
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/platform"
 	"github.com/rosemarywing/rosemarywing/pkg/pool"
 	"github.com/rosemarywing/rosemarywing/pkg/record"
+	"github.com/rosemarywing/rosemarywing/pkg/route"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
@@ -25,8 +26,9 @@
 	// platform. Two survive the loss of one without a gap.
 	watchers = 2
 	// listInterval is how often an instance reads the platform's instance
-	// list: 360 instances make 12 calls/s.
-	listInterval = 30 * time.Second
+	// list, which is how a plain service is known to be leaving. 360 instances
+	// make 72 calls/s of the 2,000 that the platform takes.
+	listInterval = 5 * time.Second
 
 	peerDialTimeout = time.Second
 	peerCallTimeout = 2 * time.Second
@@ -113,6 +115,7 @@
 		Engine: b.engines, Service: b.engines,
 		RequestIDOf: func(reply claim.Reply) string { return reply.RequestID },
 		IsIssued:    func(identity string) bool { _, ok := claim.ParseID(identity); return ok },
+		OwnsID:      claim.Owns,
 		Run:         b.run,
 		Leave:       b.members.Leave,
 	}, nil
@@ -221,17 +224,18 @@
 }
 
 // readLoad reads an engine's report. A plain service has none; its accounts
-// are those of the scheduler.
+// are those of the scheduler. Either is leaving too when the platform says so.
 func (b *builder) readLoad(ctx context.Context, up record.Upstream) (sched.Load, error) {
 	if up.Type != record.TypeEngine {
-		return sched.Load{ReportedAt: b.env.Clock.Now()}, nil
+		return sched.Load{ReportedAt: b.env.Clock.Now(), Leaving: b.directory.leaving(up.Name)}, nil
 	}
 	load, err := b.engines.Load(ctx, up.Address)
 	if err != nil {
 		return sched.Load{}, err
 	}
 	return sched.Load{
-		Running: load.Running, Waiting: load.Waiting, TokensInUse: load.TokensInUse, Leaving: load.Leaving,
+		Running: load.Running, Waiting: load.Waiting, TokensInUse: load.TokensInUse,
+		Leaving:     load.Leaving || b.directory.leaving(up.Name),
 		Incarnation: load.Incarnation, LoadedModels: load.LoadedModels, ReportedAt: load.At,
 	}, nil
 }
@@ -241,7 +245,7 @@
 func (b *builder) strikeTargets(model string) []string {
 	var addresses []string
 	for name, found := range b.cache.Snapshot().Pools {
-		if found.Domain == b.env.Settings.Instance.Domain || !serves(found, "model:"+model) {
+		if found.Domain == b.env.Settings.Instance.Domain || !route.Serves(found, "model:"+model) {
 			continue
 		}
 		if owners := b.directory.addresses(found.Domain, name); len(owners) > 0 {
@@ -251,15 +255,6 @@
 	return addresses
 }
 
-func serves(found *conf.Pool, target string) bool {
-	for _, served := range found.Targets {
-		if served == target {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *builder) ordering() error {
 	domain := b.env.Settings.Instance.Domain
 	lease, err := order.NewLease(order.LeaseConfig{
