Pass the roles that need the platform to members that reach it

An instance that misses the platform for a second now says so in its membership record; watcher, list reader, order manager and claim cleaner are chosen among the others. If none reaches it, the first owners try.

--- a/pkg/conf/syncer.go
+++ b/pkg/conf/syncer.go
@@ -86,6 +86,9 @@
 	Address string
 	// IsWatcher tells whether this instance is a watcher of its domain.
 	IsWatcher func() bool
+	// OnPlatform, if not nil, is told after each try to follow the platform
+	// whether it was reached, and when the try began.
+	OnPlatform func(ctx context.Context, reached bool, began time.Time)
 	// Fanout is the number of members that are notified of a change.
 	Fanout int
 	// BackoffMin and BackoffMax bound the time before the platform is listed
@@ -387,7 +390,11 @@
 // follow lists the platform and applies a watch until it breaks, a listing is
 // due, or this instance is no longer a watcher; the last two give no error.
 func (s *Syncer) follow(ctx context.Context) error {
+	began := s.opts.Clock.Now()
 	version, size, err := s.list(ctx)
+	if s.opts.OnPlatform != nil {
+		s.opts.OnPlatform(ctx, err == nil, began)
+	}
 	if err != nil {
 		return err
 	}
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/member"
 	"github.com/rosemarywing/rosemarywing/pkg/order"
 	"github.com/rosemarywing/rosemarywing/pkg/peer"
@@ -74,7 +75,11 @@
 	maxOrders = 4
 
 	// watchIdle is the silence after which a watch counts as broken.
-	watchIdle = 5 * time.Second
+	watchIdle = 3 * time.Second
+	// detachAfter is how long the platform must be out of reach before an
+	// instance passes its roles on; probeInterval is how often it tries again.
+	detachAfter   = time.Second
+	probeInterval = 10 * time.Second
 )
 
 // Keys of the roles that members share out by rendezvous order.
@@ -102,6 +107,9 @@
 	client    *pool.EntryClient
 	orders    *order.Manager
 	peers     *peer.Server
+	// lostSince is when the platform was first out of reach, or zero. The
+	// goroutine that follows the platform owns it.
+	lostSince time.Time
 }
 
 // Build makes the parts of an instance that works with the platform and with
@@ -146,7 +154,7 @@
 	b.directory = &directory{
 		platform: b.platform, domain: b.env.Settings.Instance.Domain,
 		view:     func() member.View { return b.members },
-		isReader: func() bool { return owns(b.members, readerKey, 1) },
+		isReader: func() bool { return ownsAttached(b.members, readerKey, 1) },
 		dial:     func(address string) LeavingTransport { return b.dialer.Client(address) },
 		clock:    b.env.Clock,
 	}
@@ -162,7 +170,8 @@
 	carrier := &exchange{dialer: b.dialer, directory: b.directory, syncer: func() *conf.Syncer { return b.syncer }}
 	b.syncer = conf.NewSyncer(b.cache, b.platform, carrier, conf.Options{
 		Address:    b.address,
-		IsWatcher:  func() bool { return owns(b.members, watcherKey, watchers) },
+		IsWatcher:  func() bool { return ownsAttached(b.members, watcherKey, watchers) },
+		OnPlatform: b.onPlatform,
 		Fanout:     notifyFanout,
 		BackoffMin: backoffMin, BackoffMax: backoffMax,
 		RoleInterval: roleInterval, RelistInterval: relistInterval, RelistRate: relistRate, ApplyInterval: applyInterval,
@@ -170,6 +179,42 @@
 	})
 }
 
+// onPlatform passes the watcher's role on when the platform stays out of reach.
+func (b *builder) onPlatform(ctx context.Context, reached bool, began time.Time) {
+	if reached {
+		b.lostSince = time.Time{}
+		b.members.SetDetached(ctx, false)
+		return
+	}
+	if b.lostSince.IsZero() {
+		b.lostSince = began
+	}
+	if b.env.Clock.Since(b.lostSince) >= detachAfter {
+		b.members.SetDetached(ctx, true)
+	}
+}
+
+// attach tries whether a detached instance reaches the platform again. It
+// reads one small object, because a listing would move the configuration.
+func (b *builder) attach(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.env.Clock.After(probeInterval):
+		}
+		if !b.members.Self().Detached {
+			continue
+		}
+		_, err := b.platform.Get(ctx, order.LeaseKind, b.leaseName())
+		if err == nil || errkind.KindOf(err) == errkind.NotFound {
+			b.members.SetDetached(ctx, false)
+		}
+	}
+}
+
+func (b *builder) leaseName() string { return "orders-" + b.env.Settings.Instance.Domain }
+
 func (b *builder) membership() {
 	chosen := b.env.Settings
 	admin := chosen.Peer.AdvertiseAdmin
@@ -276,7 +321,7 @@
 func (b *builder) ordering() error {
 	domain := b.env.Settings.Instance.Domain
 	lease, err := order.NewLease(order.LeaseConfig{
-		Store: b.platform, Clock: b.env.Clock, Name: "orders-" + domain,
+		Store: b.platform, Clock: b.env.Clock, Name: b.leaseName(),
 		Holder: b.env.Self.ID, Incarnation: b.env.Self.Incarnation, Duration: leaseDuration,
 	})
 	if err != nil {
@@ -284,7 +329,7 @@
 	}
 	b.orders = order.NewManager(order.Config{
 		Domain: domain, Lease: lease, Source: b.cache,
-		IsCandidate: func() bool { return owns(b.members, orderKey, 1) },
+		IsCandidate: func() bool { return ownsAttached(b.members, orderKey, 1) },
 		Refresh: func(ctx context.Context) error {
 			_, err := b.syncer.List(ctx)
 			return err
@@ -309,7 +354,7 @@
 func (b *builder) run(ctx context.Context) error {
 	var group sync.WaitGroup
 	for _, work := range []func(context.Context){
-		b.members.Run, b.syncer.Run, b.claims.Run, b.server.Run, b.client.Run, b.orders.Run, b.clean,
+		b.members.Run, b.syncer.Run, b.claims.Run, b.server.Run, b.client.Run, b.orders.Run, b.clean, b.attach,
 	} {
 		group.Go(func() { work(ctx) })
 	}
@@ -324,6 +369,6 @@
 func (b *builder) clean(ctx context.Context) {
 	b.claims.RunJanitor(ctx, claim.JanitorOptions{
 		Interval: janitorInterval, MaxAge: claimAge, Pause: janitorPause,
-		Owner: func() bool { return owns(b.members, janitorKey, 1) },
+		Owner: func() bool { return ownsAttached(b.members, janitorKey, 1) },
 	})
 }
--- a/pkg/instance/directory.go
+++ b/pkg/instance/directory.go
@@ -178,11 +178,16 @@
 	return addresses
 }
 
-// owns reports whether this instance is among the first count owners of a key.
-func owns(view member.View, key string, count int) bool {
+// ownsAttached reports whether this instance is among the first count owners
+// of a key that reach the platform. If none does, the first owners try.
+func ownsAttached(view member.View, key string, count int) bool {
 	owners := view.Owners(key)
+	attached := slices.DeleteFunc(slices.Clone(owners), func(m member.Member) bool { return m.Detached })
+	if len(attached) == 0 {
+		attached = owners
+	}
 	self := view.Self().ID
-	return slices.ContainsFunc(owners[:min(count, len(owners))], func(m member.Member) bool { return m.ID == self })
+	return slices.ContainsFunc(attached[:min(count, len(attached))], func(m member.Member) bool { return m.ID == self })
 }
 
 // seed returns a seed for random numbers that differs between instances and
--- a/pkg/instance/directory_test.go
+++ b/pkg/instance/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,3 +89,36 @@
 	clock.Advance(copyAge + time.Second)
 	g.Expect(read()).To(Equal(3))
 }
+
+type owners struct {
+	member.View
+	self    string
+	ordered []member.Member
+}
+
+func (o owners) Self() member.Member           { return member.Member{ID: o.self} }
+func (o owners) Owners(string) []member.Member { return o.ordered }
+
+// Guards against roles that stay with instances which do not reach the
+// platform, and against roles that nobody takes when none reaches it.
+func TestRolesPassToMembersThatReachThePlatform(t *testing.T) {
+	g := NewWithT(t)
+	holders := func(detached ...string) string {
+		var ordered []member.Member
+		for _, id := range []string{"a", "b", "c", "d"} {
+			ordered = append(ordered, member.Member{ID: id, Detached: slices.Contains(detached, id)})
+		}
+		held := ""
+		for _, m := range ordered {
+			if ownsAttached(owners{self: m.ID, ordered: ordered}, "role", 2) {
+				held += m.ID
+			}
+		}
+		return held
+	}
+	g.Expect(holders()).To(Equal("ab"))
+	g.Expect(holders("a")).To(Equal("bc"))
+	g.Expect(holders("a", "b")).To(Equal("cd"))
+	g.Expect(holders("a", "b", "c")).To(Equal("d"))
+	g.Expect(holders("a", "b", "c", "d")).To(Equal("ab"))
+}
--- a/pkg/member/core.go
+++ b/pkg/member/core.go
@@ -165,6 +165,17 @@
 	c.version++
 }
 
+// SetDetached says whether this instance reaches the platform. The update
+// needs a new refutation number, so that it replaces the one before.
+func (c *Core) SetDetached(detached bool) {
+	if c.self.Detached == detached {
+		return
+	}
+	c.self.Detached = detached
+	c.self.Refutation++
+	c.version++
+}
+
 // SetCandidates replaces the seeds and the instances that the platform lists.
 // It marks leaving members and adds addresses; it never removes a member.
 func (c *Core) SetCandidates(now time.Time, candidates []Candidate) {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -24,6 +24,9 @@
 	Status       Status
 	// Refutation orders updates about one incarnation.
 	Refutation uint32
+	// Detached is true while the instance does not reach the platform; roles
+	// that need the platform pass to the next owner.
+	Detached bool
 }
 
 // View is a read-only view of the members; it is safe for concurrent use.
--- a/pkg/member/runner.go
+++ b/pkg/member/runner.go
@@ -64,6 +64,7 @@
 	}
 	listed struct{ instances []platform.ListedInstance }
 	leave  struct{ done chan struct{} }
+	detach struct{ detached bool }
 )
 
 var (
@@ -124,6 +125,8 @@
 		}
 	case listed:
 		core.SetCandidates(now, r.candidates(m.instances))
+	case detach:
+		core.SetDetached(m.detached)
 	case leave:
 		core.Leave()
 		r.publish(core)
@@ -250,6 +253,13 @@
 	return err == nil && reply.Receiver.Instance.Id == id
 }
 
+// SetDetached tells the others whether this instance reaches the platform.
+func (r *Runner) SetDetached(ctx context.Context, detached bool) {
+	if r.Self().Detached != detached {
+		r.post(ctx, detach{detached})
+	}
+}
+
 // Leave marks this instance as leaving; the next pings tell the others.
 func (r *Runner) Leave(ctx context.Context) {
 	message := leave{make(chan struct{})}
--- a/pkg/member/wire.go
+++ b/pkg/member/wire.go
@@ -24,6 +24,7 @@
 		AdminAddress: m.AdminAddress,
 		Status:       peer.MemberStatus(m.Status),
 		Refutation:   m.Refutation,
+		Detached:     m.Detached,
 	}
 }
 
@@ -35,6 +36,7 @@
 		AdminAddress: u.GetAdminAddress(),
 		Status:       Status(u.GetStatus()),
 		Refutation:   u.GetRefutation(),
+		Detached:     u.GetDetached(),
 	}
 }
 
--- a/test/failure/lifecycle_test.go
+++ b/test/failure/lifecycle_test.go
@@ -222,6 +222,23 @@
 			func(c *testbed.Cluster) { c.Entries[0].Resume(); c.Entries[1].Resume() }),
 	)
 
+	// Guards against a change that waits for two watchers which no longer reach
+	// the platform, while a third instance does. Each pair is cut, because the
+	// test does not know which two are the watchers.
+	It("is in force everywhere although both watchers lost the platform", func() {
+		c, _ := engineCluster("--speed", "0")
+		for first := range c.Entries {
+			second := (first + 1) % len(c.Entries)
+			c.Entries[first].ToPlatform.Set(testbed.Both)
+			c.Entries[second].ToPlatform.Set(testbed.Both)
+			name := fmt.Sprintf("pair-%d", first)
+			Expect(c.ApplySpec(record.SchemaV2, record.KindTier, name, record.Tier{Priority: 1, DeadlineMs: 1000})).To(Succeed())
+			inForce(newestVersion(c), c.Entries...)
+			c.Entries[first].ToPlatform.Set(testbed.Open)
+			c.Entries[second].ToPlatform.Set(testbed.Open)
+		}
+	})
+
 	// Guards against a new instance that serves nothing, or old configuration,
 	// because the platform is out, and against one that guesses without any.
 	It("is taken from peers by an instance that starts during an outage", func() {
