sched: let waiting long reads keep their upstreams from lower tiers

A long read that waited for the share of long reads did not keep the upstream, and neither did those that waited behind it or for more tokens than were left. It now does, as a short request does.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -53,6 +53,54 @@
 	g.Expect(err).To(HaveOccurred())
 }
 
+// Guards against an account of inverted tiers that misses a request overtaken
+// by a lower tier, or counts one that the engine could not have served.
+func TestOvertakenRequestsAreThoseThatTheEngineCouldServe(t *testing.T) {
+	rows := []struct {
+		name      string
+		model     string
+		tier      int
+		prompt    int
+		cached    int
+		now       time.Duration
+		overtaken bool
+	}{
+		{"in time", "m", tierNormal, 1000, 0, 0, true},
+		{"other model", "n", tierNormal, 1000, 0, 0, false},
+		{"same tier", "m", tierLow, 1000, 0, 0, false},
+		{"too long for the engine", "m", tierNormal, 5000, 0, 0, false},
+		{"too late for the engine", "m", tierNormal, 1000, 0, 1500 * time.Millisecond, false},
+		{"long, but cached", "m", tierNormal, 5000, 4500, 0, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := &engine{prefill: 1000, slowdown: 1, models: []string{"m"}}
+			e.cache = promptCache{entries: map[string]*list.Element{}, changed: func(string, int, bool) {}}
+			e.cache.store("prefix", row.cached)
+			class := &requestClass{tier: row.tier, model: row.model, deadline: 2 * time.Second}
+			high := &inFlight{arrival: &arrival{class: class, prefixID: "prefix", prefixTokens: row.cached, promptTokens: row.prompt}}
+			w := &world{waiting: map[*inFlight]struct{}{high: {}}}
+			w.loop.now = row.now
+			w.overtake(&inFlight{arrival: &arrival{class: &requestClass{tier: tierLow}}}, e)
+			g.Expect(high.overtaken).To(Equal(row.overtaken))
+		})
+	}
+}
+
+// Guards against long reads that end at their deadline while lower tiers are
+// granted the engines that they wait for (G2). The share of long reads is full
+// throughout this run after half of the engines are lost.
+func TestLongReadsAreNotShedBeforeLowerTiers(t *testing.T) {
+	g := NewWithT(t)
+	result, err := Run(Task{"domain-lost", "kifaru", sched.PolicyRosemarywing, 1, 0})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Tiers[tierNormal].Refused).NotTo(BeEmpty())
+	for tier, r := range result.Tiers {
+		g.Expect(r.Inverted).To(BeZero(), "tier %d", tier)
+	}
+}
+
 // Guards against an engine model that serves faster than its speed allows, or
 // that gives short requests priority over a long read that came first.
 func TestEngineModelsContinuousBatching(t *testing.T) {
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -166,6 +166,13 @@
 	e.step()
 }
 
+// shortest is the time that the engine would need for the first token of a
+// request if it were idle.
+func (e *engine) shortest(a *arrival) time.Duration {
+	uncached := a.promptTokens - e.cache.holds(a.prefixID, a.prefixTokens)
+	return time.Duration(float64(uncached) / e.prefill * e.slowdown * float64(time.Second))
+}
+
 func (e *engine) produce(j *job) {
 	if j.dropped {
 		return
@@ -195,11 +202,18 @@
 }
 
 func (c *promptCache) lookup(id string, limit int) int {
+	if element := c.entries[id]; element != nil {
+		c.order.MoveToFront(element)
+	}
+	return c.holds(id, limit)
+}
+
+// holds is lookup without the effect of a use.
+func (c *promptCache) holds(id string, limit int) int {
 	element := c.entries[id]
 	if element == nil {
 		return 0
 	}
-	c.order.MoveToFront(element)
 	return min(limit, element.Value.(*cacheEntry).tokens)
 }
 
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -122,8 +122,9 @@
 }
 
 // filterOutranked rejects an upstream for which a request of a higher tier
-// waits that would fit there. Short requests of a higher tier always keep the
-// upstream: one that waits for room must not be overtaken by smaller ones.
+// waits. Short requests and long reads keep the upstream whether they fit or
+// not: one that waits for room, or for the share of long reads, must not be
+// overtaken by smaller ones until its deadline has passed.
 func filterOutranked(p *Pool, c *candidate, u *upstream) bool {
 	if !c.outranked {
 		return true
@@ -147,10 +148,7 @@
 
 // wants reports whether a waiting request of the tier has a claim on u.
 func (mt *modelTier) wants(p *Pool, u *upstream) bool {
-	if len(mt.groups[classShort].teams) > 0 {
-		return true
-	}
-	if len(mt.groups[classLong].teams) > 0 && u.fitsLong(p.share, p.config.LongTokens, p.config.LongShare) {
+	if len(mt.groups[classShort].teams) > 0 || len(mt.groups[classLong].teams) > 0 {
 		return true
 	}
 	for _, team := range mt.groups[classSuspect].teams {
