sched: run copies of one content on at most two upstreams

While a fingerprint is in flight on two upstreams of a pool, further copies are granted only there or wait. Those that wait have a group per fingerprint: in the group of short requests they would hold up every other request behind them. They keep an upstream from lower tiers only where they may run. Suspects run one copy at a time, as before.

A strike was withdrawn when the copy that carried it had not been dispatched, even if another copy on the same upstream had been; a third upstream could then break. The copies now share the strike, which is withdrawn with the last of them only.

The state machine has poison that is acquired and ended at any time, and a fourth upstream.

--- a/pkg/sched/crash.go
+++ b/pkg/sched/crash.go
@@ -10,6 +10,47 @@
 // report that arrives later after a crash was asked for after the crash.
 const reportDelay = time.Second
 
+// blame is the strike that a crash gave the copies of a fingerprint in flight
+// there. It is withdrawn when none of them turns out to have been dispatched.
+type blame struct {
+	open      int
+	confirmed bool
+}
+
+// strike gives each fingerprint among the grants that keep passes one strike,
+// shared by its copies, and reports whether there was any.
+func (p *Pool) strike(now time.Time, u *upstream, blames map[uint64]*blame, keep func(*grant) bool) bool {
+	struck := false
+	for _, g := range u.grants {
+		if g.broken || !keep(g) {
+			continue
+		}
+		g.broken = true
+		struck = true
+		b := blames[g.work.Fingerprint]
+		if b == nil {
+			b = &blame{}
+			blames[g.work.Fingerprint] = b
+			p.strikes.add(now, g.work.Fingerprint, 1)
+		}
+		b.open++
+		g.blame = b
+	}
+	return struck
+}
+
+// settleBlame withdraws a strike once no copy is left that may have been
+// dispatched to the upstream that broke.
+func (p *Pool) settleBlame(now time.Time, g *grant, outcome Outcome) {
+	g.blame.open--
+	if outcome != NotDispatched && outcome != DialFailed {
+		g.blame.confirmed = true
+	}
+	if g.blame.open == 0 && !g.blame.confirmed {
+		p.strikes.add(now, g.work.Fingerprint, -1)
+	}
+}
+
 // broke handles a crash of an upstream: each fingerprint in flight there gets
 // one strike per crash. Later reports of the same crash, which come from the
 // other requests that were in flight, find their grants marked.
@@ -25,22 +66,12 @@
 	if reporter != nil && reporter.broken {
 		return
 	}
-	struck := map[uint64]bool{}
+	blames := map[uint64]*blame{}
 	if reporter != nil {
-		struck[reporter.work.Fingerprint] = true
+		blames[reporter.work.Fingerprint] = &blame{confirmed: true}
 		p.strikes.add(now, reporter.work.Fingerprint, 1)
 	}
-	for _, g := range u.grants {
-		if g.broken {
-			continue
-		}
-		g.broken = true
-		if !struck[g.work.Fingerprint] {
-			struck[g.work.Fingerprint] = true
-			g.struck = true
-			p.strikes.add(now, g.work.Fingerprint, 1)
-		}
-	}
+	p.strike(now, u, blames, func(*grant) bool { return true })
 }
 
 // reclassify moves waiting requests whose fingerprint has become a suspect,
@@ -52,10 +83,8 @@
 			p.refuseWaiting(w, errkind.PoisonRequest, "requests with this content broke upstreams", d)
 			continue
 		}
-		if target := &w.scope.groups[p.classOf(work)]; target != w.group && !w.parked {
-			p.queue.park(w)
-			w.group = target
-			p.queue.compete(w)
+		if !w.parked {
+			p.regroup(w)
 		}
 	}
 }
@@ -69,19 +98,7 @@
 	u.avoidUntil = 0
 	u.backoff = 0
 	u.brokenAt = time.Time{}
-	struck := map[uint64]bool{}
-	for _, g := range u.grants {
-		if g.broken || !g.granted.Before(u.lastReport) {
-			continue
-		}
-		g.broken = true
-		if !struck[g.work.Fingerprint] {
-			struck[g.work.Fingerprint] = true
-			g.struck = true
-			p.strikes.add(now, g.work.Fingerprint, 1)
-		}
-	}
-	if len(struck) > 0 {
+	if p.strike(now, u, map[uint64]*blame{}, func(g *grant) bool { return g.granted.Before(u.lastReport) }) {
 		p.reclassify(d)
 	}
 }
--- a/pkg/sched/crash_test.go
+++ b/pkg/sched/crash_test.go
@@ -1,11 +1,13 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/record"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 )
@@ -31,3 +33,126 @@
 	g.Expect(p.Tick(broke.Add(20 * time.Second)).Grants).To(BeEmpty())
 	g.Expect(report(broke.Add(21 * time.Second)).Grants).To(HaveLen(1))
 }
+
+// Guards against copies of one content that are granted on more than two
+// upstreams before the first of them crashes, and against copies that hold up
+// other requests while they wait.
+func TestCopiesOfOneContentRunOnTwoUpstreams(t *testing.T) {
+	rows := []struct {
+		name string
+		// fingerprints are those of the requests, in order of arrival.
+		fingerprints []uint64
+		maxRequests  int
+		grants       int
+		upstreams    int
+	}{
+		{"one request per upstream", []uint64{7, 7, 7, 7}, 1, 2, 2},
+		{"room where copies run", []uint64{7, 7, 7, 7, 7}, 2, 4, 2},
+		{"no content known", []uint64{0, 0, 0, 0}, 1, 4, 4},
+		{"different contents", []uint64{1, 2, 3, 4}, 1, 4, 4},
+		{"another content after copies", []uint64{7, 7, 7, 8, 9}, 1, 4, 4},
+		{"copies of another content", []uint64{7, 7, 7, 8, 8, 8}, 1, 4, 4},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := sched.New(sched.Config{})
+			var records []record.Upstream
+			for _, name := range []string{"a", "b", "c", "d"} {
+				records = append(records, engine(name, row.maxRequests, 0))
+			}
+			p.SetUpstreams(start, records)
+			var grants []sched.Grant
+			for i, fingerprint := range row.fingerprints {
+				// Later ones are of lower tiers, which a waiting copy must not
+				// keep from upstreams where it may not run.
+				r := request(fmt.Sprint(i), 10-i, 10)
+				r.Work.Fingerprint = fingerprint
+				grants = append(grants, p.Acquire(start, r).Grants...)
+			}
+			grants = append(grants, p.Tick(start).Grants...)
+			upstreams := map[string]bool{}
+			for _, grant := range grants {
+				upstreams[grant.Upstream] = true
+			}
+			g.Expect(grants).To(HaveLen(row.grants))
+			g.Expect(len(upstreams)).To(BeNumerically("<=", row.upstreams))
+		})
+	}
+}
+
+// Guards against copies that wait for ever once the ones that ran have ended,
+// and against poison that breaks a third upstream when it is sent many times at
+// once.
+func TestWaitingCopiesFollowTheEndOfThoseThatRan(t *testing.T) {
+	rows := []struct {
+		name    string
+		outcome sched.Outcome
+		granted int
+		refused int
+	}{
+		{"completed", sched.Completed, 2, 0},
+		{"poison", sched.UpstreamBroken, 0, 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := sched.New(sched.Config{})
+			p.SetUpstreams(start, []record.Upstream{engine("a", 1, 0), engine("b", 1, 0), engine("c", 1, 0), engine("d", 1, 0)})
+			var grants []sched.Grant
+			for i := range 4 {
+				r := request(fmt.Sprint(i), 1, 10)
+				r.Work.Fingerprint = 7
+				grants = append(grants, p.Acquire(start, r).Grants...)
+			}
+			g.Expect(grants).To(HaveLen(2))
+			granted, refused := 0, 0
+			count := func(d sched.Decisions) {
+				granted += len(d.Grants)
+				for _, refusal := range d.Refusals {
+					g.Expect(refusal.Kind).To(Equal(errkind.PoisonRequest))
+					refused++
+				}
+			}
+			for _, grant := range grants {
+				count(p.Release(start, sched.Result{RequestID: grant.RequestID, Holder: "entry", Outcome: row.outcome}))
+			}
+			count(p.Tick(start.Add(time.Second)))
+			g.Expect(granted).To(Equal(row.granted))
+			g.Expect(refused).To(Equal(row.refused))
+		})
+	}
+}
+
+// Guards against a strike that is withdrawn because one copy never reached the
+// upstream that broke, although another one did.
+func TestAStrikeIsWithdrawnOnlyWithItsLastCopy(t *testing.T) {
+	rows := []struct {
+		name     string
+		outcomes []sched.Outcome
+		strikes  int
+	}{
+		{"neither dispatched", []sched.Outcome{sched.NotDispatched, sched.DialFailed}, 0},
+		{"second dispatched", []sched.Outcome{sched.NotDispatched, sched.UpstreamBroken}, 1},
+		{"first dispatched", []sched.Outcome{sched.UpstreamBroken, sched.NotDispatched}, 1},
+		{"both dispatched", []sched.Outcome{sched.UpstreamBroken, sched.UpstreamBroken}, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := sched.New(sched.Config{})
+			p.SetUpstreams(start, []record.Upstream{engine("a", 4, 0)})
+			for id, fingerprint := range []uint64{5, 5, 6} {
+				r := request(fmt.Sprint(id), 1, 10)
+				r.Work.Fingerprint = fingerprint
+				g.Expect(p.Acquire(start, r).Grants).To(HaveLen(1))
+			}
+			p.Release(start, sched.Result{RequestID: "2", Holder: "entry", Outcome: sched.UpstreamBroken})
+			g.Expect(p.Strikes()).To(HaveKeyWithValue(uint64(5), 1))
+			for id, outcome := range row.outcomes {
+				p.Release(start, sched.Result{RequestID: fmt.Sprint(id), Holder: "entry", Outcome: outcome})
+			}
+			g.Expect(p.Strikes()[5]).To(Equal(row.strikes))
+		})
+	}
+}
--- a/pkg/sched/dispatch.go
+++ b/pkg/sched/dispatch.go
@@ -67,10 +67,13 @@
 		return
 	}
 	w := g.head().first(now)
+	if p.regroup(w) {
+		return
+	}
 	work := &w.request.Work
 	p.prefixes.match(work)
 	c := p.candidate(now, &w.request)
-	if c.suspect && p.strikes.inFlight[work.Fingerprint] > 0 {
+	if c.suspect && p.strikes.runs(work.Fingerprint) {
 		g.blocked = true
 		return
 	}
@@ -116,6 +119,7 @@
 		priority:  work.Tier,
 		long:      work.PromptTokens >= p.config.LongTokens,
 		suspect:   p.strikes.suspect(work.Fingerprint),
+		confined:  p.strikes.confined(work.Fingerprint),
 		outranked: p.waitsAbove(work.Tier),
 		deadline:  request.Deadline.UnixNano(),
 	}
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -56,7 +56,7 @@
 	p.grants[g.key] = g
 	g.upstream.occupy(now, g)
 	g.use.change(now, g.need, p.config.ReserveDecay)
-	p.strikes.start(g.work.Fingerprint)
+	p.strikes.start(g.work.Fingerprint, g.upstream.index)
 }
 
 // end takes a grant out of all accounts and learns from its result.
@@ -64,7 +64,10 @@
 	u := g.upstream
 	u.vacate(now, g)
 	g.use.change(now, -g.need, p.config.ReserveDecay)
-	p.strikes.end(g.work.Fingerprint)
+	p.strikes.end(g.work.Fingerprint, u.index)
+	if g.blame != nil {
+		p.settleBlame(now, g, result.Outcome)
+	}
 	delete(p.grants, g.key)
 	delete(g.holder.grants, g)
 	p.dropIdle(g.holder)
@@ -100,10 +103,6 @@
 	u := g.upstream
 	u.estimate.undo(g.uncached)
 	p.prefixes.learn(u.index, &g.work, g.work.PromptTokens-g.uncached, false)
-	if g.struck {
-		// It never reached the upstream that broke.
-		p.strikes.add(now, g.work.Fingerprint, -1)
-	}
 	if outcome == DialFailed {
 		u.avoid(now)
 	}
--- a/pkg/sched/hold.go
+++ b/pkg/sched/hold.go
@@ -96,6 +96,7 @@
 			continue
 		}
 		w.resume = 0
+		w.group = p.groupFor(w)
 		p.queue.compete(w)
 	}
 	clear(p.held[len(kept):])
--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -115,9 +115,10 @@
 	// foreign marks a grant made by another scheduler.
 	foreign bool
 	// broken is set once a crash of the upstream is on the account of this
-	// grant; struck when this grant carries the strike of its fingerprint.
+	// grant; blame is the strike for it, unless the fingerprint's part in the
+	// crash is certain.
 	broken bool
-	struck bool
+	blame  *blame
 
 	expectedFirst time.Duration
 	uncached      int
@@ -141,8 +142,11 @@
 // modelTier is what belongs to one tier of one model: the requests that wait,
 // and the tokens in flight with their recent peak.
 type modelTier struct {
-	tier    *tier
-	groups  [classes]group
+	tier   *tier
+	groups [classCopy]group
+	// copies holds a group for each fingerprint of which copies wait because
+	// it may not run on more upstreams.
+	copies  map[uint64]*group
 	waiting int
 	current int
 	peak    float64
@@ -284,6 +288,18 @@
 	return created
 }
 
+// copyGroup returns the group of copies of a fingerprint, which it creates when
+// it is new. The queue drops it when it is empty.
+func (mt *modelTier) copyGroup(fingerprint uint64, m *model) *group {
+	if mt.copies == nil {
+		mt.copies = map[uint64]*group{}
+	}
+	if mt.copies[fingerprint] == nil {
+		mt.copies[fingerprint] = &group{class: classCopy, model: m, fingerprint: fingerprint}
+	}
+	return mt.copies[fingerprint]
+}
+
 // change applies a difference to the tokens in flight.
 func (mt *modelTier) change(now time.Time, tokens int, decay time.Duration) {
 	mt.settle(now, decay)
--- a/pkg/sched/machine_test.go
+++ b/pkg/sched/machine_test.go
@@ -26,8 +26,14 @@
 	incarnation map[string]int
 	// before holds the strikes before the call under test.
 	before map[uint64]int
+	// crashed holds the upstreams that broke while they ran poison.
+	crashed map[string]bool
 }
 
+// poison is the fingerprint of requests that never complete: whatever runs
+// them breaks, unless they are cancelled in time or were not dispatched.
+const poison = 99
+
 type running struct {
 	request  Request
 	upstream string
@@ -39,6 +45,7 @@
 	{Name: "a", Models: []string{"m@1"}, MaxRequests: 3, MaxTokens: 3000, PrefillTokensPerSecond: 1000},
 	{Name: "b", Models: []string{"m@1", "n@1"}, MaxRequests: 4, MaxTokens: 2000, PrefillTokensPerSecond: 4000},
 	{Name: "c", Models: []string{"n@1"}, MaxRequests: 2, PrefillTokensPerSecond: 2000},
+	{Name: "d", Models: []string{"m@1", "n@1"}, MaxRequests: 3, MaxTokens: 4000, PrefillTokensPerSecond: 3000},
 }
 
 func newMachine() *machine {
@@ -50,6 +57,7 @@
 		inForce:     map[string]record.Upstream{},
 		leaving:     map[string]bool{},
 		incarnation: map[string]int{},
+		crashed:     map[string]bool{},
 	}
 	m.setUpstreams(fleet)
 	return m
@@ -146,6 +154,20 @@
 		t.Fatalf("second suspect on %s", grant.Upstream)
 	}
 	m.granted[key] = g
+	if places := m.places(fingerprint); len(places) > 2 {
+		t.Fatalf("copies of fingerprint %d run on %d upstreams", fingerprint, len(places))
+	}
+}
+
+// places returns the upstreams on which copies of a fingerprint are in flight.
+func (m *machine) places(fingerprint uint64) map[string]bool {
+	places := map[string]bool{}
+	for _, g := range m.granted {
+		if fingerprint != 0 && g.request.Work.Fingerprint == fingerprint {
+			places[g.upstream] = true
+		}
+	}
+	return places
 }
 
 // load sums what is in flight on an upstream.
@@ -178,6 +200,9 @@
 			// Suspects have limits of their own; the table of filters covers them.
 			continue
 		}
+		if places := m.places(high.Work.Fingerprint); len(places) >= 2 && !places[u.name] {
+			continue
+		}
 		w := m.p.queue.byKey[key]
 		first := u.estimate.wait(m.now.UnixNano()) + float64(high.Work.PromptTokens)/u.estimate.prefillRate
 		inTime := first < high.Deadline.Sub(m.now).Seconds()
@@ -190,7 +215,7 @@
 // giveBack removes a grant that was not dispatched. A strike on its account
 // does not count: the upstream that broke never saw the request.
 func (m *machine) giveBack(key requestKey) {
-	if g := m.p.grants[key]; g != nil && g.struck {
+	if g := m.p.grants[key]; g != nil && g.blame != nil && g.blame.open == 1 && !g.blame.confirmed {
 		m.before[g.work.Fingerprint]--
 	}
 	delete(m.granted, key)
@@ -220,11 +245,56 @@
 	}
 }
 
+// AcquirePoison sends a copy of the poison under a new identity.
+func (m *machine) AcquirePoison(t *rapid.T) {
+	m.next++
+	request := Request{
+		ID:       fmt.Sprint(m.next),
+		Holder:   rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "holder"),
+		Deadline: m.now.Add(time.Minute),
+		Work: Work{
+			Tier: rapid.IntRange(1, 3).Draw(t, "tier"), Team: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "team"),
+			Model: rapid.SampledFrom([]string{"m", "n"}).Draw(t, "model"), PromptTokens: 100, OutputTokens: 10, Fingerprint: poison,
+		},
+	}
+	m.waiting[requestKey{request.Holder, request.ID}] = request
+	m.apply(t, m.p.Acquire(m.now, request))
+}
+
+// CrashPoison ends a copy of the poison, mostly by a crash.
+func (m *machine) CrashPoison(t *rapid.T) {
+	var running []requestKey
+	for _, key := range keys(m.granted) {
+		if m.granted[key].request.Work.Fingerprint == poison {
+			running = append(running, key)
+		}
+	}
+	if len(running) == 0 {
+		t.Skip("no poison runs")
+	}
+	key := rapid.SampledFrom(running).Draw(t, "grant")
+	outcome := rapid.SampledFrom([]Outcome{UpstreamBroken, UpstreamBroken, UpstreamBroken, NotDispatched, Cancelled}).Draw(t, "outcome")
+	if outcome == UpstreamBroken {
+		m.crashed[m.granted[key].upstream] = true
+		if len(m.crashed) > 2 {
+			t.Fatalf("poison broke %v", m.crashed)
+		}
+	}
+	if outcome == NotDispatched {
+		m.giveBack(key)
+	}
+	delete(m.granted, key)
+	m.apply(t, m.p.Release(m.now, Result{RequestID: key.id, Holder: key.holder, Outcome: outcome}))
+}
+
 func (m *machine) Release(t *rapid.T) {
 	if len(m.granted) == 0 {
 		t.Skip("nothing granted")
 	}
 	key := rapid.SampledFrom(keys(m.granted)).Draw(t, "grant")
+	if m.granted[key].request.Work.Fingerprint == poison {
+		t.Skip("poison ends otherwise")
+	}
 	outcome := Outcome(rapid.IntRange(int(Completed), int(Cancelled)).Draw(t, "outcome"))
 	if _, waits := m.waiting[key]; waits {
 		t.Fatalf("%v waits and is granted", key)
@@ -402,13 +472,15 @@
 
 // Guards against a lower tier that is preferred to a higher one, limits
 // exceeded by grants, two suspects on an upstream, a fingerprint granted after
-// two strikes, a request that ends twice or never, and state that is kept
+// two strikes, copies of one content on more than two upstreams at a time, more
+// than two upstreams broken by one poison, a request that ends twice or never, and state that is kept
 // after everything has ended.
 func TestPoolInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
 		t.Repeat(map[string]func(*rapid.T){
 			"acquire": m.Acquire, "acquire2": m.Acquire, "acquire3": m.Acquire, "release": m.Release,
+			"acquirePoison": m.AcquirePoison, "acquirePoison2": m.AcquirePoison, "crashPoison": m.CrashPoison,
 			"cancel": m.Cancel, "reacquire": m.Reacquire, "dropHolder": m.DropHolder,
 			"addHoldings": m.AddHoldings, "setUpstreams": m.SetUpstreams, "reportLoad": m.ReportLoad,
 			"reportCache": m.ReportCache, "addStrikes": m.AddStrikes, "tick": m.Tick, "": m.Check,
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -12,7 +12,9 @@
 	classShort class = iota
 	classLong
 	classSuspect
-	classes
+	// classCopy is the class of requests with the content of others that run
+	// on as many upstreams as they may; each content has a group of its own.
+	classCopy
 )
 
 // candidate is the request under consideration, with what the plugins need.
@@ -23,6 +25,8 @@
 	decision uint64
 	long     bool
 	suspect  bool
+	// confined is set when the request may run only where its copies run.
+	confined bool
 	// outranked is set when a request of a higher tier waits in the pool.
 	outranked bool
 	deadline  int64
@@ -53,6 +57,7 @@
 		{"avoided", filterAvoided},
 		{"slow", filterSlow},
 		{"suspect", filterSuspect},
+		{"copies", filterCopies},
 		{"deadline", filterDeadline},
 		{"backlog", filterBacklog},
 		{"congested", filterCongested},
@@ -89,6 +94,12 @@
 // filterSuspect allows at most one suspect on an upstream.
 func filterSuspect(_ *Pool, c *candidate, u *upstream) bool { return !c.suspect || u.suspects == 0 }
 
+// filterCopies keeps the copies of one content on few upstreams at a time, so
+// that they cannot break more if the content turns out to be poison.
+func filterCopies(p *Pool, c *candidate, u *upstream) bool {
+	return !c.confined || p.strikes.runsOn(c.work.Fingerprint, u.index)
+}
+
 // filterDeadline rejects an upstream that is not expected to produce the first
 // token in time, because the prefill would be wasted.
 func filterDeadline(_ *Pool, c *candidate, u *upstream) bool { return c.inTime(u) }
@@ -151,11 +162,16 @@
 	if len(mt.groups[classShort].teams) > 0 || len(mt.groups[classLong].teams) > 0 {
 		return true
 	}
+	for fingerprint := range mt.copies {
+		if !p.strikes.confined(fingerprint) || p.strikes.runsOn(fingerprint, u.index) {
+			return true
+		}
+	}
 	for _, team := range mt.groups[classSuspect].teams {
 		for element := team.items.Front(); element != nil; element = element.Next() {
 			fingerprint := element.Value.(*waiting).request.Work.Fingerprint
 			// A request stays in the class after its fingerprint was cleared.
-			if !p.strikes.suspect(fingerprint) || (u.suspects == 0 && p.strikes.inFlight[fingerprint] == 0) {
+			if !p.strikes.suspect(fingerprint) || (u.suspects == 0 && !p.strikes.runs(fingerprint)) {
 				return true
 			}
 		}
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -179,7 +179,7 @@
 		{"higher suspect waits for its copy", "", func(p *Pool, _ *upstream, _ *candidate) {
 			wait(p, 2, "n", classSuspect)
 			p.strikes.add(time.Unix(0, 0), 7, 1)
-			p.strikes.start(7)
+			p.strikes.start(7, 0)
 		}, true},
 		{"higher suspect waits", "outranked", func(p *Pool, _ *upstream, _ *candidate) {
 			wait(p, 2, "n", classSuspect)
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -142,7 +142,7 @@
 		holder:  p.holderFor(request.Holder),
 		tokens:  request.Work.PromptTokens + request.Work.OutputTokens,
 	}
-	w.group = &w.scope.groups[p.classOf(&request.Work)]
+	w.group = p.groupFor(w)
 	w.giveUp = request.Deadline.Add(-p.shortest(&w.request.Work, m))
 	w.stale = now.Add(time.Duration(patience * float64(w.giveUp.Sub(now))))
 	p.queue.push(w)
@@ -167,12 +167,36 @@
 	switch {
 	case p.strikes.suspect(work.Fingerprint):
 		return classSuspect
+	case p.strikes.confined(work.Fingerprint):
+		return classCopy
 	case work.PromptTokens >= p.config.LongTokens:
 		return classLong
 	}
 	return classShort
 }
 
+// groupFor returns the group in which the request competes at present.
+func (p *Pool) groupFor(w *waiting) *group {
+	work := &w.request.Work
+	if c := p.classOf(work); c != classCopy {
+		return &w.scope.groups[c]
+	}
+	return w.scope.copyGroup(work.Fingerprint, w.scope.groups[classShort].model)
+}
+
+// regroup moves a competing request to the group in which it belongs at
+// present, and reports whether that is another one.
+func (p *Pool) regroup(w *waiting) bool {
+	target := p.groupFor(w)
+	if target == w.group {
+		return false
+	}
+	p.queue.park(w)
+	w.group = target
+	p.queue.compete(w)
+	return true
+}
+
 func (p *Pool) holderFor(name string) *holder {
 	h := p.holders[name]
 	if h == nil {
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -73,7 +73,9 @@
 type group struct {
 	class class
 	model *model
-	teams []*teamQueue
+	// fingerprint is set in groups of copies.
+	fingerprint uint64
+	teams       []*teamQueue
 	// blocked is set during a pass once the first request cannot be placed.
 	blocked bool
 }
@@ -186,6 +188,7 @@
 // compete enters a request into its group.
 func (q *queue) compete(w *waiting) {
 	if len(w.group.teams) == 0 {
+		w.group.blocked = false
 		w.tier.groups = append(w.tier.groups, w.group)
 	}
 	w.inTeam = w.group.teamFor(w.account).items.PushBack(w)
@@ -204,6 +207,9 @@
 	if len(w.group.teams) > 0 {
 		return
 	}
+	if w.group.class == classCopy {
+		delete(w.scope.copies, w.group.fingerprint)
+	}
 	for i, g := range w.tier.groups {
 		if g == w.group {
 			w.tier.groups = append(w.tier.groups[:i], w.tier.groups[i+1:]...)
--- a/pkg/sched/strikes.go
+++ b/pkg/sched/strikes.go
@@ -14,18 +14,29 @@
 	at    time.Time
 }
 
+// mostSpread is the number of upstreams on which copies of a fingerprint run at
+// a time. Copies that are granted before the first crash could otherwise break
+// more upstreams than the strikes allow.
+const mostSpread = blockedStrikes
+
+// copies counts the grants of a fingerprint on one upstream.
+type copies struct {
+	upstream int32
+	grants   int32
+}
+
 // strikeTable counts crashes per fingerprint. Fingerprint 0 means none.
 type strikeTable struct {
 	entries map[uint64]strike
-	// inFlight counts the grants of each fingerprint. A suspect runs only
+	// inFlight lists where each fingerprint is granted. A suspect runs only
 	// when no other copy of it runs: two copies could break two more upstreams.
-	inFlight map[uint64]int
+	inFlight map[uint64][]copies
 	limit    int
 	life     time.Duration
 }
 
 func newStrikeTable(limit int, life time.Duration) strikeTable {
-	return strikeTable{entries: map[uint64]strike{}, inFlight: map[uint64]int{}, limit: limit, life: life}
+	return strikeTable{entries: map[uint64]strike{}, inFlight: map[uint64][]copies{}, limit: limit, life: life}
 }
 
 func (s *strikeTable) count(fingerprint uint64) int {
@@ -65,22 +76,54 @@
 	}
 }
 
-func (s *strikeTable) start(fingerprint uint64) {
-	if fingerprint != 0 {
-		s.inFlight[fingerprint]++
+func (s *strikeTable) start(fingerprint uint64, upstream int32) {
+	if fingerprint == 0 {
+		return
 	}
+	places := s.inFlight[fingerprint]
+	for i := range places {
+		if places[i].upstream == upstream {
+			places[i].grants++
+			return
+		}
+	}
+	s.inFlight[fingerprint] = append(places, copies{upstream, 1})
 }
 
-func (s *strikeTable) end(fingerprint uint64) {
-	if fingerprint == 0 {
-		return
+func (s *strikeTable) end(fingerprint uint64, upstream int32) {
+	places := s.inFlight[fingerprint]
+	for i := range places {
+		if places[i].upstream != upstream {
+			continue
+		}
+		if places[i].grants--; places[i].grants > 0 {
+			return
+		}
+		places[i] = places[len(places)-1]
+		s.inFlight[fingerprint] = places[:len(places)-1]
+		break
 	}
-	s.inFlight[fingerprint]--
-	if s.inFlight[fingerprint] <= 0 {
+	if len(s.inFlight[fingerprint]) == 0 {
 		delete(s.inFlight, fingerprint)
 	}
 }
 
+func (s *strikeTable) runs(fingerprint uint64) bool { return len(s.inFlight[fingerprint]) > 0 }
+
+// confined reports whether further copies may run only where copies run.
+func (s *strikeTable) confined(fingerprint uint64) bool {
+	return len(s.inFlight[fingerprint]) >= mostSpread
+}
+
+func (s *strikeTable) runsOn(fingerprint uint64, upstream int32) bool {
+	for _, place := range s.inFlight[fingerprint] {
+		if place.upstream == upstream {
+			return true
+		}
+	}
+	return false
+}
+
 // expire forgets strikes older than their life.
 func (s *strikeTable) expire(now time.Time) {
 	for fingerprint, entry := range s.entries {
