sched: expire strikes on time in an idle pool

Strikes expire in Tick, but NextTick named no time while nothing waited, so a pool without requests kept strikes beyond their life, refused the next copy as poison and told other schedulers of them. NextTick now names a time not after the first expiry, and Tick scans the table only when one is due. A strike ends at its life, not after it, so that the tick at that time removes it.

Without the change of NextTick the new test fails in all rows with a strike.

--- a/pkg/sched/crash_test.go
+++ b/pkg/sched/crash_test.go
@@ -156,3 +156,44 @@
 		})
 	}
 }
+
+// Guards against strikes that an idle pool keeps beyond their life because no
+// tick is due, against ones forgotten early, and against ticks that are due
+// again at once or without a strike.
+func TestAnIdlePoolForgetsStrikesAtTheEndOfTheirLife(t *testing.T) {
+	rows := []struct {
+		name string
+		// added are the times at which fingerprints 1, 2 and so on get a strike.
+		added []time.Duration
+		// left are the numbers of strikes after each tick that is due.
+		left []int
+	}{
+		{"none", nil, nil},
+		{"one", []time.Duration{0}, []int{0}},
+		{"two at different times", []time.Duration{0, time.Minute}, []int{1, 0}},
+		{"two at once", []time.Duration{0, 0}, []int{0}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := sched.New(sched.Config{StrikeLife: time.Hour})
+			p.SetUpstreams(start, []record.Upstream{engine("a", 4, 0)})
+			for i, at := range row.added {
+				p.AddStrikes(start.Add(at), map[uint64]int{uint64(i + 1): 1})
+			}
+			g.Expect(p.Strikes()).To(HaveLen(len(row.added)))
+			now := start
+			for _, left := range row.left {
+				due := p.NextTick()
+				g.Expect(due).To(BeTemporally(">", now))
+				p.Tick(due.Add(-time.Nanosecond))
+				g.Expect(p.Strikes()).NotTo(HaveLen(left))
+				g.Expect(p.NextTick()).To(Equal(due))
+				now = due
+				p.Tick(now)
+				g.Expect(p.Strikes()).To(HaveLen(left))
+			}
+			g.Expect(p.NextTick()).To(BeZero())
+		})
+	}
+}
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -381,7 +381,9 @@
 		return time.Unix(0, 0)
 	}
 	if p.queue.len() == 0 {
-		return time.Time{}
+		// Strikes expire on time in an idle pool, too: the next request must
+		// not be refused for them, nor other schedulers be told of them.
+		return p.strikes.due
 	}
 	due := p.nextSweep
 	if first := p.queue.deadlines[0].giveUp; first.Before(due) {
--- a/pkg/sched/strikes.go
+++ b/pkg/sched/strikes.go
@@ -33,6 +33,9 @@
 	inFlight map[uint64][]copies
 	limit    int
 	life     time.Duration
+	// due is not after the time at which the first strike expires; it is zero
+	// when there is none.
+	due time.Time
 }
 
 func newStrikeTable(limit int, life time.Duration) strikeTable {
@@ -63,6 +66,10 @@
 		return
 	}
 	s.entries[fingerprint] = strike{count: count, at: now}
+	if s.due.IsZero() {
+		// Otherwise an older strike expires before this one.
+		s.due = now.Add(s.life)
+	}
 	if len(s.entries) > s.limit {
 		s.evict()
 	}
@@ -124,11 +131,19 @@
 	return false
 }
 
-// expire forgets strikes older than their life.
+// expire forgets strikes that have reached their life.
 func (s *strikeTable) expire(now time.Time) {
+	if s.due.IsZero() || now.Before(s.due) {
+		return
+	}
+	s.due = time.Time{}
 	for fingerprint, entry := range s.entries {
-		if now.Sub(entry.at) > s.life {
+		expiry := entry.at.Add(s.life)
+		switch {
+		case !now.Before(expiry):
 			delete(s.entries, fingerprint)
+		case s.due.IsZero() || expiry.Before(s.due):
+			s.due = expiry
 		}
 	}
 }
