sched: leave a silent upstream one request at a time

Cause, seen in a trial with an engine stopped by SIGSTOP: it went on to get its share of requests, and two of four hung. An upstream whose load reports have stopped for 3 s now runs one request at a time, since it may be stuck, or only its reports may be. Ruled out: treating it as broken, because a fault of the report alone would then take every engine out. The first failed report in a row is logged.

--- a/pkg/pool/loop.go
+++ b/pkg/pool/loop.go
@@ -88,7 +88,9 @@
 	early    []sched.Request
 	nextLoad time.Time
 	polling  map[string]bool
-	inForce  []record.Upstream
+	// silent holds the upstreams whose last poll failed.
+	silent  map[string]bool
+	inForce []record.Upstream
 }
 
 func newLoop(server *Server, name string) *loop {
@@ -100,6 +102,7 @@
 		inbox:     make(chan any, inboxSize),
 		entries:   map[string]*entryState{},
 		polling:   map[string]bool{},
+		silent:    map[string]bool{},
 		openAt:    now.Add(helloWait),
 		nextLoad:  now,
 	}
@@ -231,6 +234,17 @@
 	return true
 }
 
+// reportFailure logs the first failed report in a row; the scheduler holds work
+// back from an upstream that stays silent.
+func (l *loop) reportFailure(m loaded) {
+	level := 1
+	if !l.silent[m.upstream] {
+		l.silent[m.upstream] = true
+		level = 0
+	}
+	l.server.options.Log.V(level).Info("load report was not read", "pool", l.name, "upstream", m.upstream, "error", m.err.Error())
+}
+
 func (l *loop) readLoads(ctx context.Context) {
 	for _, upstream := range l.inForce {
 		if l.polling[upstream.Name] {
@@ -259,10 +273,11 @@
 	case loaded:
 		delete(l.polling, m.upstream)
 		if m.err != nil {
-			l.server.options.Log.V(1).Info("load report was not read", "upstream", m.upstream, "error", m.err.Error())
+			l.reportFailure(m)
 			return
 		}
 		before := l.scheduler.Strikes()
+		delete(l.silent, m.upstream)
 		l.apply(now, l.scheduler.ReportLoad(now, m.upstream, m.load))
 		// A report of a new incarnation shows a crash that no entry reported yet.
 		if byModel := l.newStrikes(before, ""); len(byModel) > 0 {
--- a/pkg/sched/crash_test.go
+++ b/pkg/sched/crash_test.go
@@ -197,3 +197,19 @@
 		})
 	}
 }
+
+// Guards against a stuck engine that accepts requests and never answers, and
+// gets its full share of them because nothing ever ends there.
+func TestASilentUpstreamGetsOneRequestAtATime(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{})
+	p.SetUpstreams(start, []record.Upstream{engine("a", 8, 0)})
+	p.ReportLoad(start, "a", sched.Load{Incarnation: "1", ReportedAt: start})
+	later := start.Add(10 * time.Second)
+	first, second := request("1", 1, 100), request("2", 1, 100)
+	second.Work.Fingerprint = 2
+	g.Expect(p.Acquire(later, first).Grants).To(HaveLen(1))
+	g.Expect(p.Acquire(later, second).Grants).To(BeEmpty())
+	d := p.ReportLoad(later.Add(time.Second), "a", sched.Load{Incarnation: "1", ReportedAt: later})
+	g.Expect(d.Grants).To(HaveLen(1))
+}
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -55,6 +55,7 @@
 	return []filter{
 		{"open", filterOpen},
 		{"avoided", filterAvoided},
+		{"silent", filterSilent},
 		{"slow", filterSlow},
 		{"suspect", filterSuspect},
 		{"copies", filterCopies},
@@ -86,6 +87,17 @@
 	return u.brokenAt.IsZero() && c.now >= u.avoidUntil && (u.backoff == 0 || u.requests == 0)
 }
 
+// reportSilence is the time after which an upstream whose load reports have
+// stopped is taken for stuck: three polls in a row have failed.
+const reportSilence = 3 * time.Second
+
+// filterSilent leaves a silent upstream one request at a time. It may be stuck,
+// or only its reports may be.
+func filterSilent(_ *Pool, c *candidate, u *upstream) bool {
+	silent := !u.lastReport.IsZero() && c.now-u.lastReport.UnixNano() > int64(reportSilence)
+	return !silent || u.requests == 0
+}
+
 // filterSlow rejects slow upstreams but for probes.
 func filterSlow(_ *Pool, c *candidate, u *upstream) bool {
 	return !u.detector.slow || c.now >= u.detector.nextProbe
