--- a/cmd/rosemarywing-compare/main.go
+++ b/cmd/rosemarywing-compare/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/rosemarywing/rosemarywing/internal/compare"
 	"github.com/rosemarywing/rosemarywing/internal/testbed"
@@ -44,6 +45,8 @@
 func run(chosen flagSet) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// The statistics lines of the HTTP library would end up in the table.
+	logx.DisableStat()
 	dir, err := os.MkdirTemp("", "rosemarywing-compare-")
 	if err != nil {
 		return err
