Fix the estimates that answers which are not streamed ruined

Cause: the entry reported the end of an answer that is not streamed as the time of its first token. The scheduler took seconds of decoding for overhead before the first token, expected every deadline to be missed, and let requests of the highest tier wait beside idle engines.

An idle upstream also no longer counts prefill of requests that have ended. Two tests, both seen to fail before.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -221,7 +221,8 @@
 
 // sendWhole sends a verified answer.
 func (e *Entry) sendWhole(w http.ResponseWriter, q *request, answer *upstream.Answer, body []byte) {
-	q.firstToken = e.Clock.Now()
+	// The time of the first token is not known: the head of an answer that is
+	// not streamed arrives with its last token.
 	if q.target.engine() {
 		q.readUsage(body)
 	}
--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -101,9 +101,13 @@
 	}
 }
 
-// observe learns from a completed request.
+// observe learns from a completed request. Of an answer that was not streamed
+// neither the time to the first token nor the time per token is known.
 func (e *estimate) observe(g *grant, result Result) {
-	if result.FirstToken > 0 && g.expectedFirst > 0 {
+	if result.FirstToken == 0 {
+		return
+	}
+	if g.expectedFirst > 0 {
 		e.observeFirst(g, result.FirstToken.Seconds())
 	}
 	if perToken, ok := tokenTime(result); ok {
@@ -133,7 +137,8 @@
 	e.prefillRate *= math.Pow(ratio, -rateWeight)
 }
 
-// tokenTime returns the observed time per output token, in seconds.
+// tokenTime returns the observed time per output token, in seconds. For an
+// answer that was not streamed it includes the time to the first token.
 func tokenTime(result Result) (float64, bool) {
 	decode := result.Total - result.FirstToken
 	if result.OutputTokens < 2 || decode <= 0 {
--- /dev/null
+++ b/pkg/sched/estimate_test.go
@@ -0,0 +1,46 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+)
+
+// Guards against estimates that answers which were not streamed ruin: the only
+// time known of them is the whole time, which is no time to the first token.
+func TestAnswersThatWereNotStreamedDoNotChangeTheEstimate(t *testing.T) {
+	g := NewWithT(t)
+	p := New(Config{})
+	now := time.Unix(1_700_000_000, 0)
+	p.SetUpstreams(now, []record.Upstream{{Name: "a", Models: []string{"m@1"}, MaxRequests: 1}})
+	before := p.upstreams["a"].estimate
+	for range 50 {
+		work := Work{Tier: 1, Team: "t", Model: "m", PromptTokens: 100, OutputTokens: 200}
+		d := p.Acquire(now, Request{ID: "r", Holder: "h", Work: work, Deadline: now.Add(time.Minute)})
+		g.Expect(d.Grants).To(HaveLen(1))
+		now = now.Add(4 * time.Second)
+		p.Release(now, Result{RequestID: "r", Holder: "h", Outcome: Completed, OutputTokens: 200, Total: 4 * time.Second})
+	}
+	after := p.upstreams["a"].estimate
+	g.Expect(after.overhead).To(Equal(before.overhead))
+	g.Expect(after.tokenTime).To(Equal(before.tokenTime))
+	g.Expect(after.prefillRate).To(Equal(before.prefillRate))
+}
+
+// Guards against prefill of requests that have ended, which keeps an idle
+// upstream from new work as long as a record underrates its speed.
+func TestAnIdleUpstreamHasNoBacklog(t *testing.T) {
+	g := NewWithT(t)
+	p := New(Config{})
+	now := time.Unix(1_700_000_000, 0)
+	p.SetUpstreams(now, []record.Upstream{{Name: "a", Models: []string{"m@1"}, MaxRequests: 4, PrefillTokensPerSecond: 100}})
+	work := Work{Tier: 1, Team: "t", Model: "m", PromptTokens: 1000, OutputTokens: 1}
+	d := p.Acquire(now, Request{ID: "r", Holder: "h", Work: work, Deadline: now.Add(time.Minute)})
+	g.Expect(d.Grants).To(HaveLen(1))
+	now = now.Add(10 * time.Millisecond)
+	p.Release(now, Result{RequestID: "r", Holder: "h", Outcome: Completed, OutputTokens: 1, Total: 10 * time.Millisecond})
+	g.Expect(p.upstreams["a"].estimate.backlogUntil).To(BeNumerically("<=", now.UnixNano()))
+}
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -63,6 +63,10 @@
 func (p *Pool) end(now time.Time, g *grant, result Result) {
 	u := g.upstream
 	u.vacate(now, g)
+	if u.requests == 0 {
+		// Whatever the estimate says, no prefill is left to do.
+		u.estimate.backlogUntil = min(u.estimate.backlogUntil, now.UnixNano())
+	}
 	g.use.change(now, -g.need, p.config.ReserveDecay)
 	p.strikes.end(g.work.Fingerprint, u.index)
 	if g.blame != nil {
--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -61,6 +61,8 @@
 	incarnation  string
 	// lastReport is when the last report of the incarnation arrived.
 	lastReport time.Time
+	// reportInterval is the time between the last two reports.
+	reportInterval time.Duration
 }
 
 // peakSeconds is the time for which peaks of the own count are kept. A load
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -87,14 +87,18 @@
 	return u.brokenAt.IsZero() && c.now >= u.avoidUntil && (u.backoff == 0 || u.requests == 0)
 }
 
-// reportSilence is the time after which an upstream whose load reports have
-// stopped is taken for stuck: three polls in a row have failed.
-const reportSilence = 3 * time.Second
+// An upstream whose load reports have stopped is taken for stuck after three
+// times their usual interval, and not before reportSilence.
+const (
+	reportSilence    = 3 * time.Second
+	silenceIntervals = 3
+)
 
 // filterSilent leaves a silent upstream one request at a time. It may be stuck,
 // or only its reports may be.
 func filterSilent(_ *Pool, c *candidate, u *upstream) bool {
-	silent := !u.lastReport.IsZero() && c.now-u.lastReport.UnixNano() > int64(reportSilence)
+	limit := max(reportSilence, silenceIntervals*u.reportInterval)
+	silent := !u.lastReport.IsZero() && c.now-u.lastReport.UnixNano() > int64(limit)
 	return !silent || u.requests == 0
 }
 
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -323,6 +323,9 @@
 	}
 	u.incarnation = load.Incarnation
 	u.load = load
+	if !u.lastReport.IsZero() {
+		u.reportInterval = now.Sub(u.lastReport)
+	}
 	u.lastReport = now
 	u.foreign = max(0, load.Running+load.Waiting-u.recent.highest(now))
 	u.congestedUntil = now.Add(congestedLife).UnixNano()
--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -87,8 +87,11 @@
 	Outcome      Outcome
 	CachedTokens int
 	OutputTokens int
-	FirstToken   time.Duration
-	Total        time.Duration
+	// FirstToken is the time from the dispatch to the first token; zero if it
+	// is not known.
+	FirstToken time.Duration
+	// Total is the time from the dispatch to the end.
+	Total time.Duration
 }
 
 // Holding is a grant in use, reported by an entry that opens a session.
