entry: a key that cannot be claimed is answered unknown, not not_run

An earlier attempt with the same key may have run before the platform's outage; a caller that was told not_run would send the order again under a new key.

--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -185,11 +185,6 @@
 	case kind == errkind.Unauthorized && q.team != nil:
 		// The request ID is another team's, so no instance ran it for this one.
 		return errkind.NotRun
-	case kind == errkind.ClaimUnavailable:
-		// By contract a key that cannot be claimed in a platform outage is
-		// refused as not run (docs/design.md, G11). It holds for this attempt;
-		// one before the outage may have run.
-		return errkind.NotRun
 	}
 	return errkind.Unknown
 }
