sched: drive the state of an upstream by its chart

The chart of an upstream was checked but interpreted by nobody. It now holds what the scheduler keeps as states (serving, leaving, absent, removed); what holds work back for a while stays with the placement filters.

--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -115,6 +115,9 @@
 // Build makes the parts of an instance that works with the platform and with
 // other instances.
 func Build(env Env) (Parts, error) {
+	if err := sched.CheckChart(); err != nil {
+		return Parts{}, err
+	}
 	b := &builder{env: env, address: env.Settings.Peer.Advertise}
 	if b.address == "" {
 		b.address = env.Peer.Addr().String()
--- a/pkg/sched/limits.go
+++ b/pkg/sched/limits.go
@@ -25,10 +25,8 @@
 type upstream struct {
 	// What the plugins read comes first, so that it shares cache lines.
 
-	// present is false once the configuration no longer names the upstream;
-	// the entry stays until its last grant has ended.
-	present bool
-	leaving bool
+	// life stays until the last grant has ended.
+	life    life
 	index   int32
 	serving *servingSet
 
@@ -197,7 +195,7 @@
 }
 
 // open reports whether the upstream may get new work.
-func (u *upstream) open() bool { return u.present && !u.leaving }
+func (u *upstream) open() bool { return u.life.eligible }
 
 func (u *upstream) serves(m *model) bool {
 	for _, other := range u.serving.models {
--- a/pkg/sched/placement.go
+++ b/pkg/sched/placement.go
@@ -77,7 +77,7 @@
 }
 
 // filterOpen rejects upstreams that were withdrawn or are leaving.
-func filterOpen(_ *Pool, _ *candidate, u *upstream) bool { return u.present && !u.leaving }
+func filterOpen(_ *Pool, _ *candidate, u *upstream) bool { return u.life.eligible }
 
 // filterAvoided rejects upstreams that failed a moment ago. After that, one
 // request at a time probes the upstream until one has completed. An upstream
--- a/pkg/sched/placement_test.go
+++ b/pkg/sched/placement_test.go
@@ -48,8 +48,8 @@
 		passes bool
 	}{
 		{"ordinary", "", func(*Pool, *upstream, *candidate) {}, true},
-		{"withdrawn", "open", func(_ *Pool, u *upstream, _ *candidate) { u.present = false }, false},
-		{"leaving", "open", func(_ *Pool, u *upstream, _ *candidate) { u.leaving = true }, false},
+		{"withdrawn", "open", func(_ *Pool, u *upstream, _ *candidate) { u.life.fire(eventWithdraw) }, false},
+		{"leaving", "open", func(_ *Pool, u *upstream, _ *candidate) { u.life.fire(eventLeave) }, false},
 		{"failed now", "avoided", func(_ *Pool, u *upstream, c *candidate) { u.avoid(time.Unix(0, c.now)) }, false},
 		{"failed before", "", func(_ *Pool, u *upstream, c *candidate) {
 			u.avoid(time.Unix(0, c.now).Add(-firstBackoff))
@@ -273,7 +273,7 @@
 		g.Expect(p.choose(c, m.upstreams).best).To(Equal(holder))
 	}
 	for _, u := range m.upstreams {
-		u.leaving = u.name != "u0300"
+		u.life.report(u.name != "u0300")
 	}
 	for range 10 {
 		g.Expect(p.choose(c, m.upstreams).best.name).To(Equal("u0300"))
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -330,8 +330,7 @@
 	u.foreign = max(0, load.Running+load.Waiting-u.recent.highest(now))
 	u.congestedUntil = now.Add(congestedLife).UnixNano()
 	u.foreignUntil = now.Add(foreignLife)
-	if u.leaving != load.Leaving {
-		u.leaving = load.Leaving
+	if u.life.report(load.Leaving) {
 		for _, m := range u.serving.models {
 			m.measure()
 		}
--- a/pkg/sched/upstreams.go
+++ b/pkg/sched/upstreams.go
@@ -32,18 +32,22 @@
 // SetUpstreams applies the upstreams in force. One that is absent gets no new
 // work and is forgotten once its last grant has ended.
 func (p *Pool) SetUpstreams(now time.Time, records []record.Upstream) Decisions {
-	for _, u := range p.upstreams {
-		u.present = false
-	}
+	named := make(map[string]bool, len(records))
 	for i := range records {
 		u := p.upstreamFor(records[i].Name, &records[i])
-		u.present = true
+		named[u.name] = true
+		if u.life.fire(eventRestore) && u.load.Leaving {
+			u.life.fire(eventLeave)
+		}
 		u.record = records[i]
 		u.maxRequests = records[i].MaxRequests
 		orDefault(&u.maxRequests, p.config.MaxRequests)
 		u.maxTokens = records[i].MaxTokens
 	}
 	for _, u := range p.upstreams {
+		if !named[u.name] {
+			u.life.fire(eventWithdraw)
+		}
 		p.forget(u)
 	}
 	p.prefixes.limit = max(1, min(p.config.PrefixEntries, p.config.PrefixTotal/max(1, len(p.upstreams))))
@@ -59,7 +63,7 @@
 	if u := p.upstreams[name]; u != nil {
 		return u
 	}
-	u := &upstream{name: name, index: p.takeIndex()}
+	u := &upstream{name: name, index: p.takeIndex(), life: newLife()}
 	u.estimate = newEstimate(r.PrefillTokensPerSecond, r.DecodeTokensPerSecond)
 	p.byIndex[u.index] = u
 	p.upstreams[name] = u
@@ -79,7 +83,7 @@
 
 // forget drops an absent upstream that has no grants.
 func (p *Pool) forget(u *upstream) {
-	if u.present || u.requests > 0 {
+	if u.life.present || u.requests > 0 || !u.life.fire(eventRemove) {
 		return
 	}
 	p.prefixes.reset(u.index)
@@ -96,7 +100,7 @@
 	sets := map[string]*servingSet{}
 	for _, u := range p.sortedUpstreams() {
 		u.serving = &noModels
-		if !u.present {
+		if !u.life.present {
 			continue
 		}
 		set := &servingSet{}
