--- a/cmd/rosemarywing-capacity/main.go
+++ b/cmd/rosemarywing-capacity/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -13,9 +12,8 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/rosemarywing/rosemarywing/internal/capacity"
+	"github.com/rosemarywing/rosemarywing/internal/command"
 	"github.com/rosemarywing/rosemarywing/internal/testbed"
 )
 
@@ -33,16 +31,7 @@
 	} `positional-args:"yes"`
 }
 
-func main() {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		os.Exit(2)
-	}
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(command.Main(run)) }
 
 func run(opts options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/cmd/rosemarywing-compare/main.go
+++ b/cmd/rosemarywing-compare/main.go
@@ -5,15 +5,14 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/zeromicro/go-zero/core/logx"
 
+	"github.com/rosemarywing/rosemarywing/internal/command"
 	"github.com/rosemarywing/rosemarywing/internal/compare"
 	"github.com/rosemarywing/rosemarywing/internal/testbed"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
@@ -31,16 +30,7 @@
 	Settle    time.Duration `long:"settle" default:"3s" description:"time between readiness and the first arrival"`
 }
 
-func main() {
-	var chosen flagSet
-	if _, err := flags.Parse(&chosen); err != nil {
-		os.Exit(2)
-	}
-	if err := run(chosen); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(command.Main(run)) }
 
 func run(chosen flagSet) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/cmd/rosemarywing-load/main.go
+++ b/cmd/rosemarywing-load/main.go
@@ -10,8 +10,7 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/rosemarywing/rosemarywing/internal/command"
 	"github.com/rosemarywing/rosemarywing/internal/load"
 	"github.com/rosemarywing/rosemarywing/internal/workload"
 )
@@ -31,16 +30,7 @@
 	} `positional-args:"yes"`
 }
 
-func main() {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		os.Exit(2)
-	}
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(command.Main(run)) }
 
 func run(opts options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -3,12 +3,10 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/rosemarywing/rosemarywing/internal/command"
 	"github.com/rosemarywing/rosemarywing/internal/standin/daemon"
 	"github.com/rosemarywing/rosemarywing/internal/standin/engine"
 )
@@ -32,16 +30,7 @@
 	CrashMarker    string        `long:"crash-marker" description:"end the process when a request with this text in its body starts to run"`
 }
 
-func main() {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		os.Exit(2)
-	}
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(command.Main(run)) }
 
 func run(opts options) error {
 	standin := engine.New(engine.Config{
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -14,29 +14,18 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/jonboulle/clockwork"
 
 	standin "github.com/rosemarywing/rosemarywing/internal/standin/platform"
+
+	"github.com/rosemarywing/rosemarywing/internal/command"
 )
 
 type options struct {
 	Listen string `long:"listen" default:"127.0.0.1:0" description:"host and port to listen on; port 0 takes a free one"`
 }
 
-func main() {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(command.Main(run)) }
 
 func run(opts options) error {
 	listener, err := net.Listen("tcp", opts.Listen)
--- a/cmd/standin-service/main.go
+++ b/cmd/standin-service/main.go
@@ -2,12 +2,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/rosemarywing/rosemarywing/internal/command"
 	"github.com/rosemarywing/rosemarywing/internal/standin/daemon"
 	"github.com/rosemarywing/rosemarywing/internal/standin/service"
 )
@@ -17,14 +16,9 @@
 	Name   string `long:"name" default:"service" description:"name of the upstream"`
 }
 
-func main() {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		os.Exit(2)
-	}
+func main() { os.Exit(command.Main(run)) }
+
+func run(opts options) error {
 	standin := service.New(clockwork.NewRealClock())
-	if err := daemon.Serve(opts.Name, opts.Listen, standin.Handler()); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	return daemon.Serve(opts.Name, opts.Listen, standin.Handler())
 }
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,31 @@
+// Package command holds the main function that the development tools share.
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of a tool.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Main parses the command line into T, runs the tool and returns its exit code.
+func Main[T any](run func(T) error) int {
+	var options T
+	if _, err := flags.Parse(&options); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitUsage
+	}
+	if err := run(options); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -221,7 +221,7 @@
 	duration("timeouts", "idle", 2*time.Minute, time.Second, time.Hour, "Time after which an unused connection of a caller is closed.",
 		func(s *Settings) *time.Duration { return &s.Timeouts.Idle }),
 	duration("timeouts", "linger", 10*time.Second, 0, 10*time.Minute,
-		"Time for which an engine goes on with a request whose caller is gone, so that the caller can resume it without a second prefill; then it is cancelled.",
+		"Time for which an engine goes on with a request whose caller is gone, so that the caller can resume it without a second prefill; then it is cancelled. No effect yet: the daemon lets such a request run to its end.",
 		func(s *Settings) *time.Duration { return &s.Timeouts.Linger }),
 	duration("timeouts", "resume_backoff", 100*time.Millisecond, 0, time.Minute,
 		"Time before the second try to resume a stream; it doubles with each further try.",
