conf: one method tells whether a pool serves a target

It stood in pkg/route and in pkg/pool. Two tools set repeated defaults in code, because the linter knows repeated tags only beside the import of go-flags.

--- a/cmd/rosemarywing-capacity/main.go
+++ b/cmd/rosemarywing-capacity/main.go
@@ -20,7 +20,7 @@
 type options struct {
 	Root     string        `long:"root" default:"." description:"root of the repository, from which the programs are built"`
 	Bin      string        `long:"bin" description:"directory with the programs; empty builds them"`
-	Sizes    []int         `long:"size" default:"3" default:"6" default:"12" default:"24" description:"number of instances in the series over instances; repeatable"`
+	Sizes    []int         `long:"size" description:"number of instances in the series over instances; repeatable; 3, 6, 12 and 24 if not set"`
 	Duration time.Duration `long:"duration" default:"20s" description:"duration of each measurement of a series"`
 	Settle   time.Duration `long:"settle" default:"25s" description:"time after the start that a series does not measure; members join and the order lease of the first instance expires in it"`
 	Runs     int           `long:"runs" default:"3" description:"number of times that everything is measured"`
@@ -36,6 +36,9 @@
 func run(opts options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	if len(opts.Sizes) == 0 {
+		opts.Sizes = []int{3, 6, 12, 24}
+	}
 	dir, err := os.MkdirTemp("", "rosemarywing-capacity")
 	if err != nil {
 		return err
--- a/cmd/rosemarywing-compare/main.go
+++ b/cmd/rosemarywing-compare/main.go
@@ -19,7 +19,7 @@
 )
 
 type flagSet struct {
-	Workloads []string      `long:"workload" default:"flottakert" default:"kifaru" description:"workload; repeatable"`
+	Workloads []string      `long:"workload" description:"workload; repeatable; flottakert and kifaru if not set"`
 	Policies  []string      `long:"policy" description:"policy; repeatable; all if not set"`
 	Seed      uint64        `long:"seed" default:"1" description:"seed of the workload"`
 	Duration  time.Duration `long:"duration" default:"90s" description:"modelled duration of the arrivals"`
@@ -45,6 +45,9 @@
 	if err := testbed.Build(".", dir, "rosemarywing-entry", "standin-platform", "standin-engine", "standin-service"); err != nil {
 		return err
 	}
+	if len(chosen.Workloads) == 0 {
+		chosen.Workloads = []string{"flottakert", "kifaru"}
+	}
 	if len(chosen.Policies) == 0 {
 		chosen.Policies = sched.Policies()
 	}
--- a/pkg/conf/conf.go
+++ b/pkg/conf/conf.go
@@ -2,7 +2,11 @@
 // knows, merged by version, and immutable snapshots for the traffic path.
 package conf
 
-import "github.com/rosemarywing/rosemarywing/pkg/record"
+import (
+	"slices"
+
+	"github.com/rosemarywing/rosemarywing/pkg/record"
+)
 
 // Key names one configuration object.
 type Key struct {
@@ -63,6 +67,9 @@
 	Targets []string
 }
 
+// Serves reports whether the pool serves a target.
+func (p *Pool) Serves(target string) bool { return slices.Contains(p.Targets, target) }
+
 // Servable reports whether configuration allows new work for the given model
 // version on the upstream. An empty version asks for the upstream alone.
 func (s *Snapshot) Servable(upstream, modelVersion string) bool {
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -17,7 +17,6 @@
 	"github.com/rosemarywing/rosemarywing/pkg/platform"
 	"github.com/rosemarywing/rosemarywing/pkg/pool"
 	"github.com/rosemarywing/rosemarywing/pkg/record"
-	"github.com/rosemarywing/rosemarywing/pkg/route"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
@@ -311,7 +310,7 @@
 func (b *builder) strikeTargets(model string) []string {
 	var addresses []string
 	for name, found := range b.cache.Snapshot().Pools {
-		if found.Domain == b.env.Settings.Instance.Domain || !route.Serves(found, "model:"+model) {
+		if found.Domain == b.env.Settings.Instance.Domain || !found.Serves("model:"+model) {
 			continue
 		}
 		if owners := b.directory.addresses(found.Domain, name); len(owners) > 0 {
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -162,7 +162,7 @@
 	s.mu.Unlock()
 	pools := s.options.Config.Snapshot().Pools
 	for name, l := range loops {
-		if pool := pools[name]; pool != nil && serves(pool, in.Model) {
+		if pool := pools[name]; pool != nil && pool.Serves(modelTarget+in.Model) {
 			l.post(s.ctx, struck{strikes})
 		}
 	}
@@ -189,15 +189,6 @@
 	sends.Wait()
 }
 
-func serves(pool *conf.Pool, model string) bool {
-	for _, target := range pool.Targets {
-		if target == modelTarget+model {
-			return true
-		}
-	}
-	return false
-}
-
 // upstreams returns the upstreams of the pool that may get new work. While this
 // instance is not the first owner in its own view, another scheduler may be at
 // work, and the limits are a quarter.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -47,7 +47,7 @@
 func Candidates(snapshot *conf.Snapshot, place Place, target, requestID string) []Candidate {
 	var found []Candidate
 	for name, pool := range snapshot.Pools {
-		if Serves(pool, target) {
+		if pool.Serves(target) {
 			found = append(found, Candidate{Pool: name, Distance: place.distance(pool.Domain)})
 		}
 	}
@@ -60,16 +60,6 @@
 	return found
 }
 
-// Serves reports whether the pool serves the target.
-func Serves(pool *conf.Pool, target string) bool {
-	for _, served := range pool.Targets {
-		if served == target {
-			return true
-		}
-	}
-	return false
-}
-
 func (p Place) distance(domain string) Distance {
 	if domain == p.Domain {
 		return SameDomain
