Add the gateway: route-based serving on the users' platform

Cause: nothing of the product ran on the users' platform. Change: a daemon rosemarywing-gateway with packages of its own for the operator's routes, store synchronisation, kept connections, admission and placement, quotas and load reports between instances; platform/ decodes the platform's names, deploy/ holds the deploy file and the settings template. Ruled out: the existing entry daemon as it is (claims, issuers and a scheduler per pool cost a message per request and have no work here).

--- /dev/null
+++ b/pkg/admission/dispatch.go
@@ -0,0 +1,179 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Bounds of what a refused caller is told.
+const (
+	// minRetryAfter lets the queue move before a caller returns.
+	minRetryAfter = 250 * time.Millisecond
+	// retryShare is the part of the remaining patience after which callers
+	// return; callers do not wait for longer than a third.
+	retryShare = 0.33
+	// retrySpread is the part of the wait by which returns are spread, so that
+	// callers refused in a burst do not return in one.
+	retrySpread = 0.5
+)
+
+// Advance decides on all waiting requests that can be decided now.
+func (p *Pool) Advance(now time.Duration) []Decision {
+	p.noteOverdue(now)
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	p.rank(now)
+	var decisions []Decision
+	kept := p.waiting[:0]
+	free := p.freeSlots(now)
+	for i, r := range p.waiting {
+		decision, done := p.decide(now, r, free)
+		if !done {
+			kept = append(kept, r)
+			continue
+		}
+		if decision.Action == Place {
+			free.count--
+		}
+		decision.Waited, decision.Queue = now-r.Arrived, len(kept)+len(p.waiting)-i-1
+		decisions = append(decisions, decision)
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+	return decisions
+}
+
+// slots counts the places of a service's usable upstreams.
+type slots struct{ count, total int }
+
+func (p *Pool) freeSlots(now time.Duration) *slots {
+	s := &slots{}
+	for _, u := range p.order {
+		if !u.usable(now) {
+			continue
+		}
+		inFlight, _, _ := u.load(now, p.tuning.PeerTimeout)
+		s.total += u.slots
+		s.count += max(0, u.slots+p.tuning.ExtraSlots-inFlight)
+	}
+	return s
+}
+
+// rank puts the requests in the order in which they compete: those that can be
+// in time before those that are late, higher tiers first, then the shortest.
+func (p *Pool) rank(now time.Duration) {
+	slices.SortStableFunc(p.waiting, func(a, b *Request) int {
+		if late := compareBools(now >= a.Due, now >= b.Due); late != 0 {
+			return late
+		}
+		if a.Tier != b.Tier {
+			return a.Tier - b.Tier
+		}
+		return a.work() - b.work()
+	})
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// outputWork is the prompt tokens that take an engine as long as one output
+// token does in a full batch.
+const outputWork = 25
+
+func (r *Request) work() int { return r.PromptTokens + outputWork*r.OutputTokens }
+
+func (p *Pool) decide(now time.Duration, r *Request, free *slots) (Decision, bool) {
+	if now >= r.Until {
+		return p.refuse(now, r, "its time is over"), true
+	}
+	if free.count > 0 {
+		if decision, done := p.place(now, r, free); done {
+			return decision, true
+		}
+	}
+	if len(p.order) == 0 {
+		return p.refuse(now, r, "the service has no upstream"), true
+	}
+	hold := time.Duration(float64(r.Until-r.Arrived) * p.tuning.HoldShare)
+	if now-r.Arrived >= hold {
+		return p.refuse(now, r, "no upstream had room in time"), true
+	}
+	return Decision{}, false
+}
+
+// place chooses the upstream with the least expected time. Requests that will
+// be late only take slots that others do not need.
+func (p *Pool) place(now time.Duration, r *Request, free *slots) (Decision, bool) {
+	var best *upstream
+	var chosen Decision
+	bestCost := 0.0
+	for _, u := range p.order {
+		if !u.usable(now) || slices.Contains(r.Tried, u.info.ID) {
+			continue
+		}
+		inFlight, awaited, age := u.load(now, p.tuning.PeerTimeout)
+		if inFlight >= u.slots+p.tuning.ExtraSlots {
+			continue
+		}
+		expected := u.expect(&p.tuning, r.PromptTokens, inFlight, awaited)
+		cost := toMs(expected) + p.distance(u) + u.failures(now)*failureCost
+		if best == nil || cost < bestCost {
+			best, bestCost = u, cost
+			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, Expected: expected, InFlight: inFlight, Age: age}
+		}
+	}
+	if best == nil {
+		return Decision{}, false
+	}
+	chosen.Reason = "least expected time"
+	if now+chosen.Expected > r.Due {
+		if float64(free.count) < p.tuning.SpareForLate*float64(free.total) {
+			return Decision{}, false
+		}
+		chosen.Reason = "late, but there is room"
+	}
+	best.flights = append(best.flights, flight{key: r.Key, prompt: r.PromptTokens, placed: now, expected: chosen.Expected})
+	return chosen, true
+}
+
+func (p *Pool) distance(u *upstream) float64 {
+	switch {
+	case u.info.Domain == p.location.Domain:
+		return 0
+	case p.location.Regions[u.info.Domain] == p.location.Regions[p.location.Domain]:
+		return p.tuning.SameRegionMs
+	default:
+		return p.tuning.OtherRegionMs
+	}
+}
+
+func (p *Pool) refuse(now time.Duration, r *Request, reason string) Decision {
+	left := max(0, r.Until-now)
+	wait := time.Duration(float64(left) * retryShare * (1 - retrySpread*rand.Float64()))
+	return Decision{Key: r.Key, Action: Refuse, Reason: reason, RetryAfter: max(minRetryAfter, wait)}
+}
+
+// noteOverdue lowers the speed of upstreams whose first output is overdue, long
+// before an answer would show it.
+func (p *Pool) noteOverdue(now time.Duration) {
+	for _, u := range p.order {
+		for i := range u.flights {
+			f := &u.flights[i]
+			limit := time.Duration(float64(f.expected)*overdueFactor) + overdueSlack
+			if f.output || f.overdue || now-f.placed < limit {
+				continue
+			}
+			f.overdue = true
+			u.observeSpeed(u.believedSpeed() * overdueSlower)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/admission/upstream.go
@@ -0,0 +1,169 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Bounds and weights of what is learnt of an upstream.
+const (
+	// speedWeight is the weight of a new observation of an upstream's speed.
+	speedWeight = 0.25
+	minSpeed    = 0.05
+	maxSpeed    = 8.0
+	// samplesKept bounds the observations that an estimate stands for, so that
+	// a change shows after a few new ones.
+	samplesKept = 8.0
+	// overdueFactor and overdueSlack say when a request without output shows
+	// that its upstream is slower than believed.
+	overdueFactor = 3.0
+	overdueSlack  = 200 * time.Millisecond
+	overdueSlower = 0.6
+	// failureWeight is the weight of one answer in the failure rate, which
+	// halves in failureHalfLife without news.
+	failureWeight   = 0.2
+	failureHalfLife = 3 * time.Second
+	// failureCost is the expected time that a certain failure adds when
+	// upstreams are compared.
+	failureCost = 1500.0
+	// minPause and maxPause bound the time for which an upstream gets no
+	// request after it could not be reached or broke a connection.
+	minPause = 150 * time.Millisecond
+	maxPause = 2 * time.Second
+	// fullPause is the time for which an upstream that rejected a request
+	// counts as full.
+	fullPause = 40 * time.Millisecond
+	// coldSpeed is assumed of an upstream that nothing is known of.
+	coldSpeed = 1.0
+)
+
+// flight is a request of this instance at an upstream.
+type flight struct {
+	key      uint64
+	prompt   int
+	placed   time.Duration
+	expected time.Duration
+	output   bool
+	overdue  bool
+}
+
+type peerLoad struct {
+	load     Load
+	reported time.Duration
+}
+
+// upstream is what is known of one upstream.
+type upstream struct {
+	info    Info
+	engine  bool
+	slots   int
+	stride  int
+	speed   float64
+	samples float64
+	flights []flight
+	peers   map[string]peerLoad
+	// pausedUntil and pauses belong to the back-off after failures.
+	pausedUntil time.Duration
+	pauses      int
+	fullUntil   time.Duration
+	failureRate float64
+	failureAt   time.Duration
+}
+
+// load sums this instance's and the peers' requests at the upstream.
+func (u *upstream) load(now time.Duration, timeout time.Duration) (inFlight, awaited int, age time.Duration) {
+	inFlight, awaited = len(u.flights), u.awaited()
+	for peer, p := range u.peers {
+		since := now - p.reported
+		if since > timeout {
+			delete(u.peers, peer)
+			continue
+		}
+		if p.load.InFlight > 0 {
+			age = max(age, since)
+		}
+		inFlight += p.load.InFlight
+		awaited += p.load.AwaitedTokens
+	}
+	return inFlight, awaited, age
+}
+
+func (u *upstream) awaited() int {
+	tokens := 0
+	for _, f := range u.flights {
+		if !f.output {
+			tokens += f.prompt
+		}
+	}
+	return tokens
+}
+
+// believedSpeed merges the own estimate with those of the peers, by the number
+// of observations behind each.
+func (u *upstream) believedSpeed() float64 {
+	sum, weight := u.speed*u.samples, u.samples
+	for _, p := range u.peers {
+		sum += p.load.Speed * p.load.Samples
+		weight += p.load.Samples
+	}
+	if weight < 1 {
+		return coldSpeed
+	}
+	return sum / weight
+}
+
+// observeSpeed takes in the speed that one request showed.
+func (u *upstream) observeSpeed(observed float64) {
+	observed = math.Min(maxSpeed, math.Max(minSpeed, observed))
+	if u.samples < 1 {
+		u.speed = observed
+	} else {
+		weight := math.Max(speedWeight, 1/(u.samples+1))
+		u.speed += weight * (observed - u.speed)
+	}
+	u.samples = math.Min(samplesKept, u.samples+1)
+}
+
+func (u *upstream) failures(now time.Duration) float64 {
+	return u.failureRate * math.Exp2(-float64(now-u.failureAt)/float64(failureHalfLife))
+}
+
+func (u *upstream) observeFailure(now time.Duration, failed bool) {
+	rate := u.failures(now) * (1 - failureWeight)
+	if failed {
+		rate += failureWeight
+	}
+	u.failureRate, u.failureAt = rate, now
+}
+
+// pause keeps new requests away for a time that doubles with each failure in a
+// row.
+func (u *upstream) pause(now time.Duration) {
+	u.pausedUntil = now + min(maxPause, minPause<<min(u.pauses, 6))
+	u.pauses++
+}
+
+func (u *upstream) usable(now time.Duration) bool {
+	return !u.info.Leaving && now >= u.pausedUntil && now >= u.fullUntil
+}
+
+// expect predicts the time from the dispatch to the first output.
+func (u *upstream) expect(t *Tuning, prompt, inFlight, awaited int) time.Duration {
+	speed := u.believedSpeed()
+	if !u.engine {
+		rounds := 1 + float64(inFlight)/float64(max(1, u.slots))
+		return fromMs(t.PlainMs / speed * rounds)
+	}
+	step := t.StepMs + t.StepMsPerRequest*float64(inFlight+1)
+	read := float64(awaited+prompt) / t.PrefillPerMs
+	// Decoding steps of the running requests are taken between the chunks.
+	read *= 1 + step*t.PrefillPerMs/chunkTokens
+	return fromMs(t.FirstMs + (read+step*float64(max(1, u.stride)))/speed)
+}
+
+// chunkTokens is the prompt tokens that an engine reads between two decoding
+// steps.
+const chunkTokens = 1024
+
+func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+func toMs(d time.Duration) float64    { return float64(d) / float64(time.Millisecond) }
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -64,6 +64,11 @@
 	PlatformUnavailable  Kind = "platform_unavailable"
 	InvalidRecord        Kind = "invalid_record"
 	BadSettings          Kind = "bad_settings"
+	RouteUnknown         Kind = "route_unknown"
+	QuotaExceeded        Kind = "quota_exceeded"
+	ConfigurationStale   Kind = "configuration_stale"
+	BodyTooLarge         Kind = "body_too_large"
+	AnswerTimeout        Kind = "answer_timeout"
 	Internal             Kind = "internal"
 )
 
@@ -113,6 +118,11 @@
 	PlatformUnavailable:  {http.StatusServiceUnavailable, NotRun, true, LogError, 10},
 	InvalidRecord:        {http.StatusBadRequest, NotRun, true, LogInfo, 11},
 	BadSettings:          {http.StatusInternalServerError, NotRun, true, LogError, 12},
+	RouteUnknown:         {http.StatusNotFound, NotRun, true, LogInfo, 4},
+	QuotaExceeded:        {http.StatusTooManyRequests, NotRun, true, LogInfo, 5},
+	ConfigurationStale:   {http.StatusServiceUnavailable, NotRun, true, LogError, 5},
+	BodyTooLarge:         {http.StatusRequestEntityTooLarge, NotRun, true, LogInfo, 2},
+	AnswerTimeout:        {http.StatusGatewayTimeout, Unknown, false, LogError, 8},
 	Internal:             {http.StatusInternalServerError, Unknown, false, LogError, 1},
 }
 
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,136 @@
+// Package gateway serves callers by the operator's routes: it finds the route
+// and the team of a request, waits for an upstream with room, sends the request
+// there at most as often as its kind allows, and returns the whole answer.
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/rosemarywing/rosemarywing/pkg/boottime"
+	"github.com/rosemarywing/rosemarywing/pkg/connpool"
+	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
+	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+	"github.com/rosemarywing/rosemarywing/pkg/traffic"
+)
+
+// Options are what a Gateway is made of.
+type Options struct {
+	Settings Settings
+	Store    storesync.Store
+	Protocol Protocol
+	Records  Records
+	Kinds    Kinds
+	Log      logr.Logger
+	Clock    clockwork.Clock
+	// Now is the clock of all ages and time limits; it must go on while the
+	// machine is suspended. boottime.Now if nil.
+	Now func() time.Duration
+}
+
+// Gateway is one instance.
+type Gateway struct {
+	settings Settings
+	store    storesync.Store
+	protocol Protocol
+	records  Records
+	kinds    Kinds
+	log      logr.Logger
+	decide   *decisionLog
+	clock    clockwork.Clock
+	now      func() time.Duration
+	boot     int64
+	socket   *loadshare.Socket
+	conns    *connpool.Pool
+	metrics  *gauges
+	control  *control
+	// table is the configuration in force; nil until the first is known.
+	table atomic.Pointer[traffic.Table]
+	// asOf is the time, on the clock of now, at which the configuration in
+	// force was still the newest.
+	asOf    atomic.Int64
+	leaving atomic.Bool
+	// instances is the number of known instances, this one included.
+	instances atomic.Int64
+	// held counts the requests that are held.
+	held    atomic.Int64
+	nextKey atomic.Uint64
+}
+
+// Limits on what an instance holds, by what its settings allow.
+const (
+	// descriptorsPerRequest are the caller's connection and the upstream's.
+	descriptorsPerRequest = 2
+	// reservedDescriptors are left for files, the store and listeners.
+	reservedDescriptors = 300
+	// memoryPerRequestMiB covers a body, the buffers of two connections and
+	// two goroutines.
+	memoryPerRequestMiB = 0.1
+	// memoryForRequests is the part of the memory that requests may take.
+	memoryForRequests = 0.5
+	dialTimeout       = 400 * time.Millisecond
+	upstreamSilence   = 2 * time.Second
+	idlePerUpstream   = 8
+)
+
+// New returns an instance that listens to its peers but not yet to callers.
+func New(opts Options) (*Gateway, error) {
+	socket, err := loadshare.Listen(opts.Settings.Listen.Peers)
+	if err != nil {
+		return nil, err
+	}
+	if opts.Now == nil {
+		opts.Now = boottime.Now
+	}
+	g := &Gateway{
+		settings: opts.Settings, store: opts.Store, protocol: opts.Protocol, records: opts.Records, kinds: opts.Kinds,
+		log: opts.Log, decide: newDecisionLog(opts.Log), clock: opts.Clock, now: opts.Now,
+		boot: opts.Clock.Now().UnixNano(), socket: socket,
+		conns: connpool.NewPool(connpool.Options{
+			DialTimeout: dialTimeout, Silence: upstreamSilence, MaxIdle: idlePerUpstream, Clock: opts.Clock,
+		}),
+		metrics: newGauges(metrics.NewRegistry()),
+	}
+	// No freshness is shown before the first answer of the store.
+	g.asOf.Store(int64(g.now() - time.Hour))
+	g.control = newControl(g)
+	return g, nil
+}
+
+// capacity is the number of requests that may be held at once.
+func (g *Gateway) capacity() int64 {
+	byDescriptors := (g.settings.Limits.Descriptors - reservedDescriptors) / descriptorsPerRequest
+	byMemory := float64(g.settings.Limits.MemoryMiB) * memoryForRequests / memoryPerRequestMiB
+	return int64(max(1, min(float64(byDescriptors), byMemory)))
+}
+
+// tell passes a message to the control goroutine.
+func (g *Gateway) tell(m message) { g.control.inbox <- m }
+
+// configAge is the time since the configuration in force was known to be the
+// newest.
+func (g *Gateway) configAge() time.Duration { return g.now() - time.Duration(g.asOf.Load()) }
+
+// freshMargin covers the time between the check of the configuration's age and
+// the first byte to an upstream.
+const freshMargin = 400 * time.Millisecond
+
+// fresh reports whether the configuration shows which keys are valid.
+func (g *Gateway) fresh() bool {
+	return g.configAge() <= g.settings.Bounds.ConfigFresh()-freshMargin
+}
+
+// ready reports whether callers should be sent here.
+func (g *Gateway) ready() bool {
+	return !g.leaving.Load() && g.table.Load() != nil && g.fresh()
+}
+
+// Handler serves callers.
+func (g *Gateway) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r) })
+}
--- /dev/null
+++ b/pkg/gateway/life.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
+	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+)
+
+// Times of the start and the stop.
+const (
+	// watchWait is how long a watch waits. With two watches an instance makes
+	// one call a second, and shows every two seconds that its keys are valid.
+	watchWait = 2 * time.Second
+	// watchMargin is a few times the answer time of a slow store.
+	watchMargin = 1500 * time.Millisecond
+	// leaveNotice is how long an instance that stops still accepts
+	// connections: the platform needs two questions, a second apart, to send
+	// callers elsewhere.
+	leaveNotice = 3 * time.Second
+	// stopMargin is left between the last answer and SIGKILL.
+	stopMargin = 500 * time.Millisecond
+	// pruneEvery is the pause between two searches for idle connections that
+	// are too old.
+	pruneEvery = time.Second
+	// idleCallers is how long callers may keep idle connections open unless
+	// the operator allows more.
+	idleCallers = time.Minute
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	headerBytes   = 64 << 10
+)
+
+// Run serves until the context ends, and then stops: it finishes what it holds
+// within the grace time.
+func (g *Gateway) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers := &http.Server{Handler: g.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleCallers, MaxHeaderBytes: headerBytes}
+	servers := map[string]*http.Server{
+		g.settings.Listen.Ready: {Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout},
+		g.settings.Listen.Admin: {Handler: g.adminHandler(), ReadHeaderTimeout: headerTimeout},
+	}
+	failures := make(chan error, len(servers)+1)
+	var tasks sync.WaitGroup
+	g.startTasks(background, &tasks)
+	serveOn := func(server *http.Server, address string) error {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		tasks.Go(func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failures <- err
+			}
+		})
+		return nil
+	}
+	err := serveOn(callers, g.settings.Listen.Callers)
+	for address, server := range servers {
+		if err == nil {
+			err = serveOn(server, address)
+		}
+	}
+	if err == nil {
+		g.log.Info("started", "instance", g.settings.Instance.Name, "domain", g.settings.Instance.Domain,
+			"callers", g.settings.Listen.Callers, "store", g.settings.Store.Address, "capacity", g.capacity())
+		select {
+		case <-ctx.Done():
+			g.shutdown(callers)
+		case err = <-failures:
+		}
+	}
+	stop()
+	_ = callers.Close()
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	if closeErr := g.socket.Close(); closeErr != nil {
+		g.log.Error(closeErr, "close the peer socket")
+	}
+	tasks.Wait()
+	g.log.Info("stopped", "instance", g.settings.Instance.Name, "held", g.held.Load())
+	return err
+}
+
+func (g *Gateway) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
+	tasks.Go(func() { g.control.run(ctx) })
+	tasks.Go(func() {
+		g.socket.Receive(
+			func(report loadshare.Report) { g.tellUntil(ctx, peerReport{report: report}) },
+			func(err error) {
+				g.metrics.reportsBad.Inc(1)
+				g.log.V(1).Info("datagram ignored", "error", err.Error())
+			})
+	})
+	for _, kind := range []string{g.kinds.Config, g.kinds.Upstreams} {
+		syncer := storesync.New(storesync.Options{
+			Store: g.store, Kind: kind, Wait: watchWait, Margin: watchMargin, Now: g.now, Clock: g.clock, Log: g.log,
+			Deliver: func(update storesync.Update) { g.tellUntil(ctx, storeUpdate{update: update}) },
+			Lost: func(kind string, err error) {
+				g.log.Info("dependency lost", "dependency", "store", "kind", kind, "error", err.Error(), "config_age_ms", g.configAge().Milliseconds())
+			},
+		})
+		tasks.Go(func() { syncer.Run(ctx) })
+	}
+	tasks.Go(func() { g.register(ctx) })
+	tasks.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-g.clock.After(pruneEvery):
+				g.conns.Prune()
+			}
+		}
+	})
+}
+
+// tellUntil passes on a message unless the control goroutine is ending.
+func (g *Gateway) tellUntil(ctx context.Context, m message) {
+	select {
+	case g.control.inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
+// shutdown goes on serving until callers are sent elsewhere, and then finishes
+// what is held.
+func (g *Gateway) shutdown(callers *http.Server) {
+	started := g.now()
+	g.leaving.Store(true)
+	g.log.Info("stopping", "held", g.held.Load(), "grace_ms", g.settings.Bounds.StopGrace().Milliseconds())
+	end := g.settings.Bounds.StopGrace() - stopMargin
+	<-g.clock.After(min(leaveNotice, end/2))
+	ctx, cancel := context.WithTimeout(context.Background(), end-(g.now()-started))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.Info("requests are cut off at the end of the grace time", "held", g.held.Load(), "error", err.Error())
+	}
+}
+
+func (g *Gateway) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+func (g *Gateway) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", g.serveMetrics)
+	return mux
+}
+
+// Reload notes new settings. Addresses stay as they are until a restart, since
+// open connections belong to them.
+func (g *Gateway) Reload(settings Settings) {
+	changed := fmt.Sprintf("%+v", settings) != fmt.Sprintf("%+v", g.settings)
+	g.log.Info("settings read again", "changed", changed, "effect", "at the next start")
+}
--- /dev/null
+++ b/pkg/gateway/settings.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+)
+
+// Settings are the start-up settings of a gateway instance, read from an INI
+// file. What changes at run time lies in the store.
+type Settings struct {
+	Instance InstanceSettings `ini:"instance"`
+	Listen   ListenSettings   `ini:"listen"`
+	Store    StoreSettings    `ini:"store"`
+	Limits   LimitSettings    `ini:"limits"`
+	Bounds   BoundSettings    `ini:"bounds"`
+	// Regions maps each failure domain to its region; section [domains].
+	Regions map[string]string `ini:"-"`
+}
+
+// InstanceSettings say who and where the instance is.
+type InstanceSettings struct {
+	Name   string `ini:"name"`
+	Domain string `ini:"domain"`
+	// FirstStart is true when the whole deployment starts for the first time.
+	FirstStart bool `ini:"first_start"`
+}
+
+// ListenSettings are addresses, each a host and a port.
+type ListenSettings struct {
+	Callers string `ini:"callers"`
+	Ready   string `ini:"ready"`
+	// Peers is a UDP address.
+	Peers string `ini:"peers"`
+	Admin string `ini:"admin"`
+}
+
+// StoreSettings say where the platform's store is.
+type StoreSettings struct {
+	Address string `ini:"address"`
+}
+
+// LimitSettings are what the machine allows the process.
+type LimitSettings struct {
+	MemoryMiB   int `ini:"memory_mib"`
+	Descriptors int `ini:"descriptors"`
+}
+
+// BoundSettings are the bounds that all instances keep together; see
+// docs/settings.md for their units and meaning.
+type BoundSettings struct {
+	ConfigFreshMs    int64   `ini:"config_fresh_ms"`
+	StopGraceSeconds float64 `ini:"stop_grace_s"`
+	RetryRatio       float64 `ini:"retry_ratio"`
+	RetryWindowS     float64 `ini:"retry_window_s"`
+	RetryExtra       float64 `ini:"retry_extra"`
+	QuotaWindowS     float64 `ini:"quota_window_s"`
+	QuotaOverage     float64 `ini:"quota_overage"`
+	QuotaSlack       float64 `ini:"quota_slack"`
+}
+
+// StopGrace is the time from SIGTERM to SIGKILL.
+func (b BoundSettings) StopGrace() time.Duration { return seconds(b.StopGraceSeconds) }
+
+// ConfigFresh is the age at which a configuration no longer shows which keys
+// are valid.
+func (b BoundSettings) ConfigFresh() time.Duration {
+	return time.Duration(b.ConfigFreshMs) * time.Millisecond
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// defaultSettings are in force for keys that a file leaves out.
+func defaultSettings() Settings {
+	return Settings{
+		Limits: LimitSettings{MemoryMiB: 256, Descriptors: 4096},
+		Bounds: BoundSettings{
+			ConfigFreshMs: 5000, StopGraceSeconds: 8,
+			RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 50,
+			QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 140_000,
+		},
+	}
+}
+
+// domainsSection maps failure domains to regions; its keys are names.
+const domainsSection = "domains"
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return Settings{}, errkind.Wrap(errkind.BadSettings, err, "settings %s", path)
+	}
+	settings := defaultSettings()
+	if err := file.StrictMapTo(&settings); err != nil {
+		return Settings{}, errkind.Wrap(errkind.BadSettings, err, "settings %s", path)
+	}
+	settings.Regions = file.Section(domainsSection).KeysHash()
+	if err := errors.Join(unknownKeys(file), settings.check()); err != nil {
+		return Settings{}, errkind.Wrap(errkind.BadSettings, err, "settings %s", path)
+	}
+	return settings, nil
+}
+
+// unknownKeys reports what the library would ignore.
+func unknownKeys(file *ini.File) error {
+	known := ini.Empty()
+	defaults := defaultSettings()
+	if err := known.ReflectFrom(&defaults); err != nil {
+		return err
+	}
+	var problems []error
+	for _, section := range file.Sections() {
+		if section.Name() == domainsSection {
+			continue
+		}
+		for _, key := range section.Keys() {
+			if !known.Section(section.Name()).HasKey(key.Name()) {
+				problems = append(problems, fmt.Errorf("unknown key %q in section [%s]", key.Name(), section.Name()))
+			}
+		}
+	}
+	return errors.Join(problems...)
+}
+
+func (s Settings) check() error {
+	var problems []error
+	for key, address := range map[string]string{
+		"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready,
+		"listen.peers": s.Listen.Peers, "listen.admin": s.Listen.Admin, "store.address": s.Store.Address,
+	} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			problems = append(problems, fmt.Errorf("%s: %q is no host and port", key, address))
+		}
+	}
+	if s.Instance.Name == "" || s.Instance.Domain == "" {
+		problems = append(problems, errors.New("instance.name and instance.domain are required"))
+	}
+	if s.Regions[s.Instance.Domain] == "" {
+		problems = append(problems, fmt.Errorf("section [domains] has no region for %q", s.Instance.Domain))
+	}
+	const minMemoryMiB, minDescriptors = 32, 256
+	if s.Limits.MemoryMiB < minMemoryMiB || s.Limits.Descriptors < minDescriptors {
+		problems = append(problems, fmt.Errorf("limits: at least %d MiB and %d descriptors are needed", minMemoryMiB, minDescriptors))
+	}
+	b := s.Bounds
+	if b.ConfigFreshMs <= 0 || b.StopGraceSeconds <= 0 || b.RetryWindowS <= 0 || b.QuotaWindowS <= 0 {
+		problems = append(problems, errors.New("bounds: times must be above 0"))
+	}
+	if b.RetryRatio < 0 || b.RetryExtra < 0 || b.QuotaOverage < 0 || b.QuotaSlack < 0 {
+		problems = append(problems, errors.New("bounds: no value may be negative"))
+	}
+	return errors.Join(problems...)
+}
--- /dev/null
+++ b/pkg/loadshare/loadshare.go
@@ -0,0 +1,137 @@
+// Package loadshare tells other instances what this one has at each upstream
+// and what its teams have used, in datagrams. Reports are complete: a lost one
+// is made good by the next.
+package loadshare
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Report is what an instance tells the others.
+type Report struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	// Instance is the sender, and Boot the start of its process.
+	Instance string
+	Boot     int64
+	Sequence uint64
+	// Address is the sender's address.
+	Address string
+	// Leaving is true in the last reports of a process.
+	Leaving bool
+	// Cold is true if the process does not know what the team quotas were used
+	// for before it started.
+	Cold      bool
+	Upstreams []UpstreamUse
+	Teams     []TeamUse
+	Strikes   []Strike
+}
+
+// UpstreamUse is what the sender has at one upstream.
+type UpstreamUse struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	// Upstream is the short hash of the upstream's ID.
+	Upstream      uint32
+	InFlight      uint16
+	AwaitedTokens uint32
+	// SpeedPercent is the observed speed, and Samples the number of
+	// observations behind it.
+	SpeedPercent uint16
+	Samples      uint8
+}
+
+// TeamUse is what the sender has used of a team's quota in the window.
+type TeamUse struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	Team     uint32
+	Used     uint32
+}
+
+// Strike tells how many upstreams broke while they ran a request.
+type Strike struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	Fingerprint uint64
+	Count       uint8
+}
+
+// ShortHash abbreviates the name of an upstream or a team. Both sides know the
+// names, so that two equal hashes would only mix two loads.
+func ShortHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// maxDatagram is the largest report that is read.
+const maxDatagram = 16 << 10
+
+// Socket sends and receives reports.
+type Socket struct {
+	conn *net.UDPConn
+}
+
+// Listen opens a socket.
+func Listen(address string) (*Socket, error) {
+	local, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("peer address %q: %w", address, err)
+	}
+	conn, err := net.ListenUDP("udp4", local)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	return &Socket{conn: conn}, nil
+}
+
+// Close closes the socket and ends Receive.
+func (s *Socket) Close() error { return s.conn.Close() }
+
+// LocalAddress returns the address that the socket is bound to.
+func (s *Socket) LocalAddress() string { return s.conn.LocalAddr().String() }
+
+// Send sends an encoded report to a peer.
+func (s *Socket) Send(content []byte, peer *net.UDPAddr) error {
+	_, err := s.conn.WriteToUDP(content, peer)
+	return err
+}
+
+// receivePause keeps a socket that fails at once from using the processor.
+const receivePause = 10 * time.Millisecond
+
+// Receive passes on reports until the socket is closed. Datagrams that are no
+// reports are passed to bad.
+func (s *Socket) Receive(report func(Report), bad func(error)) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDP(buffer)
+		if err != nil {
+			if isClosed(err) {
+				return
+			}
+			bad(fmt.Errorf("receive: %w", err))
+			time.Sleep(receivePause)
+			continue
+		}
+		r, err := Decode(buffer[:n])
+		if err != nil {
+			bad(fmt.Errorf("report from %s: %w", from, err))
+			continue
+		}
+		report(r)
+	}
+}
+
+// Encode encodes a report.
+func Encode(report Report) ([]byte, error) { return msgpack.Marshal(report) }
+
+// Decode decodes a report.
+func Decode(content []byte) (Report, error) {
+	var report Report
+	if err := msgpack.Unmarshal(content, &report); err != nil {
+		return report, err
+	}
+	if report.Instance == "" {
+		return report, fmt.Errorf("the report names no instance")
+	}
+	return report, nil
+}
--- /dev/null
+++ b/pkg/quota/window.go
@@ -0,0 +1,55 @@
+// Package quota counts what teams and retries use over sliding windows, at one
+// instance and over all of them.
+package quota
+
+import "time"
+
+// buckets is the number of parts of a window. The window that is counted is
+// longer than the nominal one by one part.
+const buckets = 32
+
+// Window is a sum over a sliding window of time.
+type Window struct {
+	part    time.Duration
+	amounts [buckets + 1]float64
+	// current is the number of the newest part since time 0.
+	current int64
+	sum     float64
+}
+
+// NewWindow returns a window of the given length.
+func NewWindow(length time.Duration) *Window {
+	return &Window{part: length / buckets}
+}
+
+// Add counts an amount; a negative one takes back what was counted before.
+func (w *Window) Add(now time.Duration, amount float64) {
+	w.advance(now)
+	w.amounts[w.current%(buckets+1)] += amount
+	w.sum += amount
+}
+
+// Sum returns the sum over the window that ends now.
+func (w *Window) Sum(now time.Duration) float64 {
+	w.advance(now)
+	return max(0, w.sum)
+}
+
+func (w *Window) advance(now time.Duration) {
+	part := int64(now / w.part)
+	if part <= w.current {
+		return
+	}
+	if part-w.current > buckets {
+		w.amounts = [buckets + 1]float64{}
+		w.sum = 0
+		w.current = part
+		return
+	}
+	for w.current < part {
+		w.current++
+		slot := &w.amounts[w.current%(buckets+1)]
+		w.sum -= *slot
+		*slot = 0
+	}
+}
--- /dev/null
+++ b/pkg/traffic/table.go
@@ -0,0 +1,100 @@
+package traffic
+
+import (
+	"crypto/sha256"
+	"sort"
+	"strings"
+)
+
+// Table answers questions about one configuration.
+type Table struct {
+	config   Config
+	byHost   map[string][]*Route
+	services map[string]*Service
+	// teams is keyed by digests, so that the time of a look-up says nothing
+	// about how much of a guessed key is right.
+	teams map[[sha256.Size]byte]*Team
+}
+
+// NewTable indexes a configuration.
+func NewTable(config Config) *Table {
+	t := &Table{
+		config:   config,
+		byHost:   make(map[string][]*Route),
+		services: make(map[string]*Service, len(config.Services)),
+		teams:    make(map[[sha256.Size]byte]*Team),
+	}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		host := strings.ToLower(route.Host)
+		t.byHost[host] = append(t.byHost[host], route)
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range config.Services {
+		t.services[config.Services[i].Name] = &config.Services[i]
+	}
+	for i := range config.Teams {
+		for _, key := range config.Teams[i].Keys {
+			t.teams[sha256.Sum256([]byte(key))] = &config.Teams[i]
+		}
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 { return t.config.Version }
+
+// Limits returns the limits on callers.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Teams returns all teams; they must not be changed.
+func (t *Table) Teams() []Team { return t.config.Teams }
+
+// Services returns all services; they must not be changed.
+func (t *Table) Services() []Service { return t.config.Services }
+
+// Match returns the route with the longest prefix of path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, route := range t.byHost[strings.ToLower(hostOnly(host))] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+func hostOnly(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		return host[:i]
+	}
+	return host
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// KeysRequired reports whether requests on routes that are not public need a key.
+func (t *Table) KeysRequired() bool { return len(t.config.Teams) > 0 }
+
+// TeamOf returns the team that holds the key, or nil.
+func (t *Table) TeamOf(key string) *Team {
+	return t.teams[sha256.Sum256([]byte(key))]
+}
+
+// Pick returns the service for a request; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	rest := draw * float64(total)
+	for _, target := range r.Targets {
+		rest -= float64(target.Weight)
+		if rest < 0 {
+			return target.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/pkg/traffic/traffic.go
@@ -0,0 +1,148 @@
+// Package traffic holds the operator's configuration of a gateway: routes,
+// services, teams and limits, decoded and indexed. A Table is immutable.
+package traffic
+
+import (
+	"time"
+)
+
+// Kind says how often a request may run.
+type Kind int
+
+// Kinds of requests.
+const (
+	// Once marks requests that may run at most once.
+	Once Kind = iota
+	// Idempotent marks requests that may run more than once.
+	Idempotent
+	// Stream marks event streams that may run at most once.
+	Stream
+	// ResumableStream marks event streams that another upstream may continue
+	// after the last event that was delivered.
+	ResumableStream
+)
+
+// String returns the name of the kind as it is logged.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	case ResumableStream:
+		return "resumable_stream"
+	default:
+		return "once"
+	}
+}
+
+// Repeatable reports whether a request may be sent again although an earlier
+// attempt may have run.
+func (k Kind) Repeatable() bool { return k == Idempotent || k == ResumableStream }
+
+// Streams reports whether the answer is a stream of events.
+func (k Kind) Streams() bool { return k == Stream || k == ResumableStream }
+
+// Target is a service that a route sends a share of its requests to.
+type Target struct {
+	Service string
+	// Weight is relative to the weights of the route's other targets.
+	Weight int
+}
+
+// Route says where requests with a host and a path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Targets is never empty.
+	Targets []Target
+	// Timeout is the longest time for which a request is kept waiting.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to the first event of a stream,
+	// within which the answer has its full value.
+	Objective time.Duration
+	// Tier is the rank of the requests; 0 is the highest.
+	Tier int
+	// MaxAttempts is the number of upstreams that one request may be sent to.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+}
+
+// Serves reports whether the route sends requests to the service.
+func (r *Route) Serves(service string) bool {
+	for _, target := range r.Targets {
+		if target.Service == service && target.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Service is a group of upstreams that answer the same requests.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections to one upstream, from all
+	// instances together.
+	MaxConnections int
+	// Slots is the number of requests that one engine runs at once; 0 for
+	// plain services, whose upstreams announce it.
+	Slots int
+	// MemoryTokens is the size of an engine's KV cache; 0 for plain services.
+	MemoryTokens int
+	// EventTokens is the number of tokens in one event of an engine's stream.
+	EventTokens int
+}
+
+// Engine reports whether the service's upstreams are model engines.
+func (s *Service) Engine() bool { return s.MemoryTokens > 0 }
+
+// Team is a customer with keys and a quota.
+type Team struct {
+	Name string
+	Keys []string
+	// Tier replaces the tier of the route if it is not nil.
+	Tier *int
+	// TokensPerSecond and BurstTokens are the quota over all instances; no
+	// quota if both are 0.
+	TokensPerSecond float64
+	BurstTokens     float64
+	// PlainTokens is what a request without a token count is charged.
+	PlainTokens int
+	// CountsRequests charges one for each request instead of its tokens.
+	CountsRequests bool
+}
+
+// Limited reports whether the team has a quota.
+func (t *Team) Limited() bool { return t.TokensPerSecond > 0 || t.BurstTokens > 0 }
+
+// Charge returns what a request with the given token count costs the quota.
+func (t *Team) Charge(tokens int) int {
+	switch {
+	case t.CountsRequests:
+		return 1
+	case tokens > 0:
+		return tokens
+	default:
+		return t.PlainTokens
+	}
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+}
