--- /dev/null
+++ b/pkg/quota/quota_test.go
@@ -0,0 +1,150 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/quota"
+)
+
+var rules = quota.Rules{
+	Window: 8 * time.Second, Overage: 0.1, Slack: 1000, Fresh: time.Second, Forget: 30 * time.Second,
+}
+
+var limit = quota.Limit{PerSecond: 1000, Burst: 1000}
+
+// bound is what the operator lets all instances use in a window.
+const bound = (1000*8+1000)*1.1 + 1000
+
+func TestWindowForgetsWhatHasLeftIt(t *testing.T) {
+	g := NewWithT(t)
+	w := quota.NewWindow(8 * time.Second)
+	w.Add(0, 5)
+	w.Add(4*time.Second, 3)
+	g.Expect(w.Sum(7 * time.Second)).To(Equal(8.0))
+	g.Expect(w.Sum(9 * time.Second)).To(Equal(3.0))
+	w.Add(9*time.Second, -3)
+	g.Expect(w.Sum(9 * time.Second)).To(Equal(0.0))
+	g.Expect(w.Sum(time.Hour)).To(Equal(0.0))
+}
+
+// drawDown charges amounts of 100 until one is refused, and returns the sum.
+func drawDown(t *quota.Teams, now time.Duration) float64 {
+	sum := 0.0
+	for t.Charge(now, "desk", limit, 100).Allowed {
+		sum += 100
+	}
+	return sum
+}
+
+// Load pattern: one team sends eight times its share to all instances at once.
+// Guards against instances that each admit the whole limit.
+func TestReportsOfPeersCount(t *testing.T) {
+	g := NewWithT(t)
+	a := quota.NewTeams(rules, 0, false)
+	b := quota.NewTeams(rules, 0, false)
+	used := drawDown(a, time.Second)
+	b.Report(time.Second, "a", quota.Use{Boot: 1, Used: a.Used(time.Second)})
+	used += drawDown(b, time.Second)
+	g.Expect(used).To(BeNumerically("<=", bound))
+	g.Expect(used).To(BeNumerically(">=", 1000*8))
+}
+
+// Failure: all instances are cut off from each other while a team sends without
+// end. Guards against a sum above the bound.
+func TestInstancesThatCannotHearEachOtherKeepTheBoundTogether(t *testing.T) {
+	g := NewWithT(t)
+	names := []string{"a", "b", "c", "d"}
+	sum := 0.0
+	for _, own := range names {
+		teams := quota.NewTeams(rules, 0, false)
+		for _, peer := range names {
+			if peer != own {
+				teams.Known(0, peer)
+			}
+		}
+		sum += drawDown(teams, 5*time.Second)
+	}
+	g.Expect(sum).To(BeNumerically("<=", bound))
+}
+
+// Failure: all instances are killed after a team has used its limit, and start
+// again without memory. Guards against a second limit within the same window.
+func TestARestartOfAllDoesNotGrantTheLimitTwice(t *testing.T) {
+	g := NewWithT(t)
+	before := quota.NewTeams(rules, 0, false)
+	// The team sends evenly until the kill at 8 s.
+	type charge struct {
+		at     time.Duration
+		amount float64
+	}
+	var all []charge
+	for at := time.Duration(0); at < 8*time.Second; at += 100 * time.Millisecond {
+		for range 3 {
+			if before.Charge(at, "desk", limit, 100).Allowed {
+				all = append(all, charge{at, 100})
+			}
+		}
+	}
+	after := quota.NewTeams(rules, 8*time.Second, true)
+	for at := 8 * time.Second; at < 20*time.Second; at += 100 * time.Millisecond {
+		for range 3 {
+			if after.Charge(at, "desk", limit, 100).Allowed {
+				all = append(all, charge{at, 100})
+			}
+		}
+	}
+	for from := time.Duration(0); from < 12*time.Second; from += 100 * time.Millisecond {
+		sum := 0.0
+		for _, c := range all {
+			if c.at >= from && c.at < from+8*time.Second {
+				sum += c.amount
+			}
+		}
+		g.Expect(sum).To(BeNumerically("<=", bound), "window from %s", from)
+	}
+}
+
+// Failure: one of two instances restarts. Guards against forgetting what its
+// former process had used, and against a restart that blocks the team.
+func TestARestartOfAPeerIsRemembered(t *testing.T) {
+	g := NewWithT(t)
+	a := quota.NewTeams(rules, 0, false)
+	a.Report(time.Second, "b", quota.Use{Boot: 1, Used: map[string]float64{"desk": 4000}})
+	a.Report(2*time.Second, "b", quota.Use{Boot: 2, Cold: true})
+	used := drawDown(a, 2*time.Second)
+	g.Expect(used + 4000).To(BeNumerically("<=", bound))
+	g.Expect(used).To(BeNumerically(">", 2000))
+}
+
+func TestReturnedChargesCanBeUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	teams := quota.NewTeams(rules, 0, false)
+	drawDown(teams, 0)
+	teams.Return(0, "desk", 100)
+	g.Expect(teams.Charge(0, "desk", limit, 100).Allowed).To(BeTrue())
+	g.Expect(teams.Charge(0, "desk", limit, 100).Allowed).To(BeFalse())
+}
+
+// Load pattern: every request of a service fails and could be repeated. Guards
+// against instances that repeat more than the budget allows together.
+func TestRetriesKeepTheBudgetOverAllInstances(t *testing.T) {
+	g := NewWithT(t)
+	const instances = 9
+	budget := quota.RetryRules{Window: 10 * time.Second, Ratio: 0.2, Extra: 58}
+	repeats, requests := 0, 0
+	for range instances {
+		retries := quota.NewRetries(budget)
+		for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+			requests++
+			retries.Request(at, "desk")
+			if retries.Take(at, "desk", instances) {
+				repeats++
+			}
+		}
+	}
+	g.Expect(repeats).To(BeNumerically("<=", int(0.2*float64(requests)+58)))
+	g.Expect(repeats).To(BeNumerically(">", requests/10))
+}
--- /dev/null
+++ b/pkg/traffic/table_test.go
@@ -0,0 +1,74 @@
+package traffic_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/traffic"
+)
+
+func table() *traffic.Table {
+	tier := 1
+	return traffic.NewTable(traffic.Config{
+		Version: 3,
+		Routes: []traffic.Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Targets: []traffic.Target{{Service: "one", Weight: 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Targets: []traffic.Target{{Service: "one", Weight: 90}, {Service: "two", Weight: 10}}},
+			{Name: "other", Host: "b.example", Prefix: "/", Targets: []traffic.Target{{Service: "two", Weight: 1}}},
+		},
+		Teams: []traffic.Team{{Name: "desk", Keys: []string{"k1", "k2"}, Tier: &tier, PlainTokens: 200}},
+	})
+}
+
+// Guards against a request that runs at the service of a shorter prefix, or of
+// another host.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	g := NewWithT(t)
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"a.example", "/", ""},
+		{"c.example", "/x/1", ""},
+	}
+	for _, c := range cases {
+		route := table().Match(c.host, c.path)
+		if c.want == "" {
+			g.Expect(route).To(BeNil(), "%v", c)
+			continue
+		}
+		g.Expect(route.Name).To(Equal(c.want), "%v", c)
+	}
+}
+
+// Guards against a split that gives a target more or less than its weight.
+func TestPickFollowsTheWeights(t *testing.T) {
+	g := NewWithT(t)
+	route := table().Match("a.example", "/x/y/")
+	g.Expect(route.Pick(0)).To(Equal("one"))
+	g.Expect(route.Pick(0.899)).To(Equal("one"))
+	g.Expect(route.Pick(0.901)).To(Equal("two"))
+	g.Expect(route.Serves("two")).To(BeTrue())
+	g.Expect(route.Serves("three")).To(BeFalse())
+}
+
+func TestTeamsAreFoundByEachKey(t *testing.T) {
+	g := NewWithT(t)
+	for _, key := range []string{"k1", "k2"} {
+		g.Expect(table().TeamOf(key).Name).To(Equal("desk"))
+	}
+	g.Expect(table().TeamOf("k3")).To(BeNil())
+	g.Expect(table().TeamOf("")).To(BeNil())
+}
+
+func TestChargeCountsTokensOrRequests(t *testing.T) {
+	g := NewWithT(t)
+	team := traffic.Team{PlainTokens: 200}
+	g.Expect(team.Charge(1500)).To(Equal(1500))
+	g.Expect(team.Charge(0)).To(Equal(200))
+	team.CountsRequests = true
+	g.Expect(team.Charge(1500)).To(Equal(1))
+}
