admission: try a failed upstream one request at a time; storesync: list after a lost watch

A crashed engine looked idle and was given up to six requests in a millisecond, all of which lost a dial. Upstreams were also sorted before their names were set (found by a test). Change: shorter margin for watches, a list after each failure; half-open upstreams; the order of upstreams is set after their names.

--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -52,7 +52,7 @@
 func (p *Pool) SetUpstream(info Info) {
 	u := p.upstreams[info.ID]
 	if u == nil || u.info.Incarnation != info.Incarnation || u.info.Address != info.Address {
-		u = &upstream{peers: map[string]peerLoad{}}
+		u = &upstream{info: info, peers: map[string]peerLoad{}}
 		p.upstreams[info.ID] = u
 		p.sort()
 	}
--- /dev/null
+++ b/pkg/admission/pool_test.go
@@ -0,0 +1,242 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/admission"
+)
+
+const second = time.Second
+
+var location = admission.Location{Domain: "north", Regions: map[string]string{"north": "r1", "south": "r1", "east": "r2"}}
+
+type fixture struct {
+	*GomegaWithT
+	pool *admission.Pool
+	next uint64
+}
+
+// newFixture returns a pool of engines in the instance's own failure domain.
+func newFixture(t *testing.T, engines int) *fixture {
+	t.Helper()
+	pool := admission.NewPool(admission.Service{Name: "llm", Engine: true, Slots: 8, EventTokens: 6}, location, admission.DefaultTuning())
+	for i := range engines {
+		pool.SetUpstream(admission.Info{ID: fmt.Sprintf("e%d", i), Service: "llm", Address: fmt.Sprintf("a%d", i), Domain: "north", Slots: 8})
+	}
+	return &fixture{GomegaWithT: NewWithT(t), pool: pool}
+}
+
+// submit adds a request of the given tier and prompt that waits up to 15 s.
+func (f *fixture) submit(now time.Duration, tier, prompt int) uint64 {
+	f.next++
+	f.pool.Submit(&admission.Request{
+		Key: f.next, Service: "llm", Tier: tier, PromptTokens: prompt, OutputTokens: 100,
+		Arrived: now, Due: now + second, Until: now + 15*second,
+	})
+	return f.next
+}
+
+func placed(decisions []admission.Decision) map[string][]uint64 {
+	at := map[string][]uint64{}
+	for _, d := range decisions {
+		if d.Action == admission.Place {
+			at[d.Upstream.ID] = append(at[d.Upstream.ID], d.Key)
+		}
+	}
+	return at
+}
+
+func count(at map[string][]uint64) int {
+	n := 0
+	for _, keys := range at {
+		n += len(keys)
+	}
+	return n
+}
+
+// Load pattern: a burst of twice what the engines hold. Guards against engines
+// that are given more than their slots, behind which nothing is in time, and
+// against slots that stay idle while requests wait.
+func TestABurstFillsTheSlotsAndNoMore(t *testing.T) {
+	f := newFixture(t, 2)
+	for range 32 {
+		f.submit(0, 1, 200)
+	}
+	at := placed(f.pool.Advance(0))
+	f.Expect(at["e0"]).To(HaveLen(8))
+	f.Expect(at["e1"]).To(HaveLen(8))
+	f.Expect(f.pool.Waiting()).To(Equal(16))
+	f.pool.Finish(second/10, "e0", at["e0"][0], admission.Result{Outcome: admission.Answered})
+	f.Expect(count(placed(f.pool.Advance(second / 10)))).To(Equal(1))
+}
+
+// Load pattern: nine instances place on the same engines at once. Guards
+// against counting only the own requests.
+func TestRequestsOfPeersTakeSlots(t *testing.T) {
+	f := newFixture(t, 1)
+	f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 6}})
+	for range 4 {
+		f.submit(0, 1, 200)
+	}
+	f.Expect(count(placed(f.pool.Advance(0)))).To(Equal(2))
+	// A peer that has died or was cut off keeps no slots.
+	f.Expect(count(placed(f.pool.Advance(2 * second)))).To(Equal(2))
+}
+
+// Load pattern: a full queue of mixed tiers. Guards against a lower tier that
+// goes before a higher one, and long requests before short ones of one tier.
+func TestTheQueueIsServedByTierAndThenBySize(t *testing.T) {
+	f := newFixture(t, 1)
+	f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 8}})
+	low := f.submit(0, 2, 100)
+	long := f.submit(0, 0, 5000)
+	short := f.submit(0, 0, 500)
+	f.Expect(f.pool.Advance(0)).To(BeEmpty())
+	for _, want := range []uint64{short, long, low} {
+		f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 7}})
+		at := placed(f.pool.Advance(0))
+		f.Expect(at["e0"]).To(Equal([]uint64{want}))
+		f.pool.Finish(0, "e0", want, admission.Result{Outcome: admission.Answered})
+		f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 8}})
+	}
+}
+
+// Load pattern: overload that does not end. Guards against requests that are
+// held until their time limit; a refusal names a time within the caller's
+// patience, and the times of many callers are spread.
+func TestHeldRequestsAreRefusedWithATimeToReturn(t *testing.T) {
+	f := newFixture(t, 1)
+	f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 8}})
+	for range 50 {
+		f.submit(0, 1, 100)
+	}
+	f.Expect(f.pool.Advance(second)).To(BeEmpty())
+	f.pool.SetPeerLoad(3*second, "peer", map[string]admission.Load{"e0": {InFlight: 8}})
+	decisions := f.pool.Advance(3 * second)
+	f.Expect(decisions).To(HaveLen(50))
+	least, most := time.Hour, time.Duration(0)
+	for _, d := range decisions {
+		f.Expect(d.Action).To(Equal(admission.Refuse))
+		f.Expect(d.RetryAfter).To(BeNumerically("<=", 4*second))
+		least, most = min(least, d.RetryAfter), max(most, d.RetryAfter)
+	}
+	f.Expect(most - least).To(BeNumerically(">", second/2))
+}
+
+// Failure: an engine has crashed, its entry is still in the store, and its
+// connections are refused. Guards against sending it all that comes because it
+// looks idle: until it has answered, it gets one request at a time.
+func TestAnUpstreamThatFailedIsTriedOneRequestAtATime(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.submit(0, 1, 100)
+	at := placed(f.pool.Advance(0))
+	f.Expect(at["e0"]).To(Equal([]uint64{first}))
+	f.pool.Finish(0, "e0", first, admission.Result{Outcome: admission.Unreachable})
+	for range 12 {
+		f.submit(second, 1, 100)
+	}
+	at = placed(f.pool.Advance(second))
+	f.Expect(at["e0"]).To(HaveLen(1))
+	f.Expect(at["e1"]).To(HaveLen(8))
+	f.pool.Finish(second, "e0", at["e0"][0], admission.Result{Outcome: admission.Answered})
+	f.Expect(count(placed(f.pool.Advance(second)))).To(Equal(3))
+}
+
+// Failure: half of the engines fail part of their requests although they are
+// up. Guards against placing there as if nothing had happened.
+func TestUpstreamsThatFailRequestsAreAvoided(t *testing.T) {
+	f := newFixture(t, 2)
+	for range 6 {
+		key := f.submit(0, 1, 100)
+		for id, keys := range placed(f.pool.Advance(0)) {
+			outcome := admission.Answered
+			if id == "e0" {
+				outcome = admission.Failed
+			}
+			f.Expect(keys).To(Equal([]uint64{key}))
+			f.pool.Finish(0, id, key, admission.Result{Outcome: outcome})
+		}
+	}
+	f.submit(0, 1, 100)
+	f.Expect(placed(f.pool.Advance(0))).To(HaveKey("e1"))
+}
+
+// Load pattern: engines of one service differ in speed fivefold. Guards against
+// placement by count alone.
+func TestPlacementLearnsTheSpeedOfEngines(t *testing.T) {
+	f := newFixture(t, 2)
+	for range 4 {
+		key := f.submit(0, 1, 100)
+		for id, keys := range placed(f.pool.Advance(0)) {
+			gap := 8 * time.Millisecond
+			if id == "e0" {
+				gap = 40 * time.Millisecond
+			}
+			f.Expect(keys).To(Equal([]uint64{key}))
+			f.pool.Finish(0, id, key, admission.Result{Outcome: admission.Answered, EventGap: gap})
+		}
+	}
+	for range 4 {
+		f.submit(0, 1, 3000)
+	}
+	at := placed(f.pool.Advance(0))
+	f.Expect(len(at["e1"])).To(BeNumerically(">", len(at["e0"])))
+}
+
+// Failure: an engine turns slow in the middle of its requests. Guards against
+// finding out only when they end.
+func TestOverdueOutputShowsASlowEngine(t *testing.T) {
+	f := newFixture(t, 2)
+	f.submit(0, 1, 3000)
+	at := placed(f.pool.Advance(0))
+	f.Expect(at).To(HaveKey("e0"))
+	f.pool.Advance(second)
+	f.submit(second, 1, 100)
+	f.Expect(placed(f.pool.Advance(second))).To(HaveKey("e1"))
+}
+
+func TestDistanceCountsUnlessTheNearUpstreamIsBusy(t *testing.T) {
+	f := newFixture(t, 1)
+	f.pool.SetUpstream(admission.Info{ID: "far", Service: "llm", Address: "b", Domain: "east", Slots: 8})
+	f.submit(0, 1, 300)
+	f.Expect(placed(f.pool.Advance(0))).To(HaveKey("e0"))
+	for range 4 {
+		f.submit(0, 1, 6000)
+	}
+	f.Expect(placed(f.pool.Advance(0))).To(HaveKey("far"))
+}
+
+func TestLeavingAndExcludedUpstreamsGetNothing(t *testing.T) {
+	f := newFixture(t, 2)
+	f.pool.SetUpstream(admission.Info{ID: "e0", Service: "llm", Address: "a0", Domain: "north", Slots: 8, Leaving: true})
+	f.pool.Submit(&admission.Request{Key: 99, Service: "llm", Until: 15 * second, Due: second, Tried: []string{"e1"}})
+	f.Expect(f.pool.Advance(0)).To(BeEmpty())
+	f.Expect(f.pool.Withdraw(99)).To(BeTrue())
+	f.Expect(f.pool.Withdraw(99)).To(BeFalse())
+}
+
+func TestAServiceWithoutUpstreamsRefusesAtOnce(t *testing.T) {
+	f := newFixture(t, 0)
+	f.submit(0, 1, 100)
+	decisions := f.pool.Advance(0)
+	f.Expect(decisions).To(HaveLen(1))
+	f.Expect(decisions[0].Action).To(Equal(admission.Refuse))
+}
+
+// Failure: an upstream starts again under its ID while requests of the former
+// process are still counted. Guards against slots that never become free.
+func TestANewIncarnationStartsEmpty(t *testing.T) {
+	f := newFixture(t, 1)
+	for range 8 {
+		f.submit(0, 1, 100)
+	}
+	f.Expect(count(placed(f.pool.Advance(0)))).To(Equal(8))
+	f.pool.SetUpstream(admission.Info{ID: "e0", Service: "llm", Address: "a0", Domain: "north", Slots: 8, Incarnation: 2})
+	f.pool.Finish(0, "e0", 1, admission.Result{Outcome: admission.Broken})
+	f.submit(0, 1, 100)
+	f.Expect(count(placed(f.pool.Advance(0)))).To(Equal(1))
+}
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -143,8 +143,14 @@
 	u.pauses++
 }
 
+// usable reports whether a request may be placed. An upstream that has failed
+// and not answered since is tried one request at a time: one that is down looks
+// idle, and would otherwise be given all that comes.
 func (u *upstream) usable(now time.Duration) bool {
-	return !u.info.Leaving && now >= u.pausedUntil && now >= u.fullUntil
+	if u.info.Leaving || now < u.pausedUntil || now < u.fullUntil {
+		return false
+	}
+	return u.pauses == 0 || len(u.flights) == 0
 }
 
 // expect predicts the time from the dispatch to the first output.
--- a/pkg/gateway/life.go
+++ b/pkg/gateway/life.go
@@ -15,11 +15,17 @@
 
 // Times of the start and the stop.
 const (
-	// watchWait is how long a watch waits. With two watches an instance makes
-	// one call a second, and shows every two seconds that its keys are valid.
-	watchWait = 2 * time.Second
-	// watchMargin is a few times the answer time of a slow store.
-	watchMargin = 1500 * time.Millisecond
+	// configWait is how long a watch of the configuration waits. The keys are
+	// shown to be valid by two waits, a margin and a list after a watch that was
+	// not answered; that must stay below the time for which keys may be served.
+	configWait = 1700 * time.Millisecond
+	// upstreamWait is how long a watch of the upstreams waits. Changes end it at
+	// once; it only bounds how long a connection that went silent is believed.
+	upstreamWait = 3 * time.Second
+	// watchMargin is the time after the wait in which a slow store, at a
+	// hundred times its usual 4 ms, answers.
+	watchMargin = 500 * time.Millisecond
+	listTimeout = 1500 * time.Millisecond
 	// leaveNotice is how long an instance that stops still accepts
 	// connections: the platform needs two questions, a second apart, to send
 	// callers elsewhere.
@@ -100,9 +106,9 @@
 				g.log.V(1).Info("datagram ignored", "error", err.Error())
 			})
 	})
-	for _, kind := range []string{g.kinds.Config, g.kinds.Upstreams} {
+	for kind, wait := range map[string]time.Duration{g.kinds.Config: configWait, g.kinds.Upstreams: upstreamWait} {
 		syncer := storesync.New(storesync.Options{
-			Store: g.store, Kind: kind, Wait: watchWait, Margin: watchMargin, Now: g.now, Clock: g.clock, Log: g.log,
+			Store: g.store, Kind: kind, Wait: wait, Margin: watchMargin, ListTimeout: listTimeout, Now: g.now, Clock: g.clock, Log: g.log,
 			Deliver: func(update storesync.Update) { g.tellUntil(ctx, storeUpdate{update: update}) },
 			Lost: func(kind string, err error) {
 				g.log.Info("dependency lost", "dependency", "store", "kind", kind, "error", err.Error(), "config_age_ms", g.configAge().Milliseconds())
--- a/pkg/storesync/syncer.go
+++ b/pkg/storesync/syncer.go
@@ -19,6 +19,8 @@
 	Wait time.Duration
 	// Margin is added to Wait before a watch counts as lost.
 	Margin time.Duration
+	// ListTimeout bounds a list.
+	ListTimeout time.Duration
 	// Deliver receives the updates, in order.
 	Deliver func(Update)
 	// Lost is called when calls start to fail.
@@ -74,6 +76,8 @@
 		s.opts.Lost(s.opts.Kind, err)
 	}
 	s.failing = true
+	// A list is answered at once, also while the store delivers no events.
+	s.listed = false
 	// A connection that has gone silent must not be used for the next call.
 	s.opts.Store.Reset()
 	pause := s.backoff/2 + rand.N(s.backoff)
@@ -92,7 +96,7 @@
 }
 
 func (s *Syncer) list(ctx context.Context) (Update, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, s.opts.Margin)
+	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, s.opts.ListTimeout)
 	defer cancel()
 	asOf := s.opts.Now()
 	listing, err := s.opts.Store.List(ctx, s.opts.Kind, false)
@@ -103,13 +107,8 @@
 	return Update{Kind: s.opts.Kind, Complete: true, Objects: listing.Objects, AsOf: asOf}, nil
 }
 
-// watch asks at once after a failure, since a waiting watch proves nothing
-// until it is answered.
 func (s *Syncer) watch(ctx context.Context) (Update, error) {
 	wait := s.opts.Wait
-	if s.failing {
-		wait = time.Millisecond
-	}
 	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, wait+s.opts.Margin)
 	defer cancel()
 	asOf := s.opts.Now()
