loadshare: report within a failure domain, and sums of failure domains between them

Change: full reports go to the own failure domain; its relay sends sums to the others, where they are passed on. Reports of peers are summed per upstream once instead of at each decision. The last slot of far upstreams is left to the instances there. Ruled out: fewer reports to all (needs one in 200 ms at 65 instances).

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -20,6 +20,7 @@
 
 // Advance decides on all waiting requests that can be decided now.
 func (p *Pool) Advance(now time.Duration) []Decision {
+	oldest := p.expirePeers(now)
 	p.noteOverdue(now)
 	if len(p.waiting) == 0 {
 		return nil
@@ -37,6 +38,7 @@
 		if decision.Action == Place {
 			free.count--
 		}
+		decision.Age = oldest
 		decision.Waited, decision.Queue = now-r.Arrived, len(kept)+len(p.waiting)-i-1
 		decisions = append(decisions, decision)
 	}
@@ -54,9 +56,9 @@
 		if !u.usable(now) {
 			continue
 		}
-		inFlight, _, _ := u.load(now, p.tuning.PeerTimeout)
+		inFlight, _ := u.load()
 		s.total += u.slots
-		s.count += max(0, u.slots+p.tuning.ExtraSlots-inFlight)
+		s.count += max(0, p.limit(u)-inFlight)
 	}
 	return s
 }
@@ -120,15 +122,15 @@
 		if !u.usable(now) || slices.Contains(r.Tried, u.info.ID) {
 			continue
 		}
-		inFlight, awaited, age := u.load(now, p.tuning.PeerTimeout)
-		if inFlight >= u.slots+p.tuning.ExtraSlots {
+		inFlight, awaited := u.load()
+		if inFlight >= p.limit(u) {
 			continue
 		}
 		expected := u.expect(&p.tuning, r.PromptTokens, inFlight, awaited)
 		cost := toMs(expected) + p.distance(u) + u.failures(now)*failureCost
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
-			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, Expected: expected, InFlight: inFlight, Age: age}
+			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, Expected: expected, InFlight: inFlight}
 		}
 	}
 	if best == nil {
@@ -145,6 +147,16 @@
 	return chosen, true
 }
 
+// limit is the number of requests that an upstream may have. The last slots of
+// upstreams in other failure domains are left to the instances there, whose
+// reports arrive sooner.
+func (p *Pool) limit(u *upstream) int {
+	if u.info.Domain == p.location.Domain {
+		return u.slots + p.tuning.ExtraSlots
+	}
+	return max(1, u.slots+p.tuning.ExtraSlots-p.tuning.FarReserve)
+}
+
 func (p *Pool) distance(u *upstream) float64 {
 	switch {
 	case u.info.Domain == p.location.Domain:
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -31,13 +31,23 @@
 	tuning    Tuning
 	upstreams map[string]*upstream
 	// order lists the upstreams by name, so that equal choices are stable.
-	order   []*upstream
+	order []*upstream
+	// peers holds the last report of each peer.
+	peers   map[string]peerReport
 	waiting []*Request
 }
 
+// peerReport is what a peer, or all instances of another failure domain
+// together, have at the pool's upstreams.
+type peerReport struct {
+	reported time.Duration
+	far      bool
+	loads    map[string]Load
+}
+
 // NewPool returns a pool without upstreams.
 func NewPool(service Service, location Location, tuning Tuning) *Pool {
-	return &Pool{service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}}
+	return &Pool{service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerReport{}}
 }
 
 // SetService changes what is known of the service.
@@ -52,7 +62,10 @@
 func (p *Pool) SetUpstream(info Info) {
 	u := p.upstreams[info.ID]
 	if u == nil || u.info.Incarnation != info.Incarnation || u.info.Address != info.Address {
-		u = &upstream{info: info, peers: map[string]peerLoad{}}
+		u = &upstream{info: info}
+		for _, report := range p.peers {
+			u.others.add(report.loads[info.ID])
+		}
 		p.upstreams[info.ID] = u
 		p.sort()
 	}
@@ -92,24 +105,60 @@
 	return 0
 }
 
-// SetPeerLoad replaces what a peer has at this pool's upstreams.
-func (p *Pool) SetPeerLoad(now time.Duration, peer string, loads map[string]Load) {
-	for id, u := range p.upstreams {
-		if load, found := loads[id]; found {
-			u.peers[peer] = peerLoad{load: load, reported: now}
-		} else {
-			delete(u.peers, peer)
+// SetPeerLoad replaces what a peer has at this pool's upstreams. A far report
+// covers the instances of another failure domain.
+func (p *Pool) SetPeerLoad(now time.Duration, peer string, far bool, loads map[string]Load) {
+	p.dropPeer(peer)
+	p.peers[peer] = peerReport{reported: now, far: far, loads: loads}
+	for id, load := range loads {
+		if u := p.upstreams[id]; u != nil {
+			u.others.add(load)
+		}
+	}
+}
+
+func (p *Pool) dropPeer(peer string) {
+	for id, load := range p.peers[peer].loads {
+		if u := p.upstreams[id]; u != nil {
+			u.others.remove(load)
 		}
 	}
+	delete(p.peers, peer)
 }
 
-// OwnLoad returns what this instance has at each upstream and knows of it.
-func (p *Pool) OwnLoad(into map[string]Load) {
+// expirePeers drops the reports that are too old, and returns the age of the
+// oldest that counts.
+func (p *Pool) expirePeers(now time.Duration) (oldest time.Duration) {
+	for peer, report := range p.peers {
+		age := now - report.reported
+		if age > p.tuning.PeerTimeout {
+			p.dropPeer(peer)
+			continue
+		}
+		oldest = max(oldest, age)
+	}
+	return oldest
+}
+
+// Loads adds up what this instance has at each upstream and knows of it, and,
+// if asked, what the peers of its failure domain have.
+func (p *Pool) Loads(into map[string]Load, withNear bool) {
 	for id, u := range p.upstreams {
-		if len(u.flights) == 0 && u.samples == 0 {
+		sum := peerSum{}
+		sum.add(Load{InFlight: len(u.flights), AwaitedTokens: u.awaited(), Speed: u.speed, Samples: u.samples})
+		for _, report := range p.peers {
+			if withNear && !report.far {
+				sum.add(report.loads[id])
+			}
+		}
+		if sum.inFlight == 0 && sum.samples == 0 {
 			continue
 		}
-		into[id] = Load{InFlight: len(u.flights), AwaitedTokens: u.awaited(), Speed: u.speed, Samples: u.samples}
+		load := Load{InFlight: sum.inFlight, AwaitedTokens: sum.awaited, Samples: sum.samples}
+		if sum.samples > 0 {
+			load.Speed = sum.speed / sum.samples
+		}
+		into[id] = load
 	}
 }
 
@@ -182,7 +231,7 @@
 	case Answered:
 		u.pauses = 0
 		u.observeFailure(now, false)
-		p.learn(now, u, running, result)
+		p.learn(u, running, result)
 	case Failed:
 		u.pauses = 0
 		u.observeFailure(now, true)
@@ -195,10 +244,10 @@
 	}
 }
 
-func (p *Pool) learn(now time.Duration, u *upstream, running int, result Result) {
+func (p *Pool) learn(u *upstream, running int, result Result) {
 	switch {
 	case u.engine && result.EventGap > 0:
-		inFlight, _, _ := u.load(now, p.tuning.PeerTimeout)
+		inFlight, _ := u.load()
 		step := p.tuning.StepMs + p.tuning.StepMsPerRequest*float64(max(running, inFlight))
 		u.observeSpeed(step * float64(max(1, u.stride)) / toMs(result.EventGap))
 	case !u.engine && result.Total > 0:
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -78,7 +78,7 @@
 // against counting only the own requests.
 func TestRequestsOfPeersTakeSlots(t *testing.T) {
 	f := newFixture(t, 1)
-	f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 6}})
+	f.pool.SetPeerLoad(0, "peer", false, map[string]admission.Load{"e0": {InFlight: 6}})
 	for range 4 {
 		f.submit(0, 1, 200)
 	}
@@ -91,17 +91,17 @@
 // goes before a higher one, and long requests before short ones of one tier.
 func TestTheQueueIsServedByTierAndThenBySize(t *testing.T) {
 	f := newFixture(t, 1)
-	f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 8}})
+	f.pool.SetPeerLoad(0, "peer", false, map[string]admission.Load{"e0": {InFlight: 8}})
 	low := f.submit(0, 2, 100)
 	long := f.submit(0, 0, 5000)
 	short := f.submit(0, 0, 500)
 	f.Expect(f.pool.Advance(0)).To(BeEmpty())
 	for _, want := range []uint64{short, long, low} {
-		f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 7}})
+		f.pool.SetPeerLoad(0, "peer", false, map[string]admission.Load{"e0": {InFlight: 7}})
 		at := placed(f.pool.Advance(0))
 		f.Expect(at["e0"]).To(Equal([]uint64{want}))
 		f.pool.Finish(0, "e0", want, admission.Result{Outcome: admission.Answered})
-		f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 8}})
+		f.pool.SetPeerLoad(0, "peer", false, map[string]admission.Load{"e0": {InFlight: 8}})
 	}
 }
 
@@ -110,12 +110,12 @@
 // patience, and the times of many callers are spread.
 func TestHeldRequestsAreRefusedWithATimeToReturn(t *testing.T) {
 	f := newFixture(t, 1)
-	f.pool.SetPeerLoad(0, "peer", map[string]admission.Load{"e0": {InFlight: 8}})
+	f.pool.SetPeerLoad(0, "peer", false, map[string]admission.Load{"e0": {InFlight: 8}})
 	for range 50 {
 		f.submit(0, 1, 100)
 	}
 	f.Expect(f.pool.Advance(second)).To(BeEmpty())
-	f.pool.SetPeerLoad(3*second, "peer", map[string]admission.Load{"e0": {InFlight: 8}})
+	f.pool.SetPeerLoad(3*second, "peer", false, map[string]admission.Load{"e0": {InFlight: 8}})
 	decisions := f.pool.Advance(3 * second)
 	f.Expect(decisions).To(HaveLen(50))
 	least, most := time.Hour, time.Duration(0)
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -126,6 +126,9 @@
 	// ExtraSlots is the number of requests beyond its slots that an upstream
 	// is given.
 	ExtraSlots int
+	// FarReserve is the number of slots at upstreams of other failure domains
+	// that are left to the instances there.
+	FarReserve int
 	// HoldShare is the part of a request's patience for which it may wait.
 	HoldShare float64
 	// SpareForLate is the part of a service's slots that must be free before
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -47,11 +47,6 @@
 	overdue  bool
 }
 
-type peerLoad struct {
-	load     Load
-	reported time.Duration
-}
-
 // upstream is what is known of one upstream.
 type upstream struct {
 	info    Info
@@ -61,7 +56,8 @@
 	speed   float64
 	samples float64
 	flights []flight
-	peers   map[string]peerLoad
+	// others sums what the peers report.
+	others peerSum
 	// pausedUntil and pauses belong to the back-off after failures.
 	pausedUntil time.Duration
 	pauses      int
@@ -70,22 +66,30 @@
 	failureAt   time.Duration
 }
 
-// load sums this instance's and the peers' requests at the upstream.
-func (u *upstream) load(now time.Duration, timeout time.Duration) (inFlight, awaited int, age time.Duration) {
-	inFlight, awaited = len(u.flights), u.awaited()
-	for peer, p := range u.peers {
-		since := now - p.reported
-		if since > timeout {
-			delete(u.peers, peer)
-			continue
-		}
-		if p.load.InFlight > 0 {
-			age = max(age, since)
-		}
-		inFlight += p.load.InFlight
-		awaited += p.load.AwaitedTokens
-	}
-	return inFlight, awaited, age
+// peerSum adds up the reports of peers about one upstream. Speed is weighted by
+// the samples.
+type peerSum struct {
+	inFlight, awaited int
+	speed, samples    float64
+}
+
+func (s *peerSum) add(load Load) {
+	s.inFlight += load.InFlight
+	s.awaited += load.AwaitedTokens
+	s.speed += load.Speed * load.Samples
+	s.samples += load.Samples
+}
+
+func (s *peerSum) remove(load Load) {
+	s.inFlight -= load.InFlight
+	s.awaited -= load.AwaitedTokens
+	s.speed -= load.Speed * load.Samples
+	s.samples -= load.Samples
+}
+
+// load is this instance's and the peers' requests at the upstream.
+func (u *upstream) load() (inFlight, awaited int) {
+	return len(u.flights) + u.others.inFlight, u.awaited() + u.others.awaited
 }
 
 func (u *upstream) awaited() int {
@@ -101,11 +105,7 @@
 // believedSpeed merges the own estimate with those of the peers, by the number
 // of observations behind each.
 func (u *upstream) believedSpeed() float64 {
-	sum, weight := u.speed*u.samples, u.samples
-	for _, p := range u.peers {
-		sum += p.load.Speed * p.load.Samples
-		weight += p.load.Samples
-	}
+	sum, weight := u.speed*u.samples+u.others.speed, u.samples+u.others.samples
 	if weight < 1 {
 		return coldSpeed
 	}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -14,11 +14,6 @@
 const (
 	// queueTick is how often waiting requests are looked at without news.
 	queueTick = 10 * time.Millisecond
-	// idleTick is the time between two reports when nothing changes, a quarter
-	// of the time after which a peer counts as silent.
-	idleTick = loadshare.SilentAfter / 4
-	// reportPause is the shortest time between two reports.
-	reportPause = 15 * time.Millisecond
 	// inboxSize lets callers go on while the control loop works on others.
 	inboxSize = 256
 	// returnGrace is the time within which the entries of upstreams are back
@@ -50,8 +45,8 @@
 	upstreamNames map[uint32]string
 	teamNames     map[uint32]string
 	sequence      uint64
-	changed       bool
-	reported      time.Duration
+	// near and far are the audiences of the reports.
+	near, far audience
 }
 
 func newControl(g *Gateway) *control {
@@ -68,7 +63,7 @@
 		retries: quota.NewRetries(quota.RetryRules{
 			Window: seconds(b.RetryWindowS), Ratio: b.RetryRatio, Extra: b.RetryExtra,
 		}),
-		peers:         loadshare.NewPeers(g.settings.Instance.Name),
+		peers:         loadshare.NewPeers(g.settings.Instance.Name, g.settings.Instance.Domain),
 		strikes:       newStrikes(),
 		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{},
 	}
@@ -79,7 +74,7 @@
 const peerForget = 30 * time.Second
 
 func (c *control) run(ctx context.Context) {
-	timer := c.g.clock.NewTimer(idleTick)
+	timer := c.g.clock.NewTimer(idleEvery)
 	defer timer.Stop()
 	for {
 		select {
@@ -116,7 +111,7 @@
 	}
 	for _, pool := range c.pools {
 		for _, decision := range pool.Advance(now) {
-			c.changed = true
+			c.noteChange()
 			if reply := c.waiting[decision.Key]; reply != nil {
 				delete(c.waiting, decision.Key)
 				reply <- decision
@@ -133,10 +128,10 @@
 			return queueTick
 		}
 	}
-	if c.changed {
-		return reportPause
+	if c.near.changed || c.far.changed {
+		return nearPause
 	}
-	return idleTick
+	return idleEvery
 }
 
 // pool returns the pool of a service, which is made when it is first needed.
@@ -194,7 +189,7 @@
 
 func (m firstOutput) apply(c *control) {
 	c.pool(m.service).FirstOutput(m.upstream, m.key)
-	c.changed = true
+	c.noteChange()
 }
 
 // finish ends a request at an upstream.
@@ -206,7 +201,7 @@
 
 func (m finish) apply(c *control) {
 	c.pool(m.service).Finish(c.g.now(), m.upstream, m.key, m.result)
-	c.changed = true
+	c.noteChange()
 }
 
 // charge counts a request against its team's quota.
@@ -219,7 +214,7 @@
 
 func (m charge) apply(c *control) {
 	m.reply <- c.teams.Charge(c.g.now(), m.team, m.limit, m.amount)
-	c.changed = true
+	c.noteChange()
 }
 
 // uncharge takes a charge back whose request did not run.
@@ -258,7 +253,7 @@
 		return
 	}
 	c.strikes.add(c.g.now(), m.fingerprint)
-	c.changed = true
+	c.noteChange()
 }
 
 // isPoison asks whether a request has broken too many upstreams.
--- a/pkg/gateway/life.go
+++ b/pkg/gateway/life.go
@@ -100,7 +100,7 @@
 	tasks.Go(func() { g.control.run(ctx) })
 	tasks.Go(func() {
 		g.socket.Receive(
-			func(report loadshare.Report) { g.tellUntil(ctx, peerReport{report: report}) },
+			func(datagram loadshare.Datagram) { g.tellUntil(ctx, peerReport{datagram: datagram}) },
 			func(err error) {
 				g.metrics.reportsBad.Inc(1)
 				g.log.V(1).Info("datagram ignored", "error", err.Error())
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
@@ -10,22 +11,72 @@
 	"github.com/rosemarywing/rosemarywing/pkg/quota"
 )
 
+// Pace of the reports.
+const (
+	// nearPause is the shortest time between two reports to the own failure
+	// domain, and farPause between two sums for the others, which take 1 ms to
+	// 20 ms to get there.
+	nearPause = 15 * time.Millisecond
+	farPause  = 40 * time.Millisecond
+	// reportBytes is what an instance sends to each audience, per second. With
+	// more peers or upstreams the reports come less often.
+	reportBytes = 40_000
+	// idleEvery is the time between two reports when nothing changes, a quarter
+	// of the time after which a peer counts as silent.
+	idleEvery = loadshare.SilentAfter / 4
+)
+
+// audience is a set of peers that get the same reports.
+type audience struct {
+	changed bool
+	sent    time.Duration
+	pause   time.Duration
+}
+
+// due reports whether a report should be sent now.
+func (a *audience) due(now time.Duration) bool {
+	since := now - a.sent
+	return since >= idleEvery || (a.changed && since >= a.pause)
+}
+
+// noteSent sets the pace by what was sent.
+func (a *audience) noteSent(now time.Duration, least time.Duration, bytes int) {
+	a.changed, a.sent = false, now
+	a.pause = min(idleEvery, max(least, time.Duration(bytes)*time.Second/reportBytes))
+}
+
+// noteChange marks that the next reports differ from the last ones.
+func (c *control) noteChange() { c.near.changed, c.far.changed = true, true }
+
 // report tells the peers what has changed, or that this instance lives.
 func (c *control) report(now time.Duration) {
-	since := now - c.reported
-	if since < reportPause || (!c.changed && since < idleTick) {
-		return
+	if c.near.due(now) {
+		targets := c.peers.Near(now)
+		bytes := c.send(c.buildReport(now, false), targets)
+		c.near.noteSent(now, nearPause, bytes)
+	}
+	if c.peers.IsRelay() && c.far.due(now) {
+		targets := c.peers.Far()
+		bytes := c.send(c.buildReport(now, true), targets)
+		c.far.noteSent(now, farPause, bytes)
 	}
-	targets := c.peers.Targets(now)
-	c.reported, c.changed = now, false
+}
+
+// send returns the number of bytes sent.
+func (c *control) send(report loadshare.Report, targets []*net.UDPAddr) int {
 	if len(targets) == 0 {
-		return
+		return 0
 	}
-	content, err := loadshare.Encode(c.buildReport(now))
+	content, err := loadshare.Encode(report)
 	if err != nil {
 		c.g.log.Error(err, "report cannot be encoded")
-		return
+		return 0
 	}
+	c.sendContent(content, targets)
+	return len(targets) * len(content)
+}
+
+func (c *control) sendContent(content []byte, targets []*net.UDPAddr) {
 	for _, target := range targets {
 		if err := c.g.socket.Send(content, target); err != nil {
 			c.g.metrics.reportsUnsent.Inc(1)
@@ -36,16 +87,25 @@
 	c.g.metrics.reportBytes.Inc(int64(len(targets) * len(content)))
 }
 
-func (c *control) buildReport(now time.Duration) loadshare.Report {
+// buildReport describes this instance, or all of its failure domain.
+func (c *control) buildReport(now time.Duration, whole bool) loadshare.Report {
 	c.sequence++
 	report := loadshare.Report{
 		Instance: c.g.settings.Instance.Name, Boot: c.g.boot, Sequence: c.sequence,
-		Address: c.g.socket.LocalAddress(), Leaving: c.g.leaving.Load(), Cold: c.teams.Cold(now),
+		Address: c.g.socket.LocalAddress(), Domain: c.g.settings.Instance.Domain, Leaving: c.g.leaving.Load(),
 		Strikes: c.strikes.recent(now),
 	}
+	used, cold := c.teams.Used(now), 0
+	if whole {
+		used, cold = c.teams.Sum(now)
+		report.Members = clampTo[uint16](c.peers.Live())
+	} else if c.teams.Cold(now) {
+		cold = 1
+	}
+	report.Cold = clampTo[uint16](cold)
 	loads := map[string]admission.Load{}
 	for _, pool := range c.pools {
-		pool.OwnLoad(loads)
+		pool.Loads(loads, whole)
 	}
 	for id, load := range loads {
 		report.Upstreams = append(report.Upstreams, loadshare.UpstreamUse{
@@ -54,8 +114,8 @@
 			SpeedPercent:  clampTo[uint16](int(load.Speed * percent)), Samples: clampTo[uint8](int(load.Samples)),
 		})
 	}
-	for team, used := range c.teams.Used(now) {
-		report.Teams = append(report.Teams, loadshare.TeamUse{Team: loadshare.ShortHash(team), Used: clampTo[uint32](int(math.Ceil(used)))})
+	for team, amount := range used {
+		report.Teams = append(report.Teams, loadshare.TeamUse{Team: loadshare.ShortHash(team), Used: clampTo[uint32](int(math.Ceil(amount)))})
 	}
 	return report
 }
@@ -67,39 +127,51 @@
 }
 
 // peerReport is a report that another instance has sent.
-type peerReport struct{ report loadshare.Report }
+type peerReport struct{ datagram loadshare.Datagram }
 
 func (m peerReport) apply(c *control) {
 	now := c.g.now()
-	current, regained, err := c.peers.Heard(now, m.report)
+	report := m.datagram.Report
+	current, regained, err := c.peers.Heard(now, report)
 	if err != nil {
-		c.g.log.Info("report ignored", "peer", m.report.Instance, "error", err.Error())
+		c.g.log.Info("report ignored", "peer", report.Instance, "error", err.Error())
 		return
 	}
 	if !current {
 		return
 	}
+	far := report.Members > 0
+	name, members := report.Instance, 1
+	if far {
+		name, members = loadshare.DomainPeer(report.Domain), int(report.Members)
+		if !c.peers.IsNear(m.datagram.From) {
+			c.sendContent(m.datagram.Content, c.peers.Near(now))
+		}
+	} else {
+		// The sum for the other failure domains is not what it was.
+		c.far.changed = true
+	}
 	if regained {
-		c.changed = true
-		c.g.log.Info("peer heard", "peer", m.report.Instance, "address", m.report.Address, "boot", m.report.Boot)
+		c.noteChange()
+		c.g.log.Info("peer heard", "peer", name, "sender", report.Instance, "address", report.Address, "boot", report.Boot)
 	}
-	loads := make(map[string]admission.Load, len(m.report.Upstreams))
-	for _, use := range m.report.Upstreams {
+	loads := make(map[string]admission.Load, len(report.Upstreams))
+	for _, use := range report.Upstreams {
 		loads[c.upstreamNames[use.Upstream]] = admission.Load{
 			InFlight: int(use.InFlight), AwaitedTokens: int(use.AwaitedTokens),
 			Speed: float64(use.SpeedPercent) / percent, Samples: float64(use.Samples),
 		}
 	}
 	for _, pool := range c.pools {
-		pool.SetPeerLoad(now, m.report.Instance, loads)
+		pool.SetPeerLoad(now, name, far, loads)
 	}
-	used := make(map[string]float64, len(m.report.Teams))
-	for _, use := range m.report.Teams {
+	used := make(map[string]float64, len(report.Teams))
+	for _, use := range report.Teams {
 		used[c.teamNames[use.Team]] = float64(use.Used)
 	}
-	c.teams.Report(now, m.report.Instance, quota.Use{Boot: m.report.Boot, Cold: m.report.Cold, Used: used})
-	for _, s := range m.report.Strikes {
-		c.strikes.learn(now, m.report.Instance, s)
+	c.teams.Report(now, name, quota.Use{Boot: report.Boot, Members: members, Cold: int(report.Cold), Far: far, Used: used})
+	for _, s := range report.Strikes {
+		c.strikes.learn(now, report.Instance, s)
 	}
 }
 
@@ -111,16 +183,21 @@
 
 func (m peerRecord) apply(c *control) {
 	now := c.g.now()
-	added, err := c.peers.Add(now, m.name, m.record.PeerAddress)
+	added, err := c.peers.Add(now, m.name, m.record.Domain, m.record.PeerAddress)
 	if err != nil {
 		c.g.log.Info("instance record ignored", "peer", m.name, "error", err.Error())
 		return
 	}
-	if added {
-		c.teams.Known(now, m.name)
-		c.changed = true
-		c.g.log.Info("peer known", "peer", m.name, "address", m.record.PeerAddress)
+	if !added {
+		return
+	}
+	if m.record.Domain == c.g.settings.Instance.Domain {
+		c.teams.Known(now, m.name, 1)
+	} else {
+		c.teams.Known(now, loadshare.DomainPeer(m.record.Domain), c.peers.Known(m.record.Domain))
 	}
+	c.noteChange()
+	c.g.log.Info("peer known", "peer", m.name, "domain", m.record.Domain, "address", m.record.PeerAddress)
 }
 
 // Times of the registration in the store.
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -1,9 +1,17 @@
 // Package loadshare tells other instances what this one has at each upstream
 // and what its teams have used, in datagrams. Reports are complete: a lost one
 // is made good by the next.
+//
+// Each instance reports to all others of its failure domain. One of them, the
+// relay, sums these reports up for the other failure domains, where whoever
+// receives such a sum passes it on to its neighbours. The exchange thus grows
+// with the square of a failure domain's size and of the number of failure
+// domains, not of the whole.
 package loadshare
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -19,13 +27,17 @@
 	Instance string
 	Boot     int64
 	Sequence uint64
-	// Address is the sender's address.
+	// Address is the sender's address, and Domain its failure domain.
 	Address string
+	Domain  string
+	// Members is the number of instances that the report covers; 0 if it covers
+	// the sender alone.
+	Members uint16
 	// Leaving is true in the last reports of a process.
 	Leaving bool
-	// Cold is true if the process does not know what the team quotas were used
-	// for before it started.
-	Cold      bool
+	// Cold is the number of covered instances that do not know what the team
+	// quotas were used for before they started.
+	Cold      uint16
 	Upstreams []UpstreamUse
 	Teams     []TeamUse
 	Strikes   []Strike
@@ -98,9 +110,16 @@
 // receivePause keeps a socket that fails at once from using the processor.
 const receivePause = 10 * time.Millisecond
 
+// Datagram is a report as it arrived.
+type Datagram struct {
+	Report  Report
+	From    *net.UDPAddr
+	Content []byte
+}
+
 // Receive passes on reports until the socket is closed. Datagrams that are no
 // reports are passed to bad.
-func (s *Socket) Receive(report func(Report), bad func(error)) {
+func (s *Socket) Receive(receive func(Datagram), bad func(error)) {
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, from, err := s.conn.ReadFromUDP(buffer)
@@ -112,12 +131,13 @@
 			time.Sleep(receivePause)
 			continue
 		}
-		r, err := Decode(buffer[:n])
+		content := bytes.Clone(buffer[:n])
+		report, err := Decode(content)
 		if err != nil {
 			bad(fmt.Errorf("report from %s: %w", from, err))
 			continue
 		}
-		report(r)
+		receive(Datagram{Report: report, From: from, Content: content})
 	}
 }
 
@@ -130,8 +150,8 @@
 	if err := msgpack.Unmarshal(content, &report); err != nil {
 		return report, err
 	}
-	if report.Instance == "" {
-		return report, fmt.Errorf("the report names no instance")
+	if report.Instance == "" || report.Domain == "" {
+		return report, errors.New("the report names no instance and failure domain")
 	}
 	return report, nil
 }
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 )
 
@@ -11,15 +13,19 @@
 
 // Times of the exchange.
 const (
-	// SilentAfter is the time without a report after which a peer is only
-	// probed; four reports have then been lost.
-	SilentAfter = time.Second
+	// SilentAfter is the time without a report after which a peer counts as
+	// silent. Four reports have then been lost.
+	SilentAfter = 600 * time.Millisecond
 	// probeEvery is the pause between reports to silent peers.
 	probeEvery = time.Second
 	// forgetAfter ends the probing of peers that are gone.
 	forgetAfter = 2 * time.Minute
+	// probedFar is the number of instances of a silent failure domain that are
+	// tried at a time.
+	probedFar = 2
 )
 
+// peer is an instance of the own failure domain.
 type peer struct {
 	address  *net.UDPAddr
 	boot     int64
@@ -31,17 +37,33 @@
 	leaving  bool
 }
 
+// domain is another failure domain.
+type domain struct {
+	// addresses are those of its instances that are known, by name.
+	addresses map[string]*net.UDPAddr
+	// relay is the instance that was last heard for the failure domain.
+	relay    string
+	boot     int64
+	sequence uint64
+	heard    time.Duration
+	silent   bool
+}
+
 // Peers is the list of other instances, owned by one goroutine.
 type Peers struct {
-	own   string
-	peers map[string]*peer
+	own       string
+	ownDomain string
+	near      map[string]*peer
+	domains   map[string]*domain
 }
 
-// NewPeers returns an empty list for the instance with the given name.
-func NewPeers(own string) *Peers { return &Peers{own: own, peers: map[string]*peer{}} }
+// NewPeers returns an empty list for an instance.
+func NewPeers(own, ownDomain string) *Peers {
+	return &Peers{own: own, ownDomain: ownDomain, near: map[string]*peer{}, domains: map[string]*domain{}}
+}
 
-// Add makes a peer known by its address. It reports whether the peer is new.
-func (p *Peers) Add(now time.Duration, name, address string) (bool, error) {
+// Add makes an instance known. It reports whether it is new.
+func (p *Peers) Add(now time.Duration, name, domainName, address string) (bool, error) {
 	if name == p.own {
 		return false, nil
 	}
@@ -49,53 +71,84 @@
 	if err != nil {
 		return false, fmt.Errorf("peer %q: %w", name, err)
 	}
-	if known := p.peers[name]; known != nil {
-		if known.silent || known.heard == 0 {
+	if domainName != p.ownDomain {
+		d := p.domain(domainName)
+		_, known := d.addresses[name]
+		d.addresses[name] = resolved
+		return !known, nil
+	}
+	if known := p.near[name]; known != nil {
+		if known.silent {
 			known.address = resolved
 		}
 		return false, nil
 	}
-	p.peers[name] = &peer{address: resolved, known: now, silent: true}
+	p.near[name] = &peer{address: resolved, known: now, silent: true}
 	return true, nil
 }
 
-// Heard takes in a report. It returns false for reports that are older than
-// one that was seen, and whether the peer was silent before.
+func (p *Peers) domain(name string) *domain {
+	d := p.domains[name]
+	if d == nil {
+		d = &domain{addresses: map[string]*net.UDPAddr{}, silent: true}
+		p.domains[name] = d
+	}
+	return d
+}
+
+// Heard takes in a report. It returns false for reports that are older than one
+// that was seen, and whether the sender was silent before.
 func (p *Peers) Heard(now time.Duration, report Report) (current, regained bool, err error) {
-	if report.Instance == p.own {
+	if report.Instance == p.own || (report.Members > 0) == (report.Domain == p.ownDomain) {
 		return false, false, nil
 	}
-	if _, err := p.Add(now, report.Instance, report.Address); err != nil {
+	if _, err := p.Add(now, report.Instance, report.Domain, report.Address); err != nil {
 		return false, false, err
 	}
-	known := p.peers[report.Instance]
-	if report.Boot < known.boot || (report.Boot == known.boot && report.Sequence <= known.sequence) {
+	if report.Members > 0 {
+		current, regained = p.domain(report.Domain).hear(now, report)
+		return current, regained, nil
+	}
+	return p.near[report.Instance].hear(now, report)
+}
+
+func (d *domain) hear(now time.Duration, report Report) (current, regained bool) {
+	if report.Instance == d.relay && isOlder(report, d.boot, d.sequence) {
+		return false, false
+	}
+	regained = d.silent
+	d.relay, d.boot, d.sequence, d.heard, d.silent = report.Instance, report.Boot, report.Sequence, now, false
+	return true, regained
+}
+
+func (k *peer) hear(now time.Duration, report Report) (current, regained bool, err error) {
+	if isOlder(report, k.boot, k.sequence) {
 		return false, false, nil
 	}
-	if report.Boot != known.boot {
-		address, err := net.ResolveUDPAddr("udp4", report.Address)
-		if err != nil {
+	if report.Boot != k.boot {
+		if k.address, err = net.ResolveUDPAddr("udp4", report.Address); err != nil {
 			return false, false, fmt.Errorf("peer %q: %w", report.Instance, err)
 		}
-		known.address = address
 	}
-	regained = known.silent
-	known.boot, known.sequence, known.heard = report.Boot, report.Sequence, now
-	known.silent, known.leaving = false, report.Leaving
+	regained = k.silent
+	k.boot, k.sequence, k.heard, k.silent, k.leaving = report.Boot, report.Sequence, now, false, report.Leaving
 	return true, regained, nil
 }
 
-// Targets returns the addresses that a report is due to now. Silent peers are
-// probed less often.
-func (p *Peers) Targets(now time.Duration) []*net.UDPAddr {
+func isOlder(report Report, boot int64, sequence uint64) bool {
+	return report.Boot < boot || (report.Boot == boot && report.Sequence <= sequence)
+}
+
+// Near returns the addresses in the own failure domain that a report is due to
+// now. Silent peers are probed less often.
+func (p *Peers) Near(now time.Duration) []*net.UDPAddr {
 	var targets []*net.UDPAddr
-	for name, known := range p.peers {
-		last := max(known.heard, known.known)
-		if now-last > forgetAfter {
-			delete(p.peers, name)
+	for name, known := range p.near {
+		if now-max(known.heard, known.known) > forgetAfter {
+			delete(p.near, name)
 			continue
 		}
-		if known.silent && now-known.sent < probeEvery {
+		if known.silent && known.sent > 0 && now-known.sent < probeEvery {
 			continue
 		}
 		known.sent = now
@@ -104,26 +157,92 @@
 	return targets
 }
 
-// Silent returns the names of peers that have just fallen silent.
+// IsNear reports whether an address belongs to an instance of the own failure
+// domain.
+func (p *Peers) IsNear(address *net.UDPAddr) bool {
+	for _, known := range p.near {
+		if known.address.Port == address.Port && known.address.IP.Equal(address.IP) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsRelay reports whether this instance sums up the reports of its failure
+// domain: the first by name of those that live. For a moment none or two may
+// believe it, which costs a report or sends one twice.
+func (p *Peers) IsRelay() bool {
+	for name, known := range p.near {
+		if !known.silent && !known.leaving && name < p.own {
+			return false
+		}
+	}
+	return true
+}
+
+// Live is the number of instances in the own failure domain that are heard,
+// this one included.
+func (p *Peers) Live() int {
+	live := 1
+	for _, known := range p.near {
+		if !known.silent {
+			live++
+		}
+	}
+	return live
+}
+
+// Far returns the addresses in other failure domains that a sum is due to: the
+// relay of each, or some other instances while none is heard.
+func (p *Peers) Far() []*net.UDPAddr {
+	var targets []*net.UDPAddr
+	for _, d := range p.domains {
+		if !d.silent && d.addresses[d.relay] != nil {
+			targets = append(targets, d.addresses[d.relay])
+			continue
+		}
+		names := make([]string, 0, len(d.addresses))
+		for name := range d.addresses {
+			names = append(names, name)
+		}
+		rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		for _, name := range names[:min(probedFar, len(names))] {
+			targets = append(targets, d.addresses[name])
+		}
+	}
+	return targets
+}
+
+// Silent returns the peers and failure domains that have just fallen silent.
 func (p *Peers) Silent(now time.Duration) []string {
 	var names []string
-	for name, known := range p.peers {
+	for name, known := range p.near {
 		if !known.silent && now-known.heard > SilentAfter {
 			known.silent = true
 			names = append(names, name)
 		}
 	}
+	for name, d := range p.domains {
+		if !d.silent && now-d.heard > SilentAfter {
+			d.silent = true
+			names = append(names, DomainPeer(name))
+		}
+	}
+	slices.Sort(names)
 	return names
 }
 
-// Names returns the names of all peers that are known.
-func (p *Peers) Names() []string {
-	names := make([]string, 0, len(p.peers))
-	for name := range p.peers {
-		names = append(names, name)
+// DomainPeer is the name under which the sum of a failure domain is kept.
+func DomainPeer(domainName string) string { return "domain " + domainName }
+
+// Count returns the number of known instances, this one included.
+func (p *Peers) Count() int {
+	count := len(p.near) + 1
+	for _, d := range p.domains {
+		count += len(d.addresses)
 	}
-	return names
+	return count
 }
 
-// Count returns the number of known instances, this one included.
-func (p *Peers) Count() int { return len(p.peers) + 1 }
+// Known returns the number of known instances of another failure domain.
+func (p *Peers) Known(domainName string) int { return len(p.domain(domainName).addresses) }
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -46,7 +46,7 @@
 	a := quota.NewTeams(rules, 0, false)
 	b := quota.NewTeams(rules, 0, false)
 	used := drawDown(a, time.Second)
-	b.Report(time.Second, "a", quota.Use{Boot: 1, Used: a.Used(time.Second)})
+	b.Report(time.Second, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(time.Second)})
 	used += drawDown(b, time.Second)
 	g.Expect(used).To(BeNumerically("<=", bound))
 	g.Expect(used).To(BeNumerically(">=", 1000*8))
@@ -62,7 +62,7 @@
 		teams := quota.NewTeams(rules, 0, false)
 		for _, peer := range names {
 			if peer != own {
-				teams.Known(0, peer)
+				teams.Known(0, peer, 1)
 			}
 		}
 		sum += drawDown(teams, 5*time.Second)
@@ -112,8 +112,8 @@
 func TestARestartOfAPeerIsRemembered(t *testing.T) {
 	g := NewWithT(t)
 	a := quota.NewTeams(rules, 0, false)
-	a.Report(time.Second, "b", quota.Use{Boot: 1, Used: map[string]float64{"desk": 4000}})
-	a.Report(2*time.Second, "b", quota.Use{Boot: 2, Cold: true})
+	a.Report(time.Second, "b", quota.Use{Boot: 1, Members: 1, Used: map[string]float64{"desk": 4000}})
+	a.Report(2*time.Second, "b", quota.Use{Boot: 2, Members: 1, Cold: 1})
 	used := drawDown(a, 2*time.Second)
 	g.Expect(used + 4000).To(BeNumerically("<=", bound))
 	g.Expect(used).To(BeNumerically(">", 2000))
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -26,9 +26,14 @@
 type Use struct {
 	// Boot is the start of the peer's process.
 	Boot int64
-	// Cold is true if the peer started within the last window and does not know
-	// what it had used before.
-	Cold bool
+	// Members is the number of instances that the peer reports for: 1, or those
+	// of a failure domain.
+	Members int
+	// Cold is the number of members that started within the last window and do
+	// not know what they had used before.
+	Cold int
+	// Far is true for the sum of another failure domain.
+	Far bool
 	// Used is what it has used of each team's limit in its window.
 	Used map[string]float64
 }
@@ -36,6 +41,8 @@
 type peerUse struct {
 	reported time.Duration
 	use      Use
+	// known is the number of instances that are known behind the peer.
+	known int
 	// before is what the peer's process had used that ended at endedAt; the new
 	// process does not know of it.
 	before  map[string]float64
@@ -68,10 +75,11 @@
 // Report takes in what a peer has used.
 func (t *Teams) Report(now time.Duration, peer string, use Use) {
 	known := t.peers[peer]
-	if known.use.Boot != 0 && known.use.Boot != use.Boot {
+	if !use.Far && known.use.Boot != 0 && known.use.Boot != use.Boot {
 		known.before, known.endedAt = known.use.Used, known.reported
 	}
 	known.reported, known.use = now, use
+	known.known = max(known.known, use.Members)
 	t.peers[peer] = known
 }
 
@@ -130,19 +138,17 @@
 			delete(t.peers, name)
 			continue
 		}
-		if left := t.rules.Window - (now - peer.endedAt); left > 0 {
-			v.Used += peer.before[team] * left.Seconds() / t.rules.Window.Seconds()
-		}
+		v.Used += peer.remembered(now, t.rules.Window, team)
 		if age > t.rules.Fresh {
-			// It may still serve without being heard; its share is left to it.
-			v.Silent++
+			// They may still serve without being heard; their share is left to
+			// them.
+			v.Silent += peer.known
 			continue
 		}
-		heard++
+		heard += peer.use.Members
+		v.Silent += max(0, peer.known-peer.use.Members)
 		v.Used += peer.use.Used[team]
-		if peer.use.Cold {
-			cold++
-		}
+		cold += peer.use.Cold
 	}
 	if left := t.coldUntil - now; left > 0 {
 		// Nobody here knows what those that restarted had used; it has left the
@@ -165,9 +171,48 @@
 	return w
 }
 
-// Known notes a peer that was not heard of yet: it may be cut off and serving.
-func (t *Teams) Known(now time.Duration, peer string) {
-	if _, found := t.peers[peer]; !found {
-		t.peers[peer] = peerUse{reported: now - t.rules.Fresh - 1}
+// remembered is what a former process of the peer had used and has not left the
+// window yet.
+func (p peerUse) remembered(now, window time.Duration, team string) float64 {
+	left := window - (now - p.endedAt)
+	if left <= 0 {
+		return 0
+	}
+	return p.before[team] * left.Seconds() / window.Seconds()
+}
+
+// Known notes the number of instances behind a peer that may not have been
+// heard of yet: they may be cut off and serving.
+func (t *Teams) Known(now time.Duration, peer string, members int) {
+	known, found := t.peers[peer]
+	if !found {
+		known.reported = now - t.rules.Fresh - 1
+	}
+	known.known = max(known.known, members)
+	t.peers[peer] = known
+}
+
+// Sum returns what this instance and the peers of its failure domain have used,
+// and how many of them are cold.
+func (t *Teams) Sum(now time.Duration) (used map[string]float64, cold int) {
+	used = t.Used(now)
+	if t.Cold(now) {
+		cold++
+	}
+	for _, peer := range t.peers {
+		if peer.use.Far {
+			continue
+		}
+		for team := range peer.before {
+			used[team] += peer.remembered(now, t.rules.Window, team)
+		}
+		if now-peer.reported > t.rules.Fresh {
+			continue
+		}
+		cold += peer.use.Cold
+		for team, amount := range peer.use.Used {
+			used[team] += amount
+		}
 	}
+	return used, cold
 }
