storesync: one instance per failure domain reads the store, the others follow its copy

Change: the relay of a failure domain serves its copies over drpc, with their age; a follower counts freshness from before it asked, and asks the store itself when the relay is silent or its copy too old. Entries that lapse during an outage are kept for 2 s after its end, wherever they are followed. Ruled out: pushing content in datagrams (needs repair of its own; a datagram that a suspended instance reads late would look fresh).

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -16,9 +16,6 @@
 	queueTick = 10 * time.Millisecond
 	// inboxSize lets callers go on while the control loop works on others.
 	inboxSize = 256
-	// returnGrace is the time within which the entries of upstreams are back
-	// that lapsed while the store was away.
-	returnGrace = 2 * time.Second
 )
 
 // message changes the control state. Only the control goroutine applies it.
@@ -31,11 +28,6 @@
 	pools map[string]*admission.Pool
 	// services maps each upstream to its service.
 	services map[string]string
-	// removals holds the upstreams whose entries are missing, with the time at
-	// which they count as gone.
-	removals map[string]time.Duration
-	// regained is when the store's upstreams could be read again.
-	regained time.Duration
 	waiting  map[uint64]chan admission.Decision
 	teams    *quota.Teams
 	retries  *quota.Retries
@@ -54,7 +46,7 @@
 	now := g.now()
 	return &control{
 		g: g, inbox: make(chan message, inboxSize),
-		pools: map[string]*admission.Pool{}, services: map[string]string{}, removals: map[string]time.Duration{},
+		pools: map[string]*admission.Pool{}, services: map[string]string{},
 		waiting: map[uint64]chan admission.Decision{},
 		teams: quota.NewTeams(quota.Rules{
 			Window: seconds(b.QuotaWindowS), Overage: b.QuotaOverage, Slack: b.QuotaSlack,
@@ -104,7 +96,6 @@
 
 func (c *control) step() {
 	now := c.g.now()
-	c.removeGone(now)
 	for _, name := range c.peers.Silent(now) {
 		c.g.log.Info("peer lost", "peer", name, "silent_ms", loadshare.SilentAfter.Milliseconds())
 		c.g.metrics.peersLost.Inc(1)
@@ -119,6 +110,7 @@
 		}
 	}
 	c.g.instances.Store(int64(c.peers.Count()))
+	c.g.relay.Store(c.peers.Relay())
 	c.report(now)
 }
 
--- a/pkg/gateway/directory.go
+++ b/pkg/gateway/directory.go
@@ -13,7 +13,7 @@
 func (c *control) updateConfig(update storesync.Update) {
 	g := c.g
 	readable := true
-	for _, object := range update.Objects {
+	for _, object := range update.Changed {
 		if object.Name != g.kinds.ConfigName {
 			continue
 		}
@@ -55,37 +55,25 @@
 
 // updateUpstreams follows the upstreams' entries.
 func (c *control) updateUpstreams(update storesync.Update) {
-	now := c.g.now()
 	if update.Regained {
-		c.regained = now
 		c.g.log.Info("dependency regained", "dependency", "store", "kind", update.Kind)
 	}
-	seen := make(map[string]bool, len(update.Objects))
-	for _, object := range update.Objects {
-		seen[object.Name] = c.setUpstream(object)
+	for _, object := range update.Changed {
+		c.setUpstream(object)
 	}
 	for _, name := range update.Deleted {
-		c.missing(now, name)
-	}
-	if !update.Complete {
-		return
-	}
-	for name := range c.services {
-		if !seen[name] {
-			c.missing(now, name)
-		}
+		c.remove(name, "its entry was removed")
 	}
 }
 
-// setUpstream takes in an entry; it reports whether the entry names an upstream.
-func (c *control) setUpstream(object storesync.Object) bool {
+// setUpstream takes in an entry.
+func (c *control) setUpstream(object storesync.Object) {
 	info, err := c.g.records.Upstream(object.Name, object.Spec)
 	if err != nil {
 		c.g.log.Info("upstream entry ignored", "upstream", object.Name, "revision", object.Revision, "error", err.Error())
 		c.remove(object.Name, "its entry is malformed")
-		return false
+		return
 	}
-	delete(c.removals, info.ID)
 	if old, known := c.services[info.ID]; known && old != info.Service {
 		c.remove(info.ID, "it serves another service now")
 	}
@@ -94,34 +82,9 @@
 	c.pool(info.Service).SetUpstream(info)
 	c.g.log.Info("upstream entry", "upstream", info.ID, "service", info.Service, "address", info.Address,
 		"domain", info.Domain, "leaving", info.Leaving, "revision", object.Revision)
-	return true
-}
-
-// missing notes that an upstream has no entry. One that lapsed while the store
-// was away may be back soon.
-func (c *control) missing(now time.Duration, name string) {
-	if _, known := c.services[name]; !known {
-		return
-	}
-	if c.regained > 0 && now-c.regained < returnGrace {
-		if _, noted := c.removals[name]; !noted {
-			c.removals[name] = c.regained + returnGrace
-		}
-		return
-	}
-	c.remove(name, "its entry was removed")
-}
-
-func (c *control) removeGone(now time.Duration) {
-	for name, at := range c.removals {
-		if now >= at {
-			c.remove(name, "its entry did not come back after the store's return")
-		}
-	}
 }
 
 func (c *control) remove(name, reason string) {
-	delete(c.removals, name)
 	service, known := c.services[name]
 	if !known {
 		return
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/boottime"
 	"github.com/rosemarywing/rosemarywing/pkg/connpool"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
+	"github.com/rosemarywing/rosemarywing/pkg/peer"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
 	"github.com/rosemarywing/rosemarywing/pkg/traffic"
 )
@@ -55,6 +56,13 @@
 	// force was still the newest.
 	asOf    atomic.Int64
 	leaving atomic.Bool
+	// relay is the address of the instance that reads the store for this failure
+	// domain; empty if it is this one.
+	relay atomic.Value
+	// copies are what the instances that follow this one get.
+	copies  map[string]*storesync.Copy
+	dialer  *peer.Dialer
+	traffic *peer.Traffic
 	// instances is the number of known instances, this one included.
 	instances atomic.Int64
 	// held counts the requests that are held.
@@ -87,6 +95,7 @@
 	if opts.Now == nil {
 		opts.Now = boottime.Now
 	}
+	registry := metrics.NewRegistry()
 	g := &Gateway{
 		settings: opts.Settings, store: opts.Store, protocol: opts.Protocol, records: opts.Records, kinds: opts.Kinds,
 		log: opts.Log, decide: newDecisionLog(opts.Log), clock: opts.Clock, now: opts.Now,
@@ -94,10 +103,15 @@
 		conns: connpool.NewPool(connpool.Options{
 			DialTimeout: dialTimeout, Silence: upstreamSilence, MaxIdle: idlePerUpstream, Clock: opts.Clock,
 		}),
-		metrics: newGauges(metrics.NewRegistry()),
+		metrics: newGauges(registry), traffic: peer.NewTraffic(registry),
+		copies: map[string]*storesync.Copy{},
 	}
 	// No freshness is shown before the first answer of the store.
 	g.asOf.Store(int64(g.now() - time.Hour))
+	for _, kind := range []string{g.kinds.Config, g.kinds.Upstreams} {
+		g.copies[kind] = storesync.NewCopy(g.now)
+	}
+	g.dialer = peer.NewDialer(peer.DialerOptions{DialTimeout: dialTimeout, CallTimeout: listTimeout, Traffic: g.traffic})
 	g.control = newControl(g)
 	return g, nil
 }
--- a/pkg/gateway/life.go
+++ b/pkg/gateway/life.go
@@ -18,10 +18,22 @@
 	// configWait is how long a watch of the configuration waits. The keys are
 	// shown to be valid by two waits, a margin and a list after a watch that was
 	// not answered; that must stay below the time for which keys may be served.
-	configWait = 1700 * time.Millisecond
+	configWait = 1200 * time.Millisecond
+	// relayWait is how long an instance waits for news from the one that reads
+	// the store for its failure domain.
+	relayWait = 500 * time.Millisecond
+	// relaySlack is added to two waits and a margin, which are the age of a
+	// relay's copy after one watch that was not answered.
+	relaySlack = 200 * time.Millisecond
+	// directEvery is the pause between two attempts to reach the store instead
+	// of a relay that cannot reach it.
+	directEvery = 3 * time.Second
+	// returnGrace is the time within which the entries of upstreams are back
+	// that lapsed while the store was away.
+	returnGrace = 2 * time.Second
 	// upstreamWait is how long a watch of the upstreams waits. Changes end it at
 	// once; it only bounds how long a connection that went silent is believed.
-	upstreamWait = 3 * time.Second
+	upstreamWait = 1500 * time.Millisecond
 	// watchMargin is the time after the wait in which a slow store, at a
 	// hundred times its usual 4 ms, answers.
 	watchMargin = 500 * time.Millisecond
@@ -53,7 +65,7 @@
 		g.settings.Listen.Ready: {Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout},
 		g.settings.Listen.Admin: {Handler: g.adminHandler(), ReadHeaderTimeout: headerTimeout},
 	}
-	failures := make(chan error, len(servers)+1)
+	failures := make(chan error, len(servers)+2)
 	var tasks sync.WaitGroup
 	g.startTasks(background, &tasks)
 	serveOn := func(server *http.Server, address string) error {
@@ -68,7 +80,16 @@
 		})
 		return nil
 	}
-	err := serveOn(callers, g.settings.Listen.Callers)
+	peers, err := net.Listen("tcp4", g.settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	tasks.Go(func() {
+		if err := g.servePeers(background, peers); err != nil && background.Err() == nil {
+			failures <- err
+		}
+	})
+	err = serveOn(callers, g.settings.Listen.Callers)
 	for address, server := range servers {
 		if err == nil {
 			err = serveOn(server, address)
@@ -108,7 +129,10 @@
 	})
 	for kind, wait := range map[string]time.Duration{g.kinds.Config: configWait, g.kinds.Upstreams: upstreamWait} {
 		syncer := storesync.New(storesync.Options{
-			Store: g.store, Kind: kind, Wait: wait, Margin: watchMargin, ListTimeout: listTimeout, Now: g.now, Clock: g.clock, Log: g.log,
+			Store: g.store, Relay: g.followed, Copy: g.copies[kind], Kind: kind,
+			Wait: wait, RelayWait: relayWait, Margin: watchMargin, ListTimeout: listTimeout,
+			MaxRelayAge: 2*wait + watchMargin + relaySlack, DirectEvery: directEvery, ReturnGrace: returnGrace,
+			Now: g.now, Clock: g.clock, Log: g.log,
 			Deliver: func(update storesync.Update) { g.tellUntil(ctx, storeUpdate{update: update}) },
 			Lost: func(kind string, err error) {
 				g.log.Info("dependency lost", "dependency", "store", "kind", kind, "error", err.Error(), "config_age_ms", g.configAge().Milliseconds())
--- /dev/null
+++ b/pkg/gateway/relay.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/peer"
+	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+)
+
+// errNothingKnown is the answer of a relay that has read nothing yet.
+var errNothingKnown = errors.New("the relay has read nothing yet")
+
+// storeServer lets other instances follow this one's copies of the store. It
+// implements peer.StoreHandler.
+type storeServer struct{ copies map[string]*storesync.Copy }
+
+// FollowStore implements peer.StoreHandler.
+func (s storeServer) FollowStore(ctx context.Context, in *peer.FollowStoreRequest) (*peer.FollowStoreReply, error) {
+	kept := s.copies[in.GetKind()]
+	if kept == nil {
+		return nil, fmt.Errorf("kind %q is not kept", in.GetKind())
+	}
+	if in.GetAfter() == 0 {
+		listing, known := kept.List()
+		reply := newReply(listing.Revision, listing.Freshness, known)
+		for _, object := range listing.Objects {
+			reply.Changed = append(reply.Changed, stored(object))
+		}
+		return reply, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.GetWaitMs())*time.Millisecond)
+	defer cancel()
+	changes, err := kept.Watch(ctx, in.GetAfter())
+	if err != nil {
+		// The only error says that the history is gone.
+		return &peer.FollowStoreReply{Compacted: true}, nil
+	}
+	reply := newReply(changes.Revision, changes.Freshness, true)
+	for _, event := range changes.Events {
+		if event.Deleted {
+			reply.Deleted = append(reply.Deleted, event.Object.Name)
+		} else {
+			reply.Changed = append(reply.Changed, stored(event.Object))
+		}
+	}
+	return reply, nil
+}
+
+func newReply(revision uint64, freshness storesync.Freshness, known bool) *peer.FollowStoreReply {
+	return &peer.FollowStoreReply{
+		Revision: revision, Known: known,
+		AgeMs:         uint64(math.Ceil(float64(freshness.Age) / float64(time.Millisecond))),
+		SinceReturnMs: uint64(freshness.SinceReturn.Milliseconds()),
+	}
+}
+
+func stored(object storesync.Object) *peer.StoredObject {
+	return &peer.StoredObject{Name: object.Name, Revision: object.Revision, Spec: object.Spec}
+}
+
+// relaySource follows the copies of another instance. It implements
+// storesync.Source.
+type relaySource struct {
+	g       *Gateway
+	address string
+}
+
+// List implements storesync.Source.
+func (r relaySource) List(ctx context.Context, kind string) (storesync.Listing, error) {
+	reply, err := r.g.dialer.Client(r.address).FollowStore(ctx, &peer.FollowStoreRequest{Kind: kind})
+	if err != nil {
+		return storesync.Listing{}, err
+	}
+	if !reply.GetKnown() {
+		return storesync.Listing{}, errNothingKnown
+	}
+	listing := storesync.Listing{Revision: reply.GetRevision(), Freshness: freshness(reply)}
+	for _, object := range reply.GetChanged() {
+		listing.Objects = append(listing.Objects, loaded(object))
+	}
+	return listing, nil
+}
+
+// Watch implements storesync.Source.
+func (r relaySource) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (storesync.Changes, error) {
+	reply, err := r.g.dialer.Client(r.address).FollowStore(ctx, &peer.FollowStoreRequest{
+		Kind: kind, After: after, WaitMs: uint32(wait.Milliseconds()),
+	})
+	if err != nil {
+		return storesync.Changes{}, err
+	}
+	if reply.GetCompacted() {
+		return storesync.Changes{}, storesync.ErrCompacted
+	}
+	changes := storesync.Changes{Revision: reply.GetRevision(), Freshness: freshness(reply)}
+	for _, object := range reply.GetChanged() {
+		changes.Events = append(changes.Events, storesync.Event{Object: loaded(object)})
+	}
+	for _, name := range reply.GetDeleted() {
+		changes.Events = append(changes.Events, storesync.Event{Object: storesync.Object{Name: name}, Deleted: true})
+	}
+	return changes, nil
+}
+
+// Reset implements storesync.Source. A call that was given up closes its
+// connection by itself.
+func (relaySource) Reset() {}
+
+func freshness(reply *peer.FollowStoreReply) storesync.Freshness {
+	return storesync.Freshness{
+		Age:         time.Duration(reply.GetAgeMs()) * time.Millisecond,
+		SinceReturn: time.Duration(reply.GetSinceReturnMs()) * time.Millisecond,
+	}
+}
+
+func loaded(object *peer.StoredObject) storesync.Object {
+	return storesync.Object{Name: object.GetName(), Revision: object.GetRevision(), Spec: object.GetSpec()}
+}
+
+// followed returns the instance whose copies are followed, or nil if this
+// instance reads the store for its failure domain.
+func (g *Gateway) followed() storesync.Source {
+	address, _ := g.relay.Load().(string)
+	if address == "" {
+		return nil
+	}
+	return relaySource{g: g, address: address}
+}
+
+// servePeers serves the instances that follow this one.
+func (g *Gateway) servePeers(ctx context.Context, listener net.Listener) error {
+	server, err := peer.NewServer(peer.Handlers{Store: storeServer{copies: g.copies}}, g.traffic, g.log)
+	if err != nil {
+		return err
+	}
+	return server.Serve(ctx, listener)
+}
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -55,7 +55,7 @@
 		bytes := c.send(c.buildReport(now, false), targets)
 		c.near.noteSent(now, nearPause, bytes)
 	}
-	if c.peers.IsRelay() && c.far.due(now) {
+	if c.peers.Relay() == "" && c.far.due(now) {
 		targets := c.peers.Far()
 		bytes := c.send(c.buildReport(now, true), targets)
 		c.far.noteSent(now, farPause, bytes)
@@ -237,7 +237,11 @@
 			return err
 		}
 	}
-	listing, err := g.store.List(ctx, g.kinds.Instances, !write)
+	list := g.store.ListStale
+	if write {
+		list = g.store.List
+	}
+	listing, err := list(ctx, g.kinds.Instances)
 	if err != nil {
 		return err
 	}
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -168,16 +168,18 @@
 	return false
 }
 
-// IsRelay reports whether this instance sums up the reports of its failure
-// domain: the first by name of those that live. For a moment none or two may
-// believe it, which costs a report or sends one twice.
-func (p *Peers) IsRelay() bool {
+// Relay returns the address of the instance that acts for this failure domain:
+// the first by name of those that live. It is empty if that is this instance.
+// For a moment none or two may believe to be it; that costs a report or sends
+// one twice.
+func (p *Peers) Relay() string {
+	first, address := p.own, ""
 	for name, known := range p.near {
-		if !known.silent && !known.leaving && name < p.own {
-			return false
+		if !known.silent && !known.leaving && name < first {
+			first, address = name, known.address.String()
 		}
 	}
-	return true
+	return address
 }
 
 // Live is the number of instances in the own failure domain that are heard,
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -52,6 +52,11 @@
 	ReportLeaving(context.Context, *LeavingReport) (*Ack, error)
 }
 
+// StoreHandler tells other instances what is known of the platform's store.
+type StoreHandler interface {
+	FollowStore(context.Context, *FollowStoreRequest) (*FollowStoreReply, error)
+}
+
 // Handlers are the parts of an instance that serve the peer protocol. A call
 // to a part that is nil is answered with an unimplemented error.
 type Handlers struct {
@@ -61,6 +66,7 @@
 	Sessions SessionHandler
 	Strikes  StrikeHandler
 	Leaving  LeavingHandler
+	Store    StoreHandler
 }
 
 // Server serves the peer protocol.
@@ -165,3 +171,10 @@
 	}
 	return d.h.Leaving.ReportLeaving(ctx, in)
 }
+
+func (d *delegate) FollowStore(ctx context.Context, in *FollowStoreRequest) (*FollowStoreReply, error) {
+	if d.h.Store == nil {
+		return nil, errUnimplemented
+	}
+	return d.h.Store.FollowStore(ctx, in)
+}
--- a/pkg/storesync/storesync.go
+++ b/pkg/storesync/storesync.go
@@ -1,5 +1,6 @@
-// Package storesync keeps a local copy of one kind of objects in the
-// platform's store, and knows how old that copy can be.
+// Package storesync keeps a local copy of one kind of objects in the platform's
+// store, and knows how old that copy can be. Copies are filled from the store
+// itself or from the copy of another instance.
 package storesync
 
 import (
@@ -8,7 +9,7 @@
 	"time"
 )
 
-// Errors of a Store.
+// Errors of a Source.
 var (
 	// ErrCompacted means that the history after the revision is gone.
 	ErrCompacted = errors.New("the revision is compacted")
@@ -27,6 +28,16 @@
 type Listing struct {
 	Revision uint64
 	Objects  []Object
+	Freshness
+}
+
+// Freshness says how far an answer can be trusted.
+type Freshness struct {
+	// Age is how old the newest state was when it was answered; 0 for the store.
+	Age time.Duration
+	// SinceReturn is the time since the source could read the store again after
+	// an outage; 0 if there was none.
+	SinceReturn time.Duration
 }
 
 // Event is one change of an object.
@@ -39,32 +50,39 @@
 type Changes struct {
 	Revision uint64
 	Events   []Event
+	Freshness
 }
 
-// Store is the part of the platform's store that is used here. Calls are never
-// repeated by the store's client.
-type Store interface {
-	// List returns all objects; stale ones are cheaper and may be seconds old.
-	List(ctx context.Context, kind string, stale bool) (Listing, error)
+// Source is where a copy is filled from. Calls are never repeated by it.
+type Source interface {
+	// List returns all objects.
+	List(ctx context.Context, kind string) (Listing, error)
 	// Watch returns the events after a revision, or none after the wait.
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
-	// Put creates or replaces an object.
-	Put(ctx context.Context, kind, name string, spec any) error
 	// Reset closes idle connections.
 	Reset()
 }
 
+// Store is the part of the platform's store that is used here.
+type Store interface {
+	Source
+	// ListStale is a cheaper List that may be seconds old.
+	ListStale(ctx context.Context, kind string) (Listing, error)
+	// Put creates or replaces an object.
+	Put(ctx context.Context, kind, name string, spec any) error
+}
+
 // Update is what a Syncer delivers after each successful call.
 type Update struct {
 	Kind string
-	// Complete updates hold all objects, others only those that have changed.
-	Complete bool
-	Objects  []Object
-	// Deleted names the objects that were removed; only in updates that are
-	// not complete.
+	// Revision is the revision of the store up to which the copy goes.
+	Revision uint64
+	// Changed are the objects that are new or have changed, and Deleted names
+	// those that were removed.
+	Changed []Object
 	Deleted []string
 	// AsOf is a time at or before which the store had the state that results:
-	// the moment before the call was sent.
+	// the moment before the call was sent, less the age of the answer.
 	AsOf time.Duration
 	// Regained is true for the first update after failed calls.
 	Regained bool
