gateway: tests on real connections; tell returning callers by the route's usual patience

Cause: a caller with less patience than the route's timeout was taken for one that came back, and waited behind all others (found by a test that fills the slots of a plain service). Change: the longest patience seen on a route says what its callers usually have.

--- /dev/null
+++ b/pkg/connpool/connpool_test.go
@@ -0,0 +1,277 @@
+package connpool_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/connpool"
+)
+
+const idHeader = "Request-Id"
+
+// upstream accepts connections and runs a script on each.
+type upstream struct {
+	listener net.Listener
+	accepted chan net.Conn
+}
+
+func newUpstream(t *testing.T, script func(conn net.Conn, reader *bufio.Reader)) *upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{listener: listener, accepted: make(chan net.Conn, 64)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			u.accepted <- conn
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return u
+}
+
+func (u *upstream) address() string { return u.listener.Addr().String() }
+
+// readRequest reads a request with its body and returns its ID.
+func readRequest(reader *bufio.Reader) (id string, ok bool) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return "", false
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return "", false
+	}
+	return request.Header.Get(idHeader), true
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+type fixture struct {
+	*GomegaWithT
+	pool  *connpool.Pool
+	clock *clockwork.FakeClock
+	next  int
+}
+
+func newFixture(t *testing.T) *fixture {
+	clock := clockwork.NewFakeClock()
+	return &fixture{GomegaWithT: NewWithT(t), clock: clock, pool: connpool.NewPool(connpool.Options{
+		DialTimeout: 10 * time.Second, Silence: 10 * time.Second, MaxIdle: 4, Clock: clock,
+	})}
+}
+
+// exchange sends a request and reads the whole answer.
+func (f *fixture) exchange(u *upstream, body string) (answered string, reused bool, err error) {
+	f.next++
+	id := fmt.Sprintf("r%d", f.next)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	conn, reused, err := f.pool.Get(ctx, u.address(), "i-1", 10)
+	if err != nil {
+		return "", false, err
+	}
+	request := connpool.Request{Method: "POST", Target: "/a", Host: "h", Header: http.Header{idHeader: {id}}, Body: []byte(body)}
+	response, err := conn.RoundTrip(ctx, request, idHeader, id)
+	if err != nil {
+		conn.Close()
+		return "", reused, err
+	}
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		conn.Close()
+		return "", reused, err
+	}
+	f.pool.Release(conn, response)
+	return string(content), reused, nil
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	f := newFixture(t)
+	u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			write(conn, answer(id, "for "+id))
+		}
+	})
+	for i := range 3 {
+		body, reused, err := f.exchange(u, "x")
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(body).To(Equal(fmt.Sprintf("for r%d", i+1)))
+		f.Expect(reused).To(Equal(i > 0))
+	}
+	// The upstream announced 10 s; half of that is used.
+	f.clock.Advance(6 * time.Second)
+	_, reused, err := f.exchange(u, "x")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(reused).To(BeFalse())
+}
+
+// Failure: the upstream answers an earlier request a second time, just as the
+// next one is due. Guards against delivering it as the answer to the next.
+func TestALateAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	f := newFixture(t)
+	u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+		first, _ := readRequest(reader)
+		write(conn, answer(first, "first"))
+		second, _ := readRequest(reader)
+		write(conn, answer(first, "first again"))
+		write(conn, answer(second, "second"))
+		_, _ = readRequest(reader)
+	})
+	_, _, err := f.exchange(u, "x")
+	f.Expect(err).NotTo(HaveOccurred())
+	body, reused, err := f.exchange(u, "x")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(reused).To(BeTrue())
+	f.Expect(body).To(Equal("second"))
+}
+
+// Failure: bytes follow a complete answer. Guards against taking them for the
+// beginning of the next answer.
+func TestAConnectionWithBytesThatNobodyAskedForIsNotReused(t *testing.T) {
+	f := newFixture(t)
+	sent := make(chan struct{})
+	u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			write(conn, answer(id, "right"))
+			write(conn, answer(id, "extra"))
+			sent <- struct{}{}
+		}
+	})
+	for range 2 {
+		go func() { <-sent }()
+		body, reused, err := f.exchange(u, "x")
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(reused).To(BeFalse())
+		f.Expect(body).To(Equal("right"))
+		// The extra bytes have arrived when the kernel shows them.
+		f.Eventually(func() bool { return f.pool.Quiet(u.address()) }, "10s").Should(BeFalse())
+	}
+}
+
+// Failure: an upstream breaks off, or sends what is no answer. Guards against an
+// answer that looks complete, and against a second send by this package.
+func TestBrokenAnswersAreErrorsAndNothingIsSentTwice(t *testing.T) {
+	cases := map[string]string{
+		"closed without an answer": "",
+		"no answer at all":         "hello\r\n\r\n",
+		"truncated head":           "HTTP/1.1 200 OK\r\nContent-",
+		"truncated body":           "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 10\r\n\r\nabc",
+		"truncated chunk":          "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\na\r\nabc",
+		"endless head":             "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: "+strings.Repeat("x", 1000)+"\r\n", 200),
+		"only another's answer":    "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 1\r\n\r\nx",
+		"unframed other's answer":  "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\nx",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+				_, _ = readRequest(reader)
+				write(conn, text)
+			})
+			_, _, err := f.exchange(u, "x")
+			f.Expect(err).To(HaveOccurred())
+			f.Expect(u.accepted).To(HaveLen(1))
+		})
+	}
+}
+
+// Failure: the upstream answers a long request before it has read it all, and
+// goes on reading. Guards against the next request where the rest of the body
+// is due.
+func TestAnEarlyAnswerEndsTheConnectionUnlessTheBodyIsWritten(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+		line, err := reader.ReadString('\n')
+		if err != nil || !strings.HasPrefix(line, "POST") {
+			return
+		}
+		write(conn, answer("r1", "early"))
+		<-release
+	})
+	body, _, err := f.exchange(u, strings.Repeat("x", 32<<20))
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(body).To(Equal("early"))
+	f.Expect(f.pool.Idle(u.address())).To(Equal(0))
+	close(release)
+}
+
+func TestAnAnswerWithoutLengthEndsWithTheConnection(t *testing.T) {
+	f := newFixture(t)
+	u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+		id, _ := readRequest(reader)
+		write(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\n\r\nall of it")
+	})
+	body, _, err := f.exchange(u, "x")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(body).To(Equal("all of it"))
+	f.Expect(f.pool.Idle(u.address())).To(Equal(0))
+}
+
+// Guards against a request that goes on at the upstream after its caller left.
+func TestTheEndOfTheContextClosesTheConnection(t *testing.T) {
+	f := newFixture(t)
+	closed := make(chan struct{})
+	got := make(chan struct{})
+	u := newUpstream(t, func(_ net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		close(got)
+		_, _ = reader.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	conn, _, err := f.pool.Get(ctx, u.address(), "i-1", 10)
+	f.Expect(err).NotTo(HaveOccurred())
+	go func() {
+		<-got
+		cancel()
+	}()
+	_, err = conn.RoundTrip(ctx, connpool.Request{Method: "GET", Target: "/", Host: "h"}, idHeader, "r1")
+	f.Expect(err).To(HaveOccurred())
+	f.Eventually(closed, "10s").Should(BeClosed())
+}
+
+func TestTheLimitOfConnectionsHolds(t *testing.T) {
+	f := newFixture(t)
+	u := newUpstream(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() })
+	ctx := context.Background()
+	first, _, err := f.pool.Get(ctx, u.address(), "i-1", 1)
+	f.Expect(err).NotTo(HaveOccurred())
+	_, _, err = f.pool.Get(ctx, u.address(), "i-1", 1)
+	f.Expect(err).To(MatchError(connpool.ErrTooMany))
+	first.Close()
+	second, _, err := f.pool.Get(ctx, u.address(), "i-1", 1)
+	f.Expect(err).NotTo(HaveOccurred())
+	second.Close()
+}
--- a/pkg/errkind/document.go
+++ b/pkg/errkind/document.go
@@ -38,6 +38,11 @@
 	{NotFound, "The record does not exist."},
 	{PlatformUnavailable, "The platform did not answer. A write may have taken effect: read the record before writing it again."},
 	{InvalidRecord, "A record is not valid, or refers to one that does not exist; the message names the field."},
+	{RouteUnknown, "No route of the gateway matches the host and the path."},
+	{QuotaExceeded, "The team has used its quota of the current window, over all instances."},
+	{ConfigurationStale, "The instance cannot show that its configuration is the newest, and thus that the key is still valid."},
+	{BodyTooLarge, "The body is larger than the operator allows."},
+	{AnswerTimeout, "An upstream did not answer within the caller's patience or the route's timeout."},
 	{BadSettings, "The settings file or the command line of the daemon is not valid."},
 	{Internal, "A fault of the program; the log has the cause."},
 }
--- a/pkg/errkind/errkind_test.go
+++ b/pkg/errkind/errkind_test.go
@@ -11,7 +11,7 @@
 // Guards against a kind without an answer, and against an answer that tells a
 // caller to send again a request that may have run.
 func TestTableIsCompleteAndSafe(t *testing.T) {
-	const listed = 29
+	const listed = 34
 	if got := len(errkind.Kinds()); got != listed {
 		t.Errorf("the table has %d kinds, want %d", got, listed)
 	}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -55,9 +55,6 @@
 	// notReadyRetry is told to callers of an instance that cannot serve yet or
 	// not for now. The platform needs two seconds to send them elsewhere.
 	notReadyRetry = time.Second
-	// returnedShare is the part of the route's usual patience below which a
-	// request counts as one that was refused before.
-	returnedShare = 0.9
 )
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
@@ -211,14 +208,9 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	due := x.arrived + objective
-	// A caller that returns has less patience left than the route's others; the
-	// objective counts from its first attempt.
-	returned := x.route.Timeout > 0 && x.caller.Patience > 0 &&
-		x.caller.Patience < time.Duration(float64(x.route.Timeout)*returnedShare) && !x.shortRoute()
-	if returned {
-		due = min(due, x.arrived+objective-(x.route.Timeout-x.caller.Patience))
-	}
+	// The objective counts from the caller's first attempt.
+	spent := x.g.patience.spent(x.route.Name, x.caller.Patience)
+	due := x.arrived + objective - spent
 	output := x.caller.ExpectedOutputTokens
 	if output == 0 {
 		output = x.caller.MaxOutputTokens / 2
@@ -226,14 +218,10 @@
 	return &admission.Request{
 		Key: x.g.nextKey.Add(1), Service: x.service, Tier: x.tier(),
 		PromptTokens: x.caller.PromptTokens, OutputTokens: output,
-		Arrived: x.arrived, Due: due, Until: x.until, Returned: returned,
+		Arrived: x.arrived, Due: due, Until: x.until, Returned: spent > 0,
 	}
 }
 
-// shortRoute reports whether the route's timeout is below what callers of it
-// usually wait, so that their patience says nothing.
-func (x *exchange) shortRoute() bool { return x.caller.Patience > x.route.Timeout }
-
 // run takes the request to its end.
 func (x *exchange) run() {
 	x.g.tell(countRequest{service: x.service})
--- a/pkg/gateway/life.go
+++ b/pkg/gateway/life.go
@@ -38,10 +38,6 @@
 	// hundred times its usual 4 ms, answers.
 	watchMargin = 500 * time.Millisecond
 	listTimeout = 1500 * time.Millisecond
-	// leaveNotice is how long an instance that stops still accepts
-	// connections: the platform needs two questions, a second apart, to send
-	// callers elsewhere.
-	leaveNotice = 3 * time.Second
 	// stopMargin is left between the last answer and SIGKILL.
 	stopMargin = 500 * time.Millisecond
 	// pruneEvery is the pause between two searches for idle connections that
@@ -168,7 +164,7 @@
 	g.leaving.Store(true)
 	g.log.Info("stopping", "held", g.held.Load(), "grace_ms", g.settings.Bounds.StopGrace().Milliseconds())
 	end := g.settings.Bounds.StopGrace() - stopMargin
-	<-g.clock.After(min(leaveNotice, end/2))
+	<-g.clock.After(min(seconds(g.settings.Bounds.LeaveNoticeS), end/2))
 	ctx, cancel := context.WithTimeout(context.Background(), end-(g.now()-started))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
--- /dev/null
+++ b/pkg/gateway/patience.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// firstAttemptShare is the part of the longest patience seen on a route from
+	// which a request counts as a caller's first attempt.
+	firstAttemptShare = 0.95
+	// routesKept bounds the memory for routes that come and go.
+	routesKept = 4096
+)
+
+// patience learns how long the callers of each route usually wait. A caller that
+// comes back after a refusal has less time left than that. It is safe for
+// concurrent use.
+type patience struct {
+	mu      sync.Mutex
+	longest map[string]time.Duration
+}
+
+// spent returns how long a caller has tried before, as far as its patience
+// shows it; 0 for a first attempt.
+func (p *patience) spent(route string, left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.longest == nil || len(p.longest) > routesKept {
+		p.longest = map[string]time.Duration{}
+	}
+	longest := p.longest[route]
+	if left > longest {
+		p.longest[route] = left
+		return 0
+	}
+	if float64(left) >= firstAttemptShare*float64(longest) {
+		return 0
+	}
+	return longest - left
+}
--- /dev/null
+++ b/pkg/gateway/patience_test.go
@@ -0,0 +1,21 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Load pattern: refused callers come back while new ones arrive. Guards against
+// taking a caller with little patience on another route for one that came back.
+func TestPatienceTellsReturningCallers(t *testing.T) {
+	g := NewWithT(t)
+	var p patience
+	g.Expect(p.spent("report", 15*time.Second)).To(BeZero())
+	g.Expect(p.spent("report", 14900*time.Millisecond)).To(BeZero())
+	g.Expect(p.spent("report", 11*time.Second)).To(Equal(4 * time.Second))
+	g.Expect(p.spent("tag", 3*time.Second)).To(BeZero())
+	g.Expect(p.spent("tag", 2*time.Second)).To(Equal(time.Second))
+	g.Expect(p.spent("tag", 0)).To(BeZero())
+}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -56,6 +56,8 @@
 type BoundSettings struct {
 	ConfigFreshMs    int64   `ini:"config_fresh_ms"`
 	StopGraceSeconds float64 `ini:"stop_grace_s"`
+	// LeaveNoticeS is how long an instance that stops still accepts connections.
+	LeaveNoticeS float64 `ini:"leave_notice_s"`
 	RetryRatio       float64 `ini:"retry_ratio"`
 	RetryWindowS     float64 `ini:"retry_window_s"`
 	RetryExtra       float64 `ini:"retry_extra"`
@@ -80,7 +82,7 @@
 	return Settings{
 		Limits: LimitSettings{MemoryMiB: 256, Descriptors: 4096},
 		Bounds: BoundSettings{
-			ConfigFreshMs: 5000, StopGraceSeconds: 8,
+			ConfigFreshMs: 5000, StopGraceSeconds: 8, LeaveNoticeS: 3,
 			RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 50,
 			QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 140_000,
 		},
@@ -152,7 +154,7 @@
 	if b.ConfigFreshMs <= 0 || b.StopGraceSeconds <= 0 || b.RetryWindowS <= 0 || b.QuotaWindowS <= 0 {
 		problems = append(problems, errors.New("bounds: times must be above 0"))
 	}
-	if b.RetryRatio < 0 || b.RetryExtra < 0 || b.QuotaOverage < 0 || b.QuotaSlack < 0 {
+	if b.LeaveNoticeS < 0 || b.RetryRatio < 0 || b.RetryExtra < 0 || b.QuotaOverage < 0 || b.QuotaSlack < 0 {
 		problems = append(problems, errors.New("bounds: no value may be negative"))
 	}
 	return errors.Join(problems...)
--- /dev/null
+++ b/pkg/gateway/site_test.go
@@ -0,0 +1,267 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/internal/standin/objectstore"
+	"github.com/rosemarywing/rosemarywing/pkg/boottime"
+	"github.com/rosemarywing/rosemarywing/pkg/gateway"
+	"github.com/rosemarywing/rosemarywing/platform"
+)
+
+// soon bounds waits for things that must happen; no test passes because of it.
+const soon = "20s"
+
+// site is a deployment in one process: a stand-in store, upstreams made of
+// handlers, and gateway instances that talk over loopback.
+type site struct {
+	*GomegaWithT
+	t     *testing.T
+	store *objectstore.Server
+	// ahead is added to the instances' clock, as after a suspension.
+	ahead     atomic.Int64
+	address   string
+	instances []*instance
+	version   int
+	config    map[string]any
+	mu        sync.Mutex
+	lines     []string
+}
+
+type instance struct {
+	callers string
+	ready   string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func newSite(t *testing.T, instances int) *site {
+	t.Helper()
+	s := &site{GomegaWithT: NewWithT(t), t: t, store: objectstore.NewServer()}
+	server := httptest.NewServer(s.store)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	s.config = map[string]any{
+		"routes": []map[string]any{
+			route("once", "/once/", "unsafe", 2), route("safe", "/safe/", "safe", 2),
+			route("stream", "/stream/", "streaming", 2), resumable(route("resume", "/resume/", "streaming", 3)),
+			{"name": "short", "host": "h.example", "path_prefix": "/short/", "kind": "unsafe", "service": "desk", "timeout_ms": 300, "target_latency_ms": 100, "max_attempts": 1},
+		},
+		"services": []map[string]any{{"name": "desk", "max_connections": 1000}},
+		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+		"tenants":  []map[string]any{{"name": "team-a", "api_keys": []string{"key-a"}, "priority": 1}},
+	}
+	s.publish()
+	for i := range instances {
+		s.start(fmt.Sprintf("edge-%d", i))
+	}
+	t.Cleanup(func() {
+		s.store.SetFaults(objectstore.Faults{})
+		for _, in := range s.instances {
+			in.stop()
+		}
+		for _, in := range s.instances {
+			<-in.done
+		}
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return s
+}
+
+func route(name, prefix, kind string, attempts int) map[string]any {
+	return map[string]any{"name": name, "host": "h.example", "path_prefix": prefix, "kind": kind, "service": "desk",
+		"timeout_ms": 20_000, "target_latency_ms": 500, "max_attempts": attempts, "priority": 1}
+}
+
+func resumable(r map[string]any) map[string]any {
+	r["resumable"] = true
+	return r
+}
+
+// publish writes the configuration under the next version.
+func (s *site) publish() {
+	s.version++
+	s.config["version"] = s.version
+	s.store.Put("config", "main", s.config)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (s *site) log() logr.Logger {
+	return funcr.NewJSON(func(line string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.lines = append(s.lines, line)
+	}, funcr.Options{})
+}
+
+// logged reports whether a line holds all the parts.
+func (s *site) logged(parts ...string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, line := range s.lines {
+		found := true
+		for _, part := range parts {
+			found = found && strings.Contains(line, part)
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *site) start(name string) *instance {
+	s.t.Helper()
+	in := &instance{callers: freeAddress(s.t), ready: freeAddress(s.t), done: make(chan error, 1)}
+	g, err := gateway.New(gateway.Options{
+		Settings: gateway.Settings{
+			Instance: gateway.InstanceSettings{Name: name, Domain: "north", FirstStart: true},
+			Listen:   gateway.ListenSettings{Callers: in.callers, Ready: in.ready, Peers: freeAddress(s.t), Admin: freeAddress(s.t)},
+			Store:    gateway.StoreSettings{Address: s.address},
+			Limits:   gateway.LimitSettings{MemoryMiB: 256, Descriptors: 4096},
+			Bounds: gateway.BoundSettings{ConfigFreshMs: 5000, StopGraceSeconds: 8, LeaveNoticeS: 0.2, RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 50,
+				QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 0},
+			Regions: map[string]string{"north": "r1"},
+		},
+		Store: platform.NewStore(s.address), Protocol: platform.Protocol{}, Records: platform.Records{},
+		Kinds: gateway.Kinds{Config: platform.KindConfig, ConfigName: platform.ConfigName, Upstreams: platform.KindUpstreams, Instances: platform.KindInstances},
+		Log:   s.log(), Clock: clockwork.NewRealClock(),
+		Now: func() time.Duration { return boottime.Now() + time.Duration(s.ahead.Load()) },
+	})
+	s.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	in.stop = cancel
+	go func() { in.done <- g.Run(ctx) }()
+	s.instances = append(s.instances, in)
+	s.Eventually(func() int { return s.readiness(in) }, soon).Should(Equal(http.StatusOK))
+	return in
+}
+
+func (s *site) readiness(in *instance) int {
+	response, err := http.Get("http://" + in.ready + "/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// call is what an upstream saw of a request.
+type call struct {
+	id, path, team, expect, key, lastEvent string
+	deadline                               string
+	body                                   string
+}
+
+// backend is a stand-in upstream.
+type backend struct {
+	id     string
+	server *httptest.Server
+	mu     sync.Mutex
+	calls  []call
+}
+
+func (b *backend) seen() []call {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]call{}, b.calls...)
+}
+
+// upstream starts a stand-in and registers it.
+func (s *site) upstream(id string, handle http.HandlerFunc) *backend {
+	s.t.Helper()
+	b := &backend{id: id}
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.calls = append(b.calls, call{
+			id: r.Header.Get("Request-Id"), path: r.RequestURI, team: r.Header.Get("Tenant"), expect: r.Header.Get("Expect-Instance"),
+			key: r.Header.Get("Authorization"), lastEvent: r.Header.Get("Last-Event-Id"), deadline: r.Header.Get("Deadline-Ms"), body: string(body),
+		})
+		b.mu.Unlock()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Signature", "signed by "+id)
+		handle(w, r)
+	}))
+	s.t.Cleanup(func() {
+		b.server.CloseClientConnections()
+		b.server.Close()
+	})
+	s.register(b, "ready")
+	return b
+}
+
+func (s *site) register(b *backend, state string) {
+	s.store.Put("servers", b.id, map[string]any{
+		"service": "desk", "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "north", "slots": 8, "state": state, "born": 1,
+	})
+	s.Eventually(func() bool { return s.logged("upstream entry", b.id, fmt.Sprintf("%q:%t", "leaving", state != "ready")) }, soon).Should(BeTrue())
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send sends a request to an instance and reads the answer.
+func (s *site) send(ctx context.Context, in *instance, path string, change func(*http.Request)) answer {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+in.callers+path, strings.NewReader("body of the request"))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", "req-"+path)
+	request.Header.Set("Deadline-Ms", "15000")
+	request.Header.Set("Authorization", "Token key-a")
+	if change != nil {
+		change(request)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func (s *site) post(path string, change func(*http.Request)) answer {
+	return s.send(context.Background(), s.instances[0], path, change)
+}
+
+func reply(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// abort closes the connection without an answer.
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
