quota: remember busy teams over a restart; admission: late requests need no spare slots

A quarter of the slots was kept from requests that cannot be in time, while no other wanted them. Change: the relay of a failure domain records the teams that use over 0.6 of their limits; instances that restart count all of such a limit as used for one window. Late requests take any slot, after all others.

--- a/cmd/rosemarywing-gateway/main.go
+++ b/cmd/rosemarywing-gateway/main.go
@@ -77,7 +77,7 @@
 		Records:  platform.Records{},
 		Kinds: gateway.Kinds{
 			Config: platform.KindConfig, ConfigName: platform.ConfigName,
-			Upstreams: platform.KindUpstreams, Instances: platform.KindInstances,
+			Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, BusyTeams: platform.KindBusyTeams,
 		},
 		Log:   log,
 		Clock: clockwork.NewRealClock(),
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		if decision.Action == Place {
-			free.count--
+			free--
 		}
 		decision.Age = oldest
 		decision.Waited, decision.Queue = now-r.Arrived, len(kept)+len(p.waiting)-i-1
@@ -47,20 +47,17 @@
 	return decisions
 }
 
-// slots counts the places of a service's usable upstreams.
-type slots struct{ count, total int }
-
-func (p *Pool) freeSlots(now time.Duration) *slots {
-	s := &slots{}
+// freeSlots counts the free places of the usable upstreams.
+func (p *Pool) freeSlots(now time.Duration) int {
+	free := 0
 	for _, u := range p.order {
 		if !u.usable(now) {
 			continue
 		}
 		inFlight, _ := u.load()
-		s.total += u.slots
-		s.count += max(0, p.limit(u)-inFlight)
+		free += max(0, p.limit(u)-inFlight)
 	}
-	return s
+	return free
 }
 
 // rank puts the requests in the order in which they compete: those that can be
@@ -93,12 +90,12 @@
 
 func (r *Request) work() int { return r.PromptTokens + outputWork*r.OutputTokens }
 
-func (p *Pool) decide(now time.Duration, r *Request, free *slots) (Decision, bool) {
+func (p *Pool) decide(now time.Duration, r *Request, free int) (Decision, bool) {
 	if now >= r.Until {
 		return p.refuse(now, r, "its time is over"), true
 	}
-	if free.count > 0 {
-		if decision, done := p.place(now, r, free); done {
+	if free > 0 {
+		if decision, done := p.place(now, r); done {
 			return decision, true
 		}
 	}
@@ -113,8 +110,8 @@
 }
 
 // place chooses the upstream with the least expected time. Requests that will
-// be late only take slots that others do not need.
-func (p *Pool) place(now time.Duration, r *Request, free *slots) (Decision, bool) {
+// be late come last in the queue and take the slots that others leave.
+func (p *Pool) place(now time.Duration, r *Request) (Decision, bool) {
 	var best *upstream
 	var chosen Decision
 	bestCost := 0.0
@@ -138,9 +135,6 @@
 	}
 	chosen.Reason = "least expected time"
 	if now+chosen.Expected > r.Due {
-		if float64(free.count) < p.tuning.SpareForLate*float64(free.total) {
-			return Decision{}, false
-		}
 		chosen.Reason = "late, but there is room"
 	}
 	best.flights = append(best.flights, flight{key: r.Key, prompt: r.PromptTokens, placed: now, expected: chosen.Expected})
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -131,9 +131,6 @@
 	FarReserve int
 	// HoldShare is the part of a request's patience for which it may wait.
 	HoldShare float64
-	// SpareForLate is the part of a service's slots that must be free before
-	// requests are placed that cannot be in time.
-	SpareForLate float64
 	// PeerTimeout is the age at which the report of a peer no longer counts.
 	PeerTimeout time.Duration
 }
@@ -143,7 +140,7 @@
 	return Tuning{
 		PrefillPerMs: 55, StepMs: 2.89, StepMsPerRequest: 0.101, FirstMs: 15, PlainMs: 30,
 		SameRegionMs: 30, OtherRegionMs: 80,
-		HoldShare: 0.2, SpareForLate: 0.25,
+		HoldShare: 0.2,
 		PeerTimeout: time.Second,
 	}
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
@@ -39,6 +40,12 @@
 	sequence      uint64
 	// near and far are the audiences of the reports.
 	near, far audience
+	// busyKept is when the busy teams were last recorded in the store, and
+	// busyDue is true if they have changed since.
+	busyKept    time.Duration
+	busyDue     bool
+	busyWriting atomic.Bool
+	busyFailed  atomic.Bool
 }
 
 func newControl(g *Gateway) *control {
@@ -111,6 +118,7 @@
 	}
 	c.g.instances.Store(int64(c.peers.Count()))
 	c.g.relay.Store(c.peers.Relay())
+	c.keepBusyTeams(now)
 	c.report(now)
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -65,7 +65,7 @@
 	traffic *peer.Traffic
 	// instances is the number of known instances, this one included.
 	instances atomic.Int64
-	patience patience
+	patience  patience
 	// held counts the requests that are held.
 	held    atomic.Int64
 	nextKey atomic.Uint64
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -58,12 +58,12 @@
 	StopGraceSeconds float64 `ini:"stop_grace_s"`
 	// LeaveNoticeS is how long an instance that stops still accepts connections.
 	LeaveNoticeS float64 `ini:"leave_notice_s"`
-	RetryRatio       float64 `ini:"retry_ratio"`
-	RetryWindowS     float64 `ini:"retry_window_s"`
-	RetryExtra       float64 `ini:"retry_extra"`
-	QuotaWindowS     float64 `ini:"quota_window_s"`
-	QuotaOverage     float64 `ini:"quota_overage"`
-	QuotaSlack       float64 `ini:"quota_slack"`
+	RetryRatio   float64 `ini:"retry_ratio"`
+	RetryWindowS float64 `ini:"retry_window_s"`
+	RetryExtra   float64 `ini:"retry_extra"`
+	QuotaWindowS float64 `ini:"quota_window_s"`
+	QuotaOverage float64 `ini:"quota_overage"`
+	QuotaSlack   float64 `ini:"quota_slack"`
 }
 
 // StopGrace is the time from SIGTERM to SIGKILL.
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math"
 	"net"
 	"time"
@@ -237,6 +238,11 @@
 			return err
 		}
 	}
+	if write {
+		if err := g.readBusyTeams(ctx); err != nil {
+			return err
+		}
+	}
 	list := g.store.ListStale
 	if write {
 		list = g.store.List
@@ -255,3 +261,64 @@
 	}
 	return nil
 }
+
+// busyTeams is kept in the store for each failure domain, since instances that
+// are all restarted know nothing of what teams have used.
+type busyTeams struct {
+	Teams []string `json:"teams"`
+}
+
+// wasBusy notes the teams that used much of their quota before this start.
+type wasBusy struct{ teams []string }
+
+func (m wasBusy) apply(c *control) {
+	for _, team := range m.teams {
+		c.teams.WasBusy(team)
+		c.g.log.Info("team was busy before the start", "team", team)
+	}
+}
+
+func (g *Gateway) readBusyTeams(ctx context.Context) error {
+	listing, err := g.store.List(ctx, g.kinds.BusyTeams)
+	if err != nil {
+		return err
+	}
+	for _, object := range listing.Objects {
+		var busy busyTeams
+		if err := json.Unmarshal(object.Spec, &busy); err != nil {
+			g.log.Info("record of busy teams ignored", "name", object.Name, "error", err.Error())
+			continue
+		}
+		g.tell(wasBusy{teams: busy.Teams})
+	}
+	return nil
+}
+
+// busyPause is the shortest time between two records of the busy teams.
+const busyPause = 700 * time.Millisecond
+
+// keepBusyTeams records the busy teams when they have changed. The relay does it
+// for its failure domain, without waiting for the store.
+func (c *control) keepBusyTeams(now time.Duration) {
+	if c.peers.Relay() != "" || now-c.busyKept < busyPause {
+		return
+	}
+	teams, changed := c.teams.Busy(now)
+	c.busyDue = c.busyDue || changed || c.busyFailed.Swap(false)
+	if !c.busyDue || c.busyWriting.Load() {
+		return
+	}
+	c.busyKept, c.busyDue = now, false
+	c.busyWriting.Store(true)
+	go func() {
+		defer c.busyWriting.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := c.g.store.Put(ctx, c.g.kinds.BusyTeams, c.g.settings.Instance.Domain, busyTeams{Teams: teams}); err != nil {
+			c.g.log.Info("busy teams not recorded", "teams", teams, "error", err.Error())
+			c.busyFailed.Store(true)
+			return
+		}
+		c.g.log.Info("busy teams recorded", "teams", teams)
+	}()
+}
--- a/pkg/gateway/site_test.go
+++ b/pkg/gateway/site_test.go
@@ -148,7 +148,7 @@
 			Regions: map[string]string{"north": "r1"},
 		},
 		Store: platform.NewStore(s.address), Protocol: platform.Protocol{}, Records: platform.Records{},
-		Kinds: gateway.Kinds{Config: platform.KindConfig, ConfigName: platform.ConfigName, Upstreams: platform.KindUpstreams, Instances: platform.KindInstances},
+		Kinds: gateway.Kinds{Config: platform.KindConfig, ConfigName: platform.ConfigName, Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, BusyTeams: platform.KindBusyTeams},
 		Log:   s.log(), Clock: clockwork.NewRealClock(),
 		Now: func() time.Duration { return boottime.Now() + time.Duration(s.ahead.Load()) },
 	})
@@ -222,7 +222,9 @@
 	s.store.Put("servers", b.id, map[string]any{
 		"service": "desk", "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "north", "slots": 8, "state": state, "born": 1,
 	})
-	s.Eventually(func() bool { return s.logged("upstream entry", b.id, fmt.Sprintf("%q:%t", "leaving", state != "ready")) }, soon).Should(BeTrue())
+	s.Eventually(func() bool {
+		return s.logged("upstream entry", b.id, fmt.Sprintf("%q:%t", "leaving", state != "ready"))
+	}, soon).Should(BeTrue())
 }
 
 type answer struct {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -107,6 +107,25 @@
 	}
 }
 
+// Failure: all instances are killed just after a team has used its whole limit
+// in a burst. Guards against a second limit within the same window, which it
+// would get if its use were thought to leave the window evenly.
+func TestARestartAfterABurstDoesNotGrantTheLimitTwice(t *testing.T) {
+	g := NewWithT(t)
+	before := quota.NewTeams(rules, 0, false)
+	used := drawDown(before, 7*time.Second)
+	busy, changed := before.Busy(7 * time.Second)
+	g.Expect(busy).To(Equal([]string{"desk"}))
+	g.Expect(changed).To(BeTrue())
+	after := quota.NewTeams(rules, 8*time.Second, true)
+	for _, team := range busy {
+		after.WasBusy(team)
+	}
+	used += drawDown(after, 14*time.Second)
+	g.Expect(used).To(BeNumerically("<=", bound))
+	g.Expect(drawDown(after, 16*time.Second)).To(BeNumerically(">", 1000*8*0.5))
+}
+
 // Failure: one of two instances restarts. Guards against forgetting what its
 // former process had used, and against a restart that blocks the team.
 func TestARestartOfAPeerIsRemembered(t *testing.T) {
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Rules are the figures that bind all instances together.
 type Rules struct {
@@ -57,12 +60,25 @@
 	// coldUntil is the end of the first window after a restart. Until then the
 	// instance does not know all that was used before.
 	coldUntil time.Duration
+	// limits are those of the teams that were charged.
+	limits map[string]Limit
+	// busy holds the teams that use much of their limit, and wasBusy those that
+	// did before the restart.
+	busy    map[string]bool
+	wasBusy map[string]bool
 }
 
+// Shares of a limit between which a team becomes busy, or not busy any more.
+const (
+	busyFrom  = 0.6
+	busyUntil = 0.45
+)
+
 // NewTeams returns the accounts of all teams. restarted is true if the instance
 // may have run before.
 func NewTeams(rules Rules, now time.Duration, restarted bool) *Teams {
-	t := &Teams{rules: rules, own: map[string]*Window{}, peers: map[string]peerUse{}}
+	t := &Teams{rules: rules, own: map[string]*Window{}, peers: map[string]peerUse{},
+		limits: map[string]Limit{}, busy: map[string]bool{}, wasBusy: map[string]bool{}}
 	if restarted {
 		t.coldUntil = now + rules.Window
 	}
@@ -102,6 +118,7 @@
 
 // Charge admits an amount and counts it, or refuses it.
 func (t *Teams) Charge(now time.Duration, team string, limit Limit, amount float64) Verdict {
+	t.limits[team] = limit
 	verdict := t.verdict(now, team, limit, amount)
 	if verdict.Allowed {
 		t.window(team).Add(now, amount)
@@ -125,8 +142,47 @@
 	return used
 }
 
+// unknown is what instances that restarted may have used of a limit and nobody
+// here knows. A busy team may have used all of it just before; of the others it
+// leaves the window evenly.
+func (t *Teams) unknown(now time.Duration, team string, full float64) float64 {
+	left := t.coldUntil - now
+	switch {
+	case left <= 0:
+		return 0
+	case t.wasBusy[team]:
+		return full
+	default:
+		return busyFrom * full * left.Seconds() / t.rules.Window.Seconds()
+	}
+}
+
+// WasBusy notes a team that used much of its limit before the restart.
+func (t *Teams) WasBusy(team string) { t.wasBusy[team] = true }
+
+// Busy returns the teams that use much of their limits, sorted, and whether that
+// has changed since the last call.
+func (t *Teams) Busy(now time.Duration) (teams []string, changed bool) {
+	for team, limit := range t.limits {
+		full := limit.full(t.rules.Window)
+		used := t.verdict(now, team, limit, 0).Used
+		busy := used >= busyFrom*full || (t.busy[team] && used >= busyUntil*full)
+		if busy != t.busy[team] {
+			changed = true
+			t.busy[team] = busy
+		}
+		if busy {
+			teams = append(teams, team)
+		}
+	}
+	slices.Sort(teams)
+	return teams, changed
+}
+
+func (l Limit) full(window time.Duration) float64 { return l.PerSecond*window.Seconds() + l.Burst }
+
 func (t *Teams) verdict(now time.Duration, team string, limit Limit, amount float64) Verdict {
-	full := limit.PerSecond*t.rules.Window.Seconds() + limit.Burst
+	full := limit.full(t.rules.Window)
 	v := Verdict{Used: t.window(team).Sum(now)}
 	heard, cold := 1, 0
 	if t.Cold(now) {
@@ -150,11 +206,7 @@
 		v.Used += peer.use.Used[team]
 		cold += peer.use.Cold
 	}
-	if left := t.coldUntil - now; left > 0 {
-		// Nobody here knows what those that restarted had used; it has left the
-		// window at the end of the first one.
-		v.Used += full * float64(cold) / float64(heard) * left.Seconds() / t.rules.Window.Seconds()
-	}
+	v.Used += t.unknown(now, team, full) * float64(cold) / float64(heard)
 	share := float64(heard) / float64(heard+v.Silent)
 	reserve := full*t.rules.Overage + t.rules.Slack
 	v.Allowance = (full + reserve*partitionReserve) * share
