--- a/cmd/rosemarywing-gateway/main.go
+++ b/cmd/rosemarywing-gateway/main.go
@@ -77,7 +77,7 @@
 		Records:  platform.Records{},
 		Kinds: gateway.Kinds{
 			Config: platform.KindConfig, ConfigName: platform.ConfigName,
-			Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, BusyTeams: platform.KindBusyTeams,
+			Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, Usage: platform.KindUsage,
 		},
 		Log:   log,
 		Clock: clockwork.NewRealClock(),
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -40,12 +40,9 @@
 	sequence      uint64
 	// near and far are the audiences of the reports.
 	near, far audience
-	// busyKept is when the busy teams were last recorded in the store, and
-	// busyDue is true if they have changed since.
-	busyKept    time.Duration
-	busyDue     bool
-	busyWriting atomic.Bool
-	busyFailed  atomic.Bool
+	// usageAt is when the use of quotas was last looked at for the store.
+	usageAt      time.Duration
+	usageWriting atomic.Bool
 }
 
 func newControl(g *Gateway) *control {
@@ -118,7 +115,7 @@
 	}
 	c.g.instances.Store(int64(c.peers.Count()))
 	c.g.relay.Store(c.peers.Relay())
-	c.keepBusyTeams(now)
+	c.recordUsage(now)
 	c.report(now)
 }
 
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -79,5 +79,5 @@
 	ConfigName string
 	Upstreams  string
 	Instances  string
-	BusyTeams  string
+	Usage      string
 }
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -239,7 +239,7 @@
 		}
 	}
 	if write {
-		if err := g.readBusyTeams(ctx); err != nil {
+		if err := g.readUsage(ctx); err != nil {
 			return err
 		}
 	}
@@ -262,63 +262,71 @@
 	return nil
 }
 
-// busyTeams is kept in the store for each failure domain, since instances that
-// are all restarted know nothing of what teams have used.
-type busyTeams struct {
-	Teams []string `json:"teams"`
+// usageRecord is kept in the store for each failure domain while teams use much
+// of their quotas, since instances that are all restarted know nothing of it.
+type usageRecord struct {
+	// WrittenUnixMs is the time of day of the record.
+	WrittenUnixMs int64 `json:"written_unix_ms"`
+	// Used holds, for each team, what was used by age, the newest part first.
+	Used map[string][]float64 `json:"used"`
 }
 
-// wasBusy notes the teams that used much of their quota before this start.
-type wasBusy struct{ teams []string }
+// Limits of the usage records.
+const (
+	// usagePause is the time between two records.
+	usagePause = time.Second
+	// usageValid is the age from which a record is ignored, by the time of day,
+	// which may be off by seconds.
+	usageValid = time.Minute
+)
 
-func (m wasBusy) apply(c *control) {
-	for _, team := range m.teams {
-		c.teams.WasBusy(team)
-		c.g.log.Info("team was busy before the start", "team", team)
-	}
+// recallUsage takes in what teams had used before this start.
+type recallUsage struct {
+	domain string
+	used   map[string][]float64
 }
 
-func (g *Gateway) readBusyTeams(ctx context.Context) error {
-	listing, err := g.store.List(ctx, g.kinds.BusyTeams)
+func (m recallUsage) apply(c *control) {
+	c.teams.Recall(c.g.now(), m.used)
+	c.g.log.Info("quota use before the start recalled", "domain", m.domain, "teams", len(m.used))
+}
+
+func (g *Gateway) readUsage(ctx context.Context) error {
+	listing, err := g.store.List(ctx, g.kinds.Usage)
 	if err != nil {
 		return err
 	}
 	for _, object := range listing.Objects {
-		var busy busyTeams
-		if err := json.Unmarshal(object.Spec, &busy); err != nil {
-			g.log.Info("record of busy teams ignored", "name", object.Name, "error", err.Error())
+		var record usageRecord
+		if err := json.Unmarshal(object.Spec, &record); err != nil {
+			g.log.Info("usage record ignored", "domain", object.Name, "error", err.Error())
 			continue
 		}
-		g.tell(wasBusy{teams: busy.Teams})
+		if g.clock.Now().Sub(time.UnixMilli(record.WrittenUnixMs)).Abs() < usageValid {
+			g.tell(recallUsage{domain: object.Name, used: record.Used})
+		}
 	}
 	return nil
 }
 
-// busyPause is the shortest time between two records of the busy teams.
-const busyPause = 700 * time.Millisecond
-
-// keepBusyTeams records the busy teams when they have changed. The relay does it
-// for its failure domain, without waiting for the store.
-func (c *control) keepBusyTeams(now time.Duration) {
-	if c.peers.Relay() != "" || now-c.busyKept < busyPause {
+// recordUsage records what busy teams have used. The relay does it for its
+// failure domain, without waiting for the store.
+func (c *control) recordUsage(now time.Duration) {
+	if now-c.usageAt < usagePause {
 		return
 	}
-	teams, changed := c.teams.Busy(now)
-	c.busyDue = c.busyDue || changed || c.busyFailed.Swap(false)
-	if !c.busyDue || c.busyWriting.Load() {
+	c.usageAt = now
+	used := c.teams.Record(now)
+	if len(used) == 0 || c.peers.Relay() != "" || c.usageWriting.Swap(true) {
 		return
 	}
-	c.busyKept, c.busyDue = now, false
-	c.busyWriting.Store(true)
+	record := usageRecord{WrittenUnixMs: c.g.clock.Now().UnixMilli(), Used: used}
 	go func() {
-		defer c.busyWriting.Store(false)
+		defer c.usageWriting.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		if err := c.g.store.Put(ctx, c.g.kinds.BusyTeams, c.g.settings.Instance.Domain, busyTeams{Teams: teams}); err != nil {
-			c.g.log.Info("busy teams not recorded", "teams", teams, "error", err.Error())
-			c.busyFailed.Store(true)
-			return
+		if err := c.g.store.Put(ctx, c.g.kinds.Usage, c.g.settings.Instance.Domain, record); err != nil {
+			c.g.log.Info("quota use not recorded", "teams", len(used), "error", err.Error())
 		}
-		c.g.log.Info("busy teams recorded", "teams", teams)
 	}()
 }
--- a/pkg/gateway/site_test.go
+++ b/pkg/gateway/site_test.go
@@ -148,7 +148,7 @@
 			Regions: map[string]string{"north": "r1"},
 		},
 		Store: platform.NewStore(s.address), Protocol: platform.Protocol{}, Records: platform.Records{},
-		Kinds: gateway.Kinds{Config: platform.KindConfig, ConfigName: platform.ConfigName, Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, BusyTeams: platform.KindBusyTeams},
+		Kinds: gateway.Kinds{Config: platform.KindConfig, ConfigName: platform.ConfigName, Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, Usage: platform.KindUsage},
 		Log:   s.log(), Clock: clockwork.NewRealClock(),
 		Now: func() time.Duration { return boottime.Now() + time.Duration(s.ahead.Load()) },
 	})
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -114,16 +114,33 @@
 	g := NewWithT(t)
 	before := quota.NewTeams(rules, 0, false)
 	used := drawDown(before, 7*time.Second)
-	busy, changed := before.Busy(7 * time.Second)
-	g.Expect(busy).To(Equal([]string{"desk"}))
-	g.Expect(changed).To(BeTrue())
+	record := before.Record(7 * time.Second)
+	g.Expect(record).To(HaveKey("desk"))
 	after := quota.NewTeams(rules, 8*time.Second, true)
-	for _, team := range busy {
-		after.WasBusy(team)
-	}
+	after.Recall(8*time.Second, record)
 	used += drawDown(after, 14*time.Second)
 	g.Expect(used).To(BeNumerically("<=", bound))
-	g.Expect(drawDown(after, 16*time.Second)).To(BeNumerically(">", 1000*8*0.5))
+	g.Expect(drawDown(after, 17*time.Second)).To(BeNumerically(">", 1000*8*0.5))
+}
+
+// Load pattern: a team uses its limit evenly, and all instances are restarted.
+// Guards against refusing it what leaves the window meanwhile.
+func TestARecordedTeamIsServedAsItsUseLeavesTheWindow(t *testing.T) {
+	g := NewWithT(t)
+	before := quota.NewTeams(rules, 0, false)
+	for at := time.Duration(0); at < 8*time.Second; at += 100 * time.Millisecond {
+		before.Charge(at, "desk", limit, 90)
+		before.Record(at)
+	}
+	after := quota.NewTeams(rules, 8*time.Second, true)
+	after.Recall(8*time.Second, before.Record(8*time.Second))
+	served := 0
+	for at := 9 * time.Second; at < 16*time.Second; at += 100 * time.Millisecond {
+		if after.Charge(at, "desk", limit, 90).Allowed {
+			served++
+		}
+	}
+	g.Expect(served).To(BeNumerically(">", 55))
 }
 
 // Failure: one of two instances restarts. Guards against forgetting what its
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -1,9 +1,6 @@
 package quota
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Rules are the figures that bind all instances together.
 type Rules struct {
@@ -62,23 +59,26 @@
 	coldUntil time.Duration
 	// limits are those of the teams that were charged.
 	limits map[string]Limit
-	// busy holds the teams that use much of their limit, and wasBusy those that
-	// did before the restart.
-	busy    map[string]bool
-	wasBusy map[string]bool
+	// timeline holds when the instances of the own failure domain used their
+	// amounts, and recalled what lay in the store at a restart.
+	timeline map[string]*Window
+	recalled map[string][]part
 }
 
-// Shares of a limit between which a team becomes busy, or not busy any more.
-const (
-	busyFrom  = 0.6
-	busyUntil = 0.45
-)
+// part is an amount that leaves the window at a known time.
+type part struct {
+	amount float64
+	until  time.Duration
+}
+
+// busyFrom is the share of a limit from which its use is recorded in the store.
+const busyFrom = 0.6
 
 // NewTeams returns the accounts of all teams. restarted is true if the instance
 // may have run before.
 func NewTeams(rules Rules, now time.Duration, restarted bool) *Teams {
 	t := &Teams{rules: rules, own: map[string]*Window{}, peers: map[string]peerUse{},
-		limits: map[string]Limit{}, busy: map[string]bool{}, wasBusy: map[string]bool{}}
+		limits: map[string]Limit{}, timeline: map[string]*Window{}, recalled: map[string][]part{}}
 	if restarted {
 		t.coldUntil = now + rules.Window
 	}
@@ -143,40 +143,56 @@
 }
 
 // unknown is what instances that restarted may have used of a limit and nobody
-// here knows. A busy team may have used all of it just before; of the others it
-// leaves the window evenly.
+// here knows: what they had recorded, or else a use that was not worth recording
+// and leaves the window evenly.
 func (t *Teams) unknown(now time.Duration, team string, full float64) float64 {
 	left := t.coldUntil - now
-	switch {
-	case left <= 0:
+	if left <= 0 {
 		return 0
-	case t.wasBusy[team]:
-		return full
-	default:
+	}
+	parts, recorded := t.recalled[team]
+	if !recorded {
 		return busyFrom * full * left.Seconds() / t.rules.Window.Seconds()
 	}
+	sum := 0.0
+	for _, p := range parts {
+		if now < p.until {
+			sum += p.amount
+		}
+	}
+	return sum
 }
 
-// WasBusy notes a team that used much of its limit before the restart.
-func (t *Teams) WasBusy(team string) { t.wasBusy[team] = true }
+// recordParts is the number of parts of the window that are recorded.
+const recordParts = 8
 
-// Busy returns the teams that use much of their limits, sorted, and whether that
-// has changed since the last call.
-func (t *Teams) Busy(now time.Duration) (teams []string, changed bool) {
+// Record returns, for each team that uses much of its limit, what the instances
+// of the own failure domain used, by the age of the use, the newest part first.
+func (t *Teams) Record(now time.Duration) map[string][]float64 {
+	used, _ := t.Sum(now)
+	record := map[string][]float64{}
 	for team, limit := range t.limits {
-		full := limit.full(t.rules.Window)
-		used := t.verdict(now, team, limit, 0).Used
-		busy := used >= busyFrom*full || (t.busy[team] && used >= busyUntil*full)
-		if busy != t.busy[team] {
-			changed = true
-			t.busy[team] = busy
+		line := windowOf(t.timeline, team, t.rules.Window)
+		line.Add(now, max(0, used[team]-line.Sum(now)))
+		if t.verdict(now, team, limit, 0).Used >= busyFrom*limit.full(t.rules.Window) {
+			record[team] = line.parts(now, recordParts)
 		}
-		if busy {
-			teams = append(teams, team)
+	}
+	return record
+}
+
+// Recall takes in what a failure domain had recorded before this start. It may
+// have gone on for the length of a part after that, at the same pace.
+func (t *Teams) Recall(now time.Duration, record map[string][]float64) {
+	for team, amounts := range record {
+		length := t.rules.Window / time.Duration(max(1, len(amounts)))
+		for i, amount := range amounts {
+			t.recalled[team] = append(t.recalled[team], part{amount: amount, until: now + t.rules.Window - time.Duration(i)*length})
+		}
+		if len(amounts) > 0 {
+			t.recalled[team] = append(t.recalled[team], part{amount: amounts[0], until: now + t.rules.Window})
 		}
 	}
-	slices.Sort(teams)
-	return teams, changed
 }
 
 func (l Limit) full(window time.Duration) float64 { return l.PerSecond*window.Seconds() + l.Burst }
@@ -215,12 +231,7 @@
 }
 
 func (t *Teams) window(team string) *Window {
-	w := t.own[team]
-	if w == nil {
-		w = NewWindow(t.rules.Window)
-		t.own[team] = w
-	}
-	return w
+	return windowOf(t.own, team, t.rules.Window)
 }
 
 // remembered is what a former process of the peer had used and has not left the
--- a/pkg/quota/window.go
+++ b/pkg/quota/window.go
@@ -53,3 +53,15 @@
 		*slot = 0
 	}
 }
+
+// parts returns the sums of equal parts of the window, the newest first.
+func (w *Window) parts(now time.Duration, count int) []float64 {
+	w.advance(now)
+	sums := make([]float64, count)
+	for age := range int64(buckets) {
+		if number := w.current - age; number >= 0 {
+			sums[int(age)*count/buckets] += w.amounts[number%(buckets+1)]
+		}
+	}
+	return sums
+}
