--- a/internal/testbed/link.go
+++ b/internal/testbed/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Cut says which direction of a link is cut.
@@ -36,8 +37,12 @@
 
 	toServer atomic.Int64
 	toClient atomic.Int64
+	delay    atomic.Int64
 }
 
+// SetDelay holds back each chunk of bytes for a time, in both directions.
+func (l *Link) SetDelay(delay time.Duration) { l.delay.Store(int64(delay)) }
+
 // NewLink listens on a free loopback port and forwards to target.
 func NewLink(target string) (*Link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -134,6 +139,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			time.Sleep(time.Duration(l.delay.Load()))
 			if !l.pass(direction) {
 				return
 			}
