--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -61,16 +62,18 @@
 }
 
 // rank puts the requests in the order in which they compete: those that can be
-// in time before those that are late, higher tiers first, then the shortest.
+// in time before those that are late, higher tiers first, then the newest. While
+// more comes than can be served, the oldest first would make all of them late,
+// one after the other; the newest first serves some in time, whatever their size.
 func (p *Pool) rank(now time.Duration) {
 	slices.SortStableFunc(p.waiting, func(a, b *Request) int {
 		if late := compareBools(now >= a.Due, now >= b.Due); late != 0 {
 			return late
 		}
 		if a.Tier != b.Tier {
-			return a.Tier - b.Tier
+			return cmp.Compare(a.Tier, b.Tier)
 		}
-		return a.work() - b.work()
+		return cmp.Compare(b.Arrived, a.Arrived)
 	})
 }
 
@@ -84,12 +87,6 @@
 	return 1
 }
 
-// outputWork is the prompt tokens that take an engine as long as one output
-// token does in a full batch.
-const outputWork = 25
-
-func (r *Request) work() int { return r.PromptTokens + outputWork*r.OutputTokens }
-
 func (p *Pool) decide(now time.Duration, r *Request, free int) (Decision, bool) {
 	if now >= r.Until {
 		return p.refuse(now, r, "its time is over"), true
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -27,7 +27,6 @@
 	// Tier is the rank; 0 is the highest.
 	Tier         int
 	PromptTokens int
-	OutputTokens int
 	Arrived      time.Duration
 	// Due is when the answer, or the first event, loses part of its value.
 	Due time.Duration
@@ -124,7 +123,7 @@
 	SameRegionMs  float64
 	OtherRegionMs float64
 	// ExtraSlots is the number of requests beyond its slots that an upstream
-	// is given.
+	// is given, so that the next one is there when a slot becomes free.
 	ExtraSlots int
 	// FarReserve is the number of slots at upstreams of other failure domains
 	// that are left to the instances there.
@@ -140,7 +139,7 @@
 	return Tuning{
 		PrefillPerMs: 55, StepMs: 2.89, StepMsPerRequest: 0.101, FirstMs: 15, PlainMs: 30,
 		SameRegionMs: 30, OtherRegionMs: 80,
-		HoldShare: 0.2,
+		ExtraSlots: 1, HoldShare: 0.2,
 		PeerTimeout: time.Second,
 	}
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -211,14 +211,10 @@
 	// The objective counts from the caller's first attempt.
 	spent := x.g.patience.spent(x.route.Name, x.caller.Patience)
 	due := x.arrived + objective - spent
-	output := x.caller.ExpectedOutputTokens
-	if output == 0 {
-		output = x.caller.MaxOutputTokens / 2
-	}
 	return &admission.Request{
 		Key: x.g.nextKey.Add(1), Service: x.service, Tier: x.tier(),
-		PromptTokens: x.caller.PromptTokens, OutputTokens: output,
-		Arrived: x.arrived, Due: due, Until: x.until, Returned: spent > 0,
+		PromptTokens: x.caller.PromptTokens,
+		Arrived:      x.arrived, Due: due, Until: x.until, Returned: spent > 0,
 	}
 }
 
