--- /dev/null
+++ b/pkg/loadshare/loadshare_test.go
@@ -0,0 +1,121 @@
+package loadshare_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
+)
+
+func report(name, domain string, members uint16, boot int64, sequence uint64) loadshare.Report {
+	return loadshare.Report{Instance: name, Domain: domain, Members: members, Boot: boot, Sequence: sequence, Address: "127.0.0.1:" + map[string]string{"a": "7001", "b": "7002", "c": "7003", "z": "7009"}[name]}
+}
+
+func heard(g *GomegaWithT, p *loadshare.Peers, now time.Duration, r loadshare.Report) (current, regained bool) {
+	current, regained, err := p.Heard(now, r)
+	g.Expect(err).NotTo(HaveOccurred())
+	return current, regained
+}
+
+func TestReportsSurviveTheWire(t *testing.T) {
+	g := NewWithT(t)
+	sent := report("a", "north", 3, 5, 6)
+	sent.Upstreams = []loadshare.UpstreamUse{{Upstream: 7, InFlight: 8, AwaitedTokens: 9000, SpeedPercent: 280, Samples: 4}}
+	sent.Teams = []loadshare.TeamUse{{Team: 1, Used: 1 << 31}}
+	sent.Strikes = []loadshare.Strike{{Fingerprint: 1 << 63, Count: 2}}
+	content, err := loadshare.Encode(sent)
+	g.Expect(err).NotTo(HaveOccurred())
+	got, err := loadshare.Decode(content)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(sent))
+	for _, bad := range [][]byte{nil, {0}, []byte("hello"), content[:len(content)/2]} {
+		_, err := loadshare.Decode(bad)
+		g.Expect(err).To(HaveOccurred())
+	}
+}
+
+// Guards against a late datagram that replaces a newer one, and against a former
+// process of a peer.
+func TestOldReportsAreNotCurrent(t *testing.T) {
+	g := NewWithT(t)
+	p := loadshare.NewPeers("b", "north")
+	for _, c := range []struct {
+		boot     int64
+		sequence uint64
+		current  bool
+	}{{1, 5, true}, {1, 5, false}, {1, 4, false}, {2, 1, true}, {1, 9, false}, {2, 2, true}} {
+		current, _ := heard(g, p, time.Second, report("a", "north", 0, c.boot, c.sequence))
+		g.Expect(current).To(Equal(c.current), "%+v", c)
+	}
+	current, _ := heard(g, p, time.Second, report("b", "north", 0, 9, 9))
+	g.Expect(current).To(BeFalse(), "the own report")
+}
+
+// Failure: the relay dies. Guards against a failure domain that nobody reads the
+// store for and whose load the others do not see.
+func TestTheFirstLiveInstanceIsTheRelay(t *testing.T) {
+	g := NewWithT(t)
+	p := loadshare.NewPeers("b", "north")
+	g.Expect(p.Relay()).To(BeEmpty())
+	heard(g, p, time.Second, report("a", "north", 0, 1, 1))
+	heard(g, p, time.Second, report("c", "north", 0, 1, 1))
+	g.Expect(p.Relay()).To(Equal("127.0.0.1:7001"))
+	g.Expect(p.Live()).To(Equal(3))
+	g.Expect(p.Silent(3 * time.Second)).To(Equal([]string{"a", "c"}))
+	g.Expect(p.Relay()).To(BeEmpty())
+	g.Expect(p.Live()).To(Equal(1))
+	_, regained := heard(g, p, 3*time.Second, report("a", "north", 0, 1, 2))
+	g.Expect(regained).To(BeTrue())
+	leaving := report("a", "north", 0, 1, 3)
+	leaving.Leaving = true
+	heard(g, p, 3*time.Second, leaving)
+	g.Expect(p.Relay()).To(BeEmpty())
+}
+
+// Guards against sums that are sent to all instances of another failure domain,
+// and against a silent one that is never tried again.
+func TestSumsGoToTheRelayOfAnotherFailureDomain(t *testing.T) {
+	g := NewWithT(t)
+	p := loadshare.NewPeers("b", "north")
+	for name, address := range map[string]string{"x": "127.0.0.1:8001", "y": "127.0.0.1:8002", "z": "127.0.0.1:7009"} {
+		_, err := p.Add(0, name, "south", address)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(p.Far()).To(HaveLen(2))
+	heard(g, p, time.Second, report("z", "south", 3, 1, 1))
+	g.Expect(p.Far()).To(HaveLen(1))
+	g.Expect(p.Far()[0].Port).To(Equal(7009))
+	g.Expect(p.Silent(5 * time.Second)).To(Equal([]string{loadshare.DomainPeer("south")}))
+	g.Expect(p.Far()).To(HaveLen(2))
+	g.Expect(p.Count()).To(Equal(4))
+	g.Expect(p.Known("south")).To(Equal(3))
+}
+
+func TestSilentPeersAreProbedAndThenForgotten(t *testing.T) {
+	g := NewWithT(t)
+	p := loadshare.NewPeers("b", "north")
+	heard(g, p, 0, report("a", "north", 0, 1, 1))
+	g.Expect(p.Near(time.Millisecond)).To(HaveLen(1))
+	p.Silent(time.Second)
+	g.Expect(p.Near(time.Second)).To(BeEmpty())
+	g.Expect(p.Near(1100 * time.Millisecond)).To(HaveLen(1))
+	g.Expect(p.Near(5 * time.Minute)).To(BeEmpty())
+	g.Expect(p.Count()).To(Equal(1))
+	g.Expect(p.IsNear(&net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 7001})).To(BeFalse())
+}
+
+func FuzzDecode(f *testing.F) {
+	content, err := loadshare.Encode(report("a", "north", 3, 5, 6))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(content)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		if r, err := loadshare.Decode(content); err == nil && r.Instance == "" {
+			t.Error("a report without an instance")
+		}
+	})
+}
