--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -99,7 +99,11 @@
 	if len(p.order) == 0 {
 		return p.refuse(now, r, "the service has no upstream"), true
 	}
-	hold := time.Duration(float64(r.Until-r.Arrived) * p.tuning.HoldShare)
+	share := p.tuning.HoldShare
+	if r.Returned {
+		share = p.tuning.ReturnedHoldShare
+	}
+	hold := time.Duration(float64(r.Until-r.Arrived) * share)
 	if now-r.Arrived >= hold {
 		return p.refuse(now, r, "no upstream had room in time"), true
 	}
@@ -122,6 +126,9 @@
 		}
 		expected := u.expect(&p.tuning, r.PromptTokens, inFlight, awaited)
 		cost := toMs(expected) + p.distance(u) + u.failures(now)*failureCost
+		if now+expected+u.expectRest(&p.tuning, r.OutputTokens) > r.Until {
+			cost += endlessCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, Expected: expected, InFlight: inFlight}
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -27,6 +27,8 @@
 	// Tier is the rank; 0 is the highest.
 	Tier         int
 	PromptTokens int
+	// OutputTokens is the expected length of the answer; 0 if nobody said.
+	OutputTokens int
 	Arrived      time.Duration
 	// Due is when the answer, or the first event, loses part of its value.
 	Due time.Duration
@@ -130,6 +132,8 @@
 	FarReserve int
 	// HoldShare is the part of a request's patience for which it may wait.
 	HoldShare float64
+	// ReturnedHoldShare is the same for requests that were refused before.
+	ReturnedHoldShare float64
 	// PeerTimeout is the age at which the report of a peer no longer counts.
 	PeerTimeout time.Duration
 }
@@ -139,7 +143,7 @@
 	return Tuning{
 		PrefillPerMs: 55, StepMs: 2.89, StepMsPerRequest: 0.101, FirstMs: 15, PlainMs: 30,
 		SameRegionMs: 30, OtherRegionMs: 80,
-		ExtraSlots: 1, HoldShare: 0.2,
+		ExtraSlots: 1, HoldShare: 0.08, ReturnedHoldShare: 0.08,
 		PeerTimeout: time.Second,
 	}
 }
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -26,6 +26,9 @@
 	// failureCost is the expected time that a certain failure adds when
 	// upstreams are compared.
 	failureCost = 1500.0
+	// endlessCost is the time added at an upstream where the answer is not
+	// expected to end before its caller gives up.
+	endlessCost = 1000.0
 	// minPause and maxPause bound the time for which an upstream gets no
 	// request after it could not be reached or broke a connection.
 	minPause = 150 * time.Millisecond
@@ -167,6 +170,19 @@
 	return fromMs(t.FirstMs + (read+step*float64(max(1, u.stride)))/speed)
 }
 
+// expectRest predicts the time from the first output to the end of the answer.
+func (u *upstream) expectRest(t *Tuning, output int) time.Duration {
+	if !u.engine {
+		return 0
+	}
+	step := t.StepMs + t.StepMsPerRequest*float64(u.slots)
+	return fromMs(float64(output) * step * decodeDelay / u.believedSpeed())
+}
+
+// decodeDelay is how much longer the steps of an answer take because prompts of
+// others are read between them.
+const decodeDelay = 1.3
+
 // chunkTokens is the prompt tokens that an engine reads between two decoding
 // steps.
 const chunkTokens = 1024
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -213,11 +213,19 @@
 	due := x.arrived + objective - spent
 	return &admission.Request{
 		Key: x.g.nextKey.Add(1), Service: x.service, Tier: x.tier(),
-		PromptTokens: x.caller.PromptTokens,
-		Arrived:      x.arrived, Due: due, Until: x.until, Returned: spent > 0,
+		PromptTokens: x.caller.PromptTokens, OutputTokens: x.expectedOutput(),
+		Arrived: x.arrived, Due: due, Until: x.until, Returned: spent > 0,
 	}
 }
 
+// expectedOutput is the caller's estimate, or else the most that it asks for.
+func (x *exchange) expectedOutput() int {
+	if x.caller.ExpectedOutputTokens > 0 {
+		return min(x.caller.ExpectedOutputTokens, max(x.caller.MaxOutputTokens, 1))
+	}
+	return x.caller.MaxOutputTokens
+}
+
 // run takes the request to its end.
 func (x *exchange) run() {
 	x.g.tell(countRequest{service: x.service})
