admission: one time limit for waiting; gateway: no promise after an attempt that may have run

A request whose key or route was withdrawn between two attempts got an answer that says it has not run.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -99,11 +99,7 @@
 	if len(p.order) == 0 {
 		return p.refuse(now, r, "the service has no upstream"), true
 	}
-	share := p.tuning.HoldShare
-	if r.Returned {
-		share = p.tuning.ReturnedHoldShare
-	}
-	hold := time.Duration(float64(r.Until-r.Arrived) * share)
+	hold := time.Duration(float64(r.Until-r.Arrived) * p.tuning.HoldShare)
 	if now-r.Arrived >= hold {
 		return p.refuse(now, r, "no upstream had room in time"), true
 	}
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -34,8 +34,6 @@
 	Due time.Duration
 	// Until is when the caller or the route's timeout gives up.
 	Until time.Duration
-	// Returned requests were refused before.
-	Returned bool
 	// Tried names the upstreams that must not be chosen again.
 	Tried []string
 }
@@ -132,8 +130,6 @@
 	FarReserve int
 	// HoldShare is the part of a request's patience for which it may wait.
 	HoldShare float64
-	// ReturnedHoldShare is the same for requests that were refused before.
-	ReturnedHoldShare float64
 	// PeerTimeout is the age at which the report of a peer no longer counts.
 	PeerTimeout time.Duration
 }
@@ -143,7 +139,7 @@
 	return Tuning{
 		PrefillPerMs: 55, StepMs: 2.89, StepMsPerRequest: 0.101, FirstMs: 15, PlainMs: 30,
 		SameRegionMs: 30, OtherRegionMs: 80,
-		ExtraSlots: 1, HoldShare: 0.08, ReturnedHoldShare: 0.08,
+		ExtraSlots: 1, HoldShare: 0.08,
 		PeerTimeout: time.Second,
 	}
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -46,7 +46,7 @@
 	}
 	if err := x.permitted(); err != nil {
 		conn.Close()
-		return attemptEnd{outcome: admission.Withdrawn, err: err, final: true}
+		return attemptEnd{outcome: admission.Withdrawn, err: x.orBroken(err), final: true}
 	}
 	if !reused {
 		x.g.metrics.connections.Inc(1)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -214,7 +214,7 @@
 	return &admission.Request{
 		Key: x.g.nextKey.Add(1), Service: x.service, Tier: x.tier(),
 		PromptTokens: x.caller.PromptTokens, OutputTokens: x.expectedOutput(),
-		Arrived: x.arrived, Due: due, Until: x.until, Returned: spent > 0,
+		Arrived: x.arrived, Due: due, Until: x.until,
 	}
 }
 
