--- a/pkg/upstream/dispatch.go
+++ b/pkg/upstream/dispatch.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/hopheader"
 )
 
 // HeaderRequestID carries the request ID to an upstream and back.
@@ -29,13 +30,6 @@
 // errSecondDial refuses every connection after the first of a dispatch.
 var errSecondDial = errors.New("a dispatch has one connection only")
 
-// hopHeaders concern one connection only and are not passed on. Expect is
-// among them because waiting for 100 Continue would delay the body by a timer.
-var hopHeaders = []string{
-	"Connection", "Expect", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // Dispatch implements Dispatcher.
 //
 // The invariant is that OnDispatch has returned nil before the first byte can
@@ -162,18 +156,7 @@
 }
 
 func requestHeader(call Call) http.Header {
-	header := call.Header.Clone()
-	if header == nil {
-		header = http.Header{}
-	}
-	for _, listed := range header.Values("Connection") {
-		for name := range strings.SplitSeq(listed, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
+	header := hopheader.Without(call.Header)
 	if call.RequestID != "" {
 		header.Set(HeaderRequestID, call.RequestID)
 	}
