quota: what a peer used before it fell silent still counts

Cause: after a cut each side left the other its share, and did not count what the other had used beyond it before. Change: for one window, the larger of a silent peer's share and its last reported use is left to it. Ruled out: shares alone, whatever was used before.

--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -70,6 +70,23 @@
 	g.Expect(sum).To(BeNumerically("<=", bound))
 }
 
+// Failure: instances are cut off from each other just after one of them has
+// admitted most of a team's limit. Guards against the others' shares on top of
+// what it has used already (hunt: flottakert scale-2, seed 459904507579).
+func TestWhatAPeerUsedBeforeACutStillCounts(t *testing.T) {
+	g := NewWithT(t)
+	a := quota.NewTeams(rules, 0, false)
+	b := quota.NewTeams(rules, 0, false)
+	usedByB := drawDown(b, time.Second)
+	a.Report(time.Second, "b", quota.Use{Boot: 1, Members: 1, Used: b.Used(time.Second)})
+	b.Report(time.Second, "a", quota.Use{Boot: 1, Members: 1})
+	usedByA := drawDown(a, 3*time.Second)
+	usedByB += drawDown(b, 3*time.Second)
+	g.Expect(usedByA + usedByB).To(BeNumerically("<=", bound))
+	// Once it has left the window, each may use its share.
+	g.Expect(drawDown(a, 10*time.Second)).To(BeNumerically(">=", 1000*8/2))
+}
+
 // Failure: all instances are killed after a team has used its limit, and start
 // again without memory. Guards against a second limit within the same window.
 func TestARestartOfAllDoesNotGrantTheLimitTwice(t *testing.T) {
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -204,6 +204,7 @@
 	if t.Cold(now) {
 		cold++
 	}
+	var silent []peerUse
 	for name, peer := range t.peers {
 		age := now - peer.reported
 		if age > t.rules.Forget {
@@ -215,6 +216,9 @@
 			// They may still serve without being heard; their share is left to
 			// them.
 			v.Silent += peer.known
+			if age < t.rules.Window {
+				silent = append(silent, peer)
+			}
 			continue
 		}
 		heard += peer.use.Members
@@ -223,7 +227,12 @@
 		cold += peer.use.Cold
 	}
 	v.Used += t.unknown(now, team, full) * float64(cold) / float64(heard)
-	share := float64(heard) / float64(heard+v.Silent)
+	total := float64(heard + v.Silent)
+	for _, peer := range silent {
+		// What a peer had used before it fell silent may be more than its share.
+		v.Used += max(0, peer.use.Used[team]-full*float64(peer.known)/total)
+	}
+	share := float64(heard) / total
 	reserve := full*t.rules.Overage + t.rules.Slack
 	v.Allowance = (full + reserve*partitionReserve) * share
 	v.Allowed = v.Used+amount <= v.Allowance
