--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -12,7 +12,6 @@
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
 	"github.com/rosemarywing/rosemarywing/pkg/connpool"
-	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 )
 
 // Bounds of the reading of streams.
@@ -149,28 +148,3 @@
 	slices.Sort(sorted)
 	return sorted[int(float64(len(sorted))*gapRank)]
 }
-
-// refuseAnswer writes an answer of the system's own.
-func (x *exchange) refuseAnswer(err *errkind.Error, retryAfter time.Duration) {
-	answer := errkind.AnswerFor(err.Kind)
-	header := x.w.Header()
-	x.g.protocol.SetRefusal(header, x.caller.RequestID, retryAfter)
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(answer.Status)
-	if _, failure := io.WriteString(x.w, string(err.Kind)+"\n"); failure != nil {
-		x.g.metrics.answersLost.Inc(1)
-	}
-}
-
-// fail ends a request without an upstream's answer.
-func (x *exchange) fail(err *errkind.Error, retryAfter time.Duration) {
-	if !x.mayHaveRun && x.charged > 0 {
-		x.g.tell(uncharge{team: x.teamName(), amount: x.charged})
-	}
-	x.logFailed(err, retryAfter)
-	if x.answered || err.Kind == errkind.CallerGone {
-		// The connection must not look as if the answer were complete.
-		panic(http.ErrAbortHandler)
-	}
-	x.refuseAnswer(err, retryAfter)
-}
