quota: know when each peer used its amounts, and which part of a record nobody else knows

Cause: what a peer had used before its restart was thought to leave the window evenly, and an instance that restarted took its even share of the record for the unknown part. Change: use is followed per peer, team and time; after a restart the unknown part of the record is what no peer reports at first.

--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -140,6 +140,40 @@
 	g.Expect(drawDown(after, 17*time.Second)).To(BeNumerically(">", 1000*8*0.5))
 }
 
+// Failure: a team has used its limit in a burst, most of it at one of three
+// instances, and that one is killed. Guards against an even share of the use for
+// each instance, and against use that is thought to leave the window before it
+// does (hunt: kifaru mix, seed 981225523139).
+func TestARestartOfTheInstanceWithMostOfTheUseIsRemembered(t *testing.T) {
+	g := NewWithT(t)
+	a := quota.NewTeams(rules, 0, false)
+	b := quota.NewTeams(rules, 0, false)
+	used := drawDown(b, 5*time.Second)
+	for at := 5 * time.Second; at <= 6*time.Second; at += 200 * time.Millisecond {
+		a.Report(at, "b", quota.Use{Boot: 1, Members: 1, Used: b.Used(at)})
+		a.Report(at, "c", quota.Use{Boot: 1, Members: 1})
+	}
+	a.Charge(6*time.Second, "desk", limit, 0)
+	record := a.Record(6 * time.Second)
+	g.Expect(record).To(HaveKey("desk"))
+	// b starts again; it hears a and c, which have used nothing themselves.
+	restarted := quota.NewTeams(rules, 6500*time.Millisecond, true)
+	restarted.Recall(6500*time.Millisecond, record)
+	for at := 6500 * time.Millisecond; at <= 12*time.Second; at += 200 * time.Millisecond {
+		a.Report(at, "b", quota.Use{Boot: 2, Members: 1, Cold: 1, Used: restarted.Used(at)})
+		a.Report(at, "c", quota.Use{Boot: 1, Members: 1})
+		restarted.Report(at, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(at)})
+		restarted.Report(at, "c", quota.Use{Boot: 1, Members: 1})
+	}
+	after := drawDown(a, 12*time.Second)
+	restarted.Report(12*time.Second, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(12 * time.Second)})
+	after += drawDown(restarted, 12*time.Second)
+	g.Expect(used + after).To(BeNumerically("<=", bound))
+	// When the use from before the restart has left the window, it can be used.
+	after += drawDown(a, 15*time.Second)
+	g.Expect(after).To(BeNumerically(">", 1000*8*0.5))
+}
+
 // Load pattern: a team uses its limit evenly, and all instances are restarted.
 // Guards against refusing it what leaves the window meanwhile.
 func TestARecordedTeamIsServedAsItsUseLeavesTheWindow(t *testing.T) {
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -43,10 +43,10 @@
 	use      Use
 	// known is the number of instances that are known behind the peer.
 	known int
-	// before is what the peer's process had used that ended at endedAt; the new
-	// process does not know of it.
-	before  map[string]float64
-	endedAt time.Duration
+	// lines hold when the peer's process used its amounts, and former those of
+	// its processes that have ended; a new process does not know of them.
+	lines  map[string]*Window
+	former []map[string]*Window
 }
 
 // Teams decides whether requests of teams are within their limits.
@@ -63,6 +63,9 @@
 	// amounts, and recalled what lay in the store at a restart.
 	timeline map[string]*Window
 	recalled map[string][]part
+	// firstHeard is what each peer reported first after a restart: the part of
+	// what was recalled that somebody knows of.
+	firstHeard map[string]map[string]float64
 }
 
 // part is an amount that leaves the window at a known time.
@@ -78,7 +81,7 @@
 // may have run before.
 func NewTeams(rules Rules, now time.Duration, restarted bool) *Teams {
 	t := &Teams{rules: rules, own: map[string]*Window{}, peers: map[string]peerUse{},
-		limits: map[string]Limit{}, timeline: map[string]*Window{}, recalled: map[string][]part{}}
+		limits: map[string]Limit{}, timeline: map[string]*Window{}, recalled: map[string][]part{}, firstHeard: map[string]map[string]float64{}}
 	if restarted {
 		t.coldUntil = now + rules.Window
 	}
@@ -91,8 +94,11 @@
 // Report takes in what a peer has used.
 func (t *Teams) Report(now time.Duration, peer string, use Use) {
 	known := t.peers[peer]
-	if !use.Far && known.use.Boot != 0 && known.use.Boot != use.Boot {
-		known.before, known.endedAt = known.use.Used, known.reported
+	if !use.Far {
+		known.follow(now, t.rules.Window, use)
+	}
+	if _, found := t.firstHeard[peer]; !found && t.Cold(now) {
+		t.firstHeard[peer] = use.Used
 	}
 	known.reported, known.use = now, use
 	known.known = max(known.known, use.Members)
@@ -145,22 +151,27 @@
 // unknown is what instances that restarted may have used of a limit and nobody
 // here knows: what they had recorded, or else a use that was not worth recording
 // and leaves the window evenly.
-func (t *Teams) unknown(now time.Duration, team string, full float64) float64 {
+func (t *Teams) unknown(now time.Duration, team string, full, coldShare float64) float64 {
 	left := t.coldUntil - now
 	if left <= 0 {
 		return 0
 	}
 	parts, recorded := t.recalled[team]
 	if !recorded {
-		return busyFrom * full * left.Seconds() / t.rules.Window.Seconds()
+		return coldShare * busyFrom * full * left.Seconds() / t.rules.Window.Seconds()
 	}
-	sum := 0.0
+	sum, all := 0.0, 0.0
 	for _, p := range parts {
+		all += p.amount
 		if now < p.until {
 			sum += p.amount
 		}
 	}
-	return sum
+	heard := 0.0
+	for _, used := range t.firstHeard {
+		heard += used[team]
+	}
+	return sum * max(0, 1-heard/max(1, all))
 }
 
 // recordParts is the number of parts of the window that are recorded.
@@ -211,7 +222,7 @@
 			delete(t.peers, name)
 			continue
 		}
-		v.Used += peer.remembered(now, t.rules.Window, team)
+		v.Used += peer.remembered(now, team)
 		if age > t.rules.Fresh {
 			// They may still serve without being heard; their share is left to
 			// them.
@@ -226,7 +237,7 @@
 		v.Used += peer.use.Used[team]
 		cold += peer.use.Cold
 	}
-	v.Used += t.unknown(now, team, full) * float64(cold) / float64(heard)
+	v.Used += t.unknown(now, team, full, float64(cold)/float64(heard))
 	total := float64(heard + v.Silent)
 	for _, peer := range silent {
 		// What a peer had used before it fell silent may be more than its share.
@@ -243,14 +254,38 @@
 	return windowOf(t.own, team, t.rules.Window)
 }
 
-// remembered is what a former process of the peer had used and has not left the
+// follow notes when the peer's process used its amounts.
+func (p *peerUse) follow(now, window time.Duration, use Use) {
+	if p.use.Boot != 0 && p.use.Boot != use.Boot {
+		p.former = append(p.former, p.lines)
+		p.lines = nil
+	}
+	if len(p.former) > formerKept {
+		p.former = p.former[1:]
+	}
+	if p.lines == nil {
+		p.lines = map[string]*Window{}
+	}
+	for team, amount := range use.Used {
+		line := windowOf(p.lines, team, window)
+		line.Add(now, max(0, amount-line.Sum(now)))
+	}
+}
+
+// formerKept is the number of former processes of a peer whose use is kept. A
+// process takes longer to start than a part of the window that this leaves.
+const formerKept = 8
+
+// remembered is what former processes of the peer had used and has not left the
 // window yet.
-func (p peerUse) remembered(now, window time.Duration, team string) float64 {
-	left := window - (now - p.endedAt)
-	if left <= 0 {
-		return 0
+func (p peerUse) remembered(now time.Duration, team string) float64 {
+	sum := 0.0
+	for _, lines := range p.former {
+		if line := lines[team]; line != nil {
+			sum += line.Sum(now)
+		}
 	}
-	return p.before[team] * left.Seconds() / window.Seconds()
+	return sum
 }
 
 // Known notes the number of instances behind a peer that may not have been
@@ -275,8 +310,10 @@
 		if peer.use.Far {
 			continue
 		}
-		for team := range peer.before {
-			used[team] += peer.remembered(now, t.rules.Window, team)
+		for _, lines := range peer.former {
+			for team, line := range lines {
+				used[team] += line.Sum(now)
+			}
 		}
 		if now-peer.reported > t.rules.Fresh {
 			continue
