quota: a failure domain that restarts as a whole is remembered

Cause: with both instances of a failure domain killed, its next sum knew of nothing, and the others took that for what it had used.

--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -170,10 +170,27 @@
 	after += drawDown(restarted, 12*time.Second)
 	g.Expect(used + after).To(BeNumerically("<=", bound))
 	// When the use from before the restart has left the window, it can be used.
+	a.Report(15*time.Second, "b", quota.Use{Boot: 2, Members: 1, Used: restarted.Used(15 * time.Second)})
+	a.Report(15*time.Second, "c", quota.Use{Boot: 1, Members: 1})
 	after += drawDown(a, 15*time.Second)
 	g.Expect(after).To(BeNumerically(">", 1000*8*0.5))
 }
 
+// Failure: another failure domain is killed as a whole after a team has used its
+// limit there. Guards against its first report, which knows of nothing.
+func TestAFailureDomainThatRestartsIsRemembered(t *testing.T) {
+	g := NewWithT(t)
+	b := quota.NewTeams(rules, 0, false)
+	used := drawDown(b, 5*time.Second)
+	a := quota.NewTeams(rules, 0, false)
+	a.Report(5*time.Second, "south", quota.Use{Boot: 1, Members: 2, Far: true, Used: b.Used(5 * time.Second)})
+	a.Report(6*time.Second, "south", quota.Use{Boot: 2, Members: 2, Cold: 2, Far: true})
+	used += drawDown(a, 6*time.Second)
+	g.Expect(used).To(BeNumerically("<=", bound))
+	a.Report(14*time.Second, "south", quota.Use{Boot: 2, Members: 2, Far: true})
+	g.Expect(drawDown(a, 14*time.Second)).To(BeNumerically(">", 1000*8*0.9))
+}
+
 // Load pattern: a team uses its limit evenly, and all instances are restarted.
 // Guards against refusing it what leaves the window meanwhile.
 func TestARecordedTeamIsServedAsItsUseLeavesTheWindow(t *testing.T) {
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -94,9 +94,7 @@
 // Report takes in what a peer has used.
 func (t *Teams) Report(now time.Duration, peer string, use Use) {
 	known := t.peers[peer]
-	if !use.Far {
-		known.follow(now, t.rules.Window, use)
-	}
+	known.follow(now, t.rules.Window, use)
 	if _, found := t.firstHeard[peer]; !found && t.Cold(now) {
 		t.firstHeard[peer] = use.Used
 	}
@@ -256,7 +254,7 @@
 
 // follow notes when the peer's process used its amounts.
 func (p *peerUse) follow(now, window time.Duration, use Use) {
-	if p.use.Boot != 0 && p.use.Boot != use.Boot {
+	if p.restarted(now, use) {
 		p.former = append(p.former, p.lines)
 		p.lines = nil
 	}
@@ -272,6 +270,24 @@
 	}
 }
 
+// restarted reports whether the peer does not know any more what it had used. A
+// failure domain may have another reporter without having forgotten anything.
+func (p *peerUse) restarted(now time.Duration, use Use) bool {
+	if !use.Far {
+		return p.use.Boot != 0 && p.use.Boot != use.Boot
+	}
+	reported, known := 0.0, 0.0
+	for team, line := range p.lines {
+		reported += use.Used[team]
+		known += line.Sum(now)
+	}
+	return use.Cold > 0 && reported < forgotten*known
+}
+
+// forgotten is the part of the known use below which a report shows that the
+// rest was forgotten and has not merely left the window.
+const forgotten = 0.8
+
 // formerKept is the number of former processes of a peer whose use is kept. A
 // process takes longer to start than a part of the window that this leaves.
 const formerKept = 8
