quota: keep more of the reserve; test: say why an instance ended; move the gateway's settings to a page of their own

Change: a fifth of the reserve is admitted instead of half; the harness reports the error with which an instance ends, and takes other addresses only if one was in use.

--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -52,7 +52,7 @@
 }
 
 // BoundSettings are the bounds that all instances keep together; see
-// docs/settings.md for their units and meaning.
+// docs/gateway-settings.md for their units and meaning.
 type BoundSettings struct {
 	ConfigFreshMs    int64   `ini:"config_fresh_ms"`
 	StopGraceSeconds float64 `ini:"stop_grace_s"`
--- a/pkg/gateway/site_test.go
+++ b/pkg/gateway/site_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -134,7 +135,22 @@
 	return false
 }
 
+// start starts an instance. An address that was free may be taken meanwhile by
+// another process; then other addresses are tried.
 func (s *site) start(name string) *instance {
+	s.t.Helper()
+	for {
+		in, err := s.tryStart(name)
+		if err == nil {
+			s.instances = append(s.instances, in)
+			return in
+		}
+		s.Expect(err).To(MatchError(syscall.EADDRINUSE), "the instance ended")
+	}
+}
+
+// tryStart returns the error with which an instance ended before it was ready.
+func (s *site) tryStart(name string) (*instance, error) {
 	s.t.Helper()
 	in := &instance{callers: freeAddress(s.t), ready: freeAddress(s.t), done: make(chan error, 1)}
 	g, err := gateway.New(gateway.Options{
@@ -152,13 +168,25 @@
 		Log:   s.log(), Clock: clockwork.NewRealClock(),
 		Now: func() time.Duration { return boottime.Now() + time.Duration(s.ahead.Load()) },
 	})
-	s.Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	in.stop = cancel
 	go func() { in.done <- g.Run(ctx) }()
-	s.instances = append(s.instances, in)
-	s.Eventually(func() int { return s.readiness(in) }, soon).Should(Equal(http.StatusOK))
-	return in
+	var ended error
+	s.Eventually(func() bool {
+		select {
+		case ended = <-in.done:
+			return true
+		default:
+			return s.readiness(in) == http.StatusOK
+		}
+	}, soon).Should(BeTrue(), "%s is not ready", name)
+	if ended != nil {
+		cancel()
+	}
+	return in, ended
 }
 
 func (s *site) readiness(in *instance) int {
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -17,10 +17,10 @@
 	Forget time.Duration
 }
 
-// partitionReserve is the part of Overage and Slack that covers what instances
-// admit between two reports; the rest is divided among instances that cannot
-// hear each other.
-const partitionReserve = 0.5
+// partitionReserve is the part of Overage and Slack that instances admit. The
+// rest covers what they admit between two reports, and errors of what is known
+// after a restart.
+const partitionReserve = 0.2
 
 // Use is what a peer reports.
 type Use struct {
