gateway: take callers with less patience than others for first attempts

Cause: callers of one route differ by 15 in 100 in how long they wait. A request with less than 0.95 of the longest patience seen counted as one that had been refused before, so that two thirds of all first attempts were ranked behind the rest, as late.

Change: the share is 0.84; refused callers have lost a sixth of their patience at least. Lines of answered requests name the inputs of the placement: patience, time until due, tokens, longest gap.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -29,7 +29,9 @@
 	first    time.Duration
 	total    time.Duration
 	eventGap time.Duration
-	reused   bool
+	// longestGap is the longest time between two events.
+	longestGap time.Duration
+	reused     bool
 }
 
 // bufferedBytes bounds the answers that are read whole before the caller gets
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -89,8 +89,11 @@
 		if last == 0 {
 			end.first = now - started
 			x.g.tell(firstOutput{service: x.service, upstream: decision.Upstream.ID, key: x.request.Key})
-		} else if len(gaps) < gapsKept {
-			gaps = append(gaps, now-last)
+		} else {
+			end.longestGap = max(end.longestGap, now-last)
+			if len(gaps) < gapsKept {
+				gaps = append(gaps, now-last)
+			}
 		}
 		last = now
 		x.beginAnswer(response)
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -74,7 +74,9 @@
 	m.observe(m.wait, decision.Waited)
 	m.observe(m.first, end.first)
 	m.observe(m.total, x.g.now()-x.arrived)
-	values := append(x.values("attempts", x.attempts), placement(decision)...)
+	values := append(x.values("attempts", x.attempts, "patience_ms", x.caller.Patience.Milliseconds(), "due_ms", (x.request.Due-x.arrived).Milliseconds(),
+		"prompt_tokens", x.request.PromptTokens, "output_tokens", x.request.OutputTokens,
+		"longest_gap_ms", end.longestGap.Milliseconds()), placement(decision)...)
 	x.g.decide.write(x.g.decide.served, "answered", append(values, outcome(end)...))
 }
 
--- a/pkg/gateway/patience.go
+++ b/pkg/gateway/patience.go
@@ -7,8 +7,10 @@
 
 const (
 	// firstAttemptShare is the part of the longest patience seen on a route from
-	// which a request counts as a caller's first attempt.
-	firstAttemptShare = 0.95
+	// which a request counts as a caller's first attempt. Callers of one route
+	// differ by 15 in 100; those that were refused have lost more than that, since
+	// retryShare and retrySpread let none return sooner.
+	firstAttemptShare = 0.84
 	// routesKept bounds the memory for routes that come and go.
 	routesKept = 4096
 )
