admission: expect a wait for a slot at engines whose slots are taken

Cause: under load nearly all requests are placed as the one beyond an engine's slots, and the expected time ignored that wait; it is 100 ms at a fast engine and 600 ms at a slow one.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -120,7 +120,7 @@
 		if inFlight >= p.limit(u) {
 			continue
 		}
-		expected := u.expect(&p.tuning, r.PromptTokens, inFlight, awaited)
+		expected := u.expect(&p.tuning, r.PromptTokens, inFlight, awaited, p.stayMs)
 		cost := toMs(expected) + p.distance(u) + u.failures(now)*failureCost
 		if now+expected+u.expectRest(&p.tuning, r.OutputTokens) > r.Until {
 			cost += endlessCost
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -35,6 +35,9 @@
 	// peers holds the last report of each peer.
 	peers   map[string]peerReport
 	waiting []*Request
+	// stayMs is the usual time that a request occupies a slot of an engine of
+	// speed 1.
+	stayMs float64
 }
 
 // peerReport is what a peer, or all instances of another failure domain
@@ -47,7 +50,7 @@
 
 // NewPool returns a pool without upstreams.
 func NewPool(service Service, location Location, tuning Tuning) *Pool {
-	return &Pool{service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerReport{}}
+	return &Pool{service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerReport{}, stayMs: firstStayMs}
 }
 
 // SetService changes what is known of the service.
@@ -245,6 +248,9 @@
 }
 
 func (p *Pool) learn(u *upstream, running int, result Result) {
+	if u.engine && result.Total > 0 {
+		p.stayMs += stayWeight * (toMs(result.Total)*u.believedSpeed() - p.stayMs)
+	}
 	switch {
 	case u.engine && result.EventGap > 0:
 		inFlight, _ := u.load()
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -36,6 +36,11 @@
 	// fullPause is the time for which an upstream that rejected a request
 	// counts as full.
 	fullPause = 40 * time.Millisecond
+	// stayWeight is the weight of one request in the usual time that requests
+	// occupy a slot, and firstStayMs its value before the first: about 250 output
+	// tokens at the pace of an engine with full slots.
+	stayWeight  = 0.03
+	firstStayMs = 1000
 	// coldSpeed is assumed of an upstream that nothing is known of.
 	coldSpeed = 1.0
 )
@@ -156,8 +161,9 @@
 	return u.pauses == 0 || len(u.flights) == 0
 }
 
-// expect predicts the time from the dispatch to the first output.
-func (u *upstream) expect(t *Tuning, prompt, inFlight, awaited int) time.Duration {
+// expect predicts the time from the dispatch to the first output. stayMs is how
+// long a request occupies a slot of an upstream of speed 1.
+func (u *upstream) expect(t *Tuning, prompt, inFlight, awaited int, stayMs float64) time.Duration {
 	speed := u.believedSpeed()
 	if !u.engine {
 		rounds := 1 + float64(inFlight)/float64(max(1, u.slots))
@@ -167,7 +173,9 @@
 	read := float64(awaited+prompt) / t.PrefillPerMs
 	// Decoding steps of the running requests are taken between the chunks.
 	read *= 1 + step*t.PrefillPerMs/chunkTokens
-	return fromMs(t.FirstMs + (read+step*float64(max(1, u.stride)))/speed)
+	// A request beyond the slots waits until others have left.
+	leave := stayMs / float64(u.slots) * float64(max(0, inFlight+1-u.slots))
+	return fromMs(t.FirstMs + (read+step*float64(max(1, u.stride))+leave)/speed)
 }
 
 // expectRest predicts the time from the first output to the end of the answer.
