quota: count the use of a failure domain once while its instances restart

Cause: every report of a failure domain with a restarted member and a smaller sum counted as a restart of the whole, and all that was known of it was added again.

Change: what a source has used is the largest sum that it reported, from the time it was first seen. It is set aside as former use when the instance's process changes, or when all instances of the failure domain have started anew.

Ruled out: estimating what cold instances had used, by their share; survivors know it.

--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -92,14 +92,14 @@
 func (c *control) buildReport(now time.Duration, whole bool) loadshare.Report {
 	c.sequence++
 	report := loadshare.Report{
-		Instance: c.g.settings.Instance.Name, Boot: c.g.boot, Sequence: c.sequence,
+		Instance: c.g.settings.Instance.Name, Boot: c.g.boot, Oldest: c.g.boot, Sequence: c.sequence,
 		Address: c.g.socket.LocalAddress(), Domain: c.g.settings.Instance.Domain, Leaving: c.g.leaving.Load(),
 		Strikes: c.strikes.recent(now),
 	}
 	used, cold := c.teams.Used(now), 0
 	if whole {
 		used, cold = c.teams.Sum(now)
-		report.Members = clampTo[uint16](c.peers.Live())
+		report.Members, report.Oldest = clampTo[uint16](c.peers.Live()), c.peers.Oldest(c.g.boot)
 	} else if c.teams.Cold(now) {
 		cold = 1
 	}
@@ -115,12 +115,30 @@
 			SpeedPercent:  clampTo[uint16](int(load.Speed * percent)), Samples: clampTo[uint8](int(load.Samples)),
 		})
 	}
-	for team, amount := range used {
-		report.Teams = append(report.Teams, loadshare.TeamUse{Team: loadshare.ShortHash(team), Used: clampTo[uint32](int(math.Ceil(amount)))})
+	total := c.teams.Total(now)
+	report.Informed = total != nil
+	for team := range teamsOf(used, total) {
+		report.Teams = append(report.Teams, loadshare.TeamUse{
+			Team: loadshare.ShortHash(team), Used: tokens(used[team]), Total: tokens(total[team]),
+		})
 	}
 	return report
 }
 
+// teamsOf returns the teams that have an amount in one of the lists.
+func teamsOf(used, total map[string]float64) map[string]struct{} {
+	teams := make(map[string]struct{}, len(used)+len(total))
+	for team := range used {
+		teams[team] = struct{}{}
+	}
+	for team := range total {
+		teams[team] = struct{}{}
+	}
+	return teams
+}
+
+func tokens(amount float64) uint32 { return clampTo[uint32](int(math.Ceil(amount))) }
+
 const percent = 100
 
 func clampTo[T uint8 | uint16 | uint32](n int) T {
@@ -166,16 +184,30 @@
 	for _, pool := range c.pools {
 		pool.SetPeerLoad(now, name, far, loads)
 	}
-	used := make(map[string]float64, len(report.Teams))
-	for _, use := range report.Teams {
-		used[c.teamNames[use.Team]] = float64(use.Used)
-	}
-	c.teams.Report(now, name, quota.Use{Boot: report.Boot, Members: members, Cold: int(report.Cold), Far: far, Used: used})
+	c.teams.Report(now, name, c.quotaUse(report, members, far))
 	for _, s := range report.Strikes {
 		c.strikes.learn(now, report.Instance, s)
 	}
 }
 
+func (c *control) quotaUse(report loadshare.Report, members int, far bool) quota.Use {
+	use := quota.Use{
+		Boot: report.Boot, Oldest: report.Oldest, Members: members, Cold: int(report.Cold), Far: far,
+		Used: make(map[string]float64, len(report.Teams)),
+	}
+	if report.Informed {
+		use.Total = make(map[string]float64, len(report.Teams))
+	}
+	for _, t := range report.Teams {
+		team := c.teamNames[t.Team]
+		use.Used[team] = float64(t.Used)
+		if use.Total != nil {
+			use.Total[team] = float64(t.Total)
+		}
+	}
+	return use
+}
+
 // peerRecord is an instance that the store names.
 type peerRecord struct {
 	name   string
@@ -278,17 +310,20 @@
 	// usageValid is the age from which a record is ignored, by the time of day,
 	// which may be off by seconds.
 	usageValid = time.Minute
+	// clockError is how far the times of day of two instances may differ.
+	clockError = 3 * time.Second
 )
 
 // recallUsage takes in what teams had used before this start.
 type recallUsage struct {
 	domain string
+	age    time.Duration
 	used   map[string][]float64
 }
 
 func (m recallUsage) apply(c *control) {
-	c.teams.Recall(c.g.now(), m.used)
-	c.g.log.Info("quota use before the start recalled", "domain", m.domain, "teams", len(m.used))
+	c.teams.Recall(c.g.now(), m.age, m.used)
+	c.g.log.Info("quota use before the start recalled", "domain", m.domain, "teams", len(m.used), "age_ms", m.age.Milliseconds())
 }
 
 func (g *Gateway) readUsage(ctx context.Context) error {
@@ -302,8 +337,9 @@
 			g.log.Info("usage record ignored", "domain", object.Name, "error", err.Error())
 			continue
 		}
-		if g.clock.Now().Sub(time.UnixMilli(record.WrittenUnixMs)).Abs() < usageValid {
-			g.tell(recallUsage{domain: object.Name, used: record.Used})
+		age := g.clock.Now().Sub(time.UnixMilli(record.WrittenUnixMs))
+		if age.Abs() < usageValid {
+			g.tell(recallUsage{domain: object.Name, age: max(0, age-clockError), used: record.Used})
 		}
 	}
 	return nil
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -23,9 +23,11 @@
 // Report is what an instance tells the others.
 type Report struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
-	// Instance is the sender, and Boot the start of its process.
+	// Instance is the sender, Boot the start of its process, and Oldest the
+	// earliest start among the instances that the report covers.
 	Instance string
 	Boot     int64
+	Oldest   int64
 	Sequence uint64
 	// Address is the sender's address, and Domain its failure domain.
 	Address string
@@ -36,8 +38,10 @@
 	// Leaving is true in the last reports of a process.
 	Leaving bool
 	// Cold is the number of covered instances that do not know what the team
-	// quotas were used for before they started.
+	// quotas were used for before they started. Informed is true if the sender
+	// knows what all instances have used.
 	Cold      uint16
+	Informed  bool
 	Upstreams []UpstreamUse
 	Teams     []TeamUse
 	Strikes   []Strike
@@ -56,11 +60,13 @@
 	Samples      uint8
 }
 
-// TeamUse is what the sender has used of a team's quota in the window.
+// TeamUse is what was used of a team's quota in the window: by the instances that
+// the report covers, and by all, as far as the sender knows.
 type TeamUse struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
 	Team     uint32
 	Used     uint32
+	Total    uint32
 }
 
 // Strike tells how many upstreams broke while they ran a request.
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -182,6 +182,17 @@
 	return address
 }
 
+// Oldest returns the earliest start of the instances in the own failure domain
+// that are heard, of which this one started at boot.
+func (p *Peers) Oldest(boot int64) int64 {
+	for _, known := range p.near {
+		if !known.silent {
+			boot = min(boot, known.boot)
+		}
+	}
+	return boot
+}
+
 // Live is the number of instances in the own failure domain that are heard,
 // this one included.
 func (p *Peers) Live() int {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -134,7 +134,7 @@
 	record := before.Record(7 * time.Second)
 	g.Expect(record).To(HaveKey("desk"))
 	after := quota.NewTeams(rules, 8*time.Second, true)
-	after.Recall(8*time.Second, record)
+	after.Recall(8*time.Second, 0, record)
 	used += drawDown(after, 14*time.Second)
 	g.Expect(used).To(BeNumerically("<=", bound))
 	g.Expect(drawDown(after, 17*time.Second)).To(BeNumerically(">", 1000*8*0.5))
@@ -158,15 +158,15 @@
 	g.Expect(record).To(HaveKey("desk"))
 	// b starts again; it hears a and c, which have used nothing themselves.
 	restarted := quota.NewTeams(rules, 6500*time.Millisecond, true)
-	restarted.Recall(6500*time.Millisecond, record)
+	restarted.Recall(6500*time.Millisecond, 0, record)
 	for at := 6500 * time.Millisecond; at <= 12*time.Second; at += 200 * time.Millisecond {
 		a.Report(at, "b", quota.Use{Boot: 2, Members: 1, Cold: 1, Used: restarted.Used(at)})
 		a.Report(at, "c", quota.Use{Boot: 1, Members: 1})
-		restarted.Report(at, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(at)})
+		restarted.Report(at, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(at), Total: a.Total(at)})
 		restarted.Report(at, "c", quota.Use{Boot: 1, Members: 1})
 	}
 	after := drawDown(a, 12*time.Second)
-	restarted.Report(12*time.Second, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(12 * time.Second)})
+	restarted.Report(12*time.Second, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(12 * time.Second), Total: a.Total(12 * time.Second)})
 	after += drawDown(restarted, 12*time.Second)
 	g.Expect(used + after).To(BeNumerically("<=", bound))
 	// When the use from before the restart has left the window, it can be used.
@@ -183,11 +183,11 @@
 	b := quota.NewTeams(rules, 0, false)
 	used := drawDown(b, 5*time.Second)
 	a := quota.NewTeams(rules, 0, false)
-	a.Report(5*time.Second, "south", quota.Use{Boot: 1, Members: 2, Far: true, Used: b.Used(5 * time.Second)})
-	a.Report(6*time.Second, "south", quota.Use{Boot: 2, Members: 2, Cold: 2, Far: true})
+	a.Report(5*time.Second, "south", quota.Use{Boot: 1, Oldest: 1, Members: 2, Far: true, Used: b.Used(5 * time.Second)})
+	a.Report(6*time.Second, "south", quota.Use{Boot: 2, Oldest: 2, Members: 2, Cold: 2, Far: true})
 	used += drawDown(a, 6*time.Second)
 	g.Expect(used).To(BeNumerically("<=", bound))
-	a.Report(14*time.Second, "south", quota.Use{Boot: 2, Members: 2, Far: true})
+	a.Report(14*time.Second, "south", quota.Use{Boot: 2, Oldest: 2, Members: 2, Far: true})
 	g.Expect(drawDown(a, 14*time.Second)).To(BeNumerically(">", 1000*8*0.9))
 }
 
@@ -201,7 +201,7 @@
 		before.Record(at)
 	}
 	after := quota.NewTeams(rules, 8*time.Second, true)
-	after.Recall(8*time.Second, before.Record(8*time.Second))
+	after.Recall(8*time.Second, 0, before.Record(8*time.Second))
 	served := 0
 	for at := 9 * time.Second; at < 16*time.Second; at += 100 * time.Millisecond {
 		if after.Charge(at, "desk", limit, 90).Allowed {
@@ -252,3 +252,35 @@
 	g.Expect(repeats).To(BeNumerically("<=", int(0.2*float64(requests)+58)))
 	g.Expect(repeats).To(BeNumerically(">", requests/10))
 }
+
+// Load pattern: a failure domain of many instances, of which some restart while
+// their relay goes on reporting. Guards against counting the same use again with
+// each report, which refused the traffic of all teams for ten seconds
+// (kifaru grown, scale-1).
+func TestUseIsCountedOnceWhileInstancesRestart(t *testing.T) {
+	g := NewWithT(t)
+	a := quota.NewTeams(rules, 0, false)
+	a.Report(time.Second, "south", quota.Use{Boot: 1, Oldest: 1, Members: 15, Far: true, Used: map[string]float64{"desk": 3000, "lab": 2000}})
+	for at := 1500 * time.Millisecond; at < 4*time.Second; at += 100 * time.Millisecond {
+		// Part of what was known of the failure domain has been lost.
+		a.Report(at, "south", quota.Use{Boot: 1, Oldest: 1, Members: 15, Cold: 4, Far: true, Used: map[string]float64{"desk": 2000, "lab": 1400}})
+	}
+	g.Expect(a.Charge(4*time.Second, "desk", limit, 0).Used).To(BeNumerically("~", 3000, 1))
+	// It has left the window although the reports have gone on.
+	for at := 4 * time.Second; at < 12*time.Second; at += 100 * time.Millisecond {
+		a.Report(at, "south", quota.Use{Boot: 1, Oldest: 1, Members: 15, Cold: 4, Far: true})
+	}
+	g.Expect(a.Charge(12*time.Second, "desk", limit, 0).Used).To(BeZero())
+}
+
+// Failure: an instance restarts among others that know what was used. Guards
+// against a guess where they can tell, in both directions.
+func TestARestartedInstanceTakesTheUseFromOthers(t *testing.T) {
+	g := NewWithT(t)
+	a := quota.NewTeams(rules, 8*time.Second, true)
+	a.Report(8*time.Second, "b", quota.Use{Boot: 1, Members: 1, Total: map[string]float64{"desk": 8800}})
+	used := drawDown(a, 8*time.Second)
+	g.Expect(used + 8800).To(BeNumerically("<=", bound))
+	a.Report(9*time.Second, "b", quota.Use{Boot: 1, Members: 1, Total: map[string]float64{"desk": 1000 + used}})
+	g.Expect(drawDown(a, 9*time.Second)).To(BeNumerically(">", 7000-used))
+}
--- /dev/null
+++ b/pkg/quota/source.go
@@ -0,0 +1,105 @@
+package quota
+
+import "time"
+
+// Use is what a peer reports.
+type Use struct {
+	// Boot is the start of the peer's process, and Oldest the earliest start of
+	// those that it reports for; only their order matters.
+	Boot   int64
+	Oldest int64
+	// Members is the number of instances that the peer reports for: 1, or those
+	// of a failure domain.
+	Members int
+	// Cold is the number of members that started within the last window.
+	Cold int
+	// Far is true for the sum of another failure domain.
+	Far bool
+	// Used is what it has used of each team's limit in its window, and Total what
+	// it knows that all instances have used; nil if it has restarted itself.
+	Used  map[string]float64
+	Total map[string]float64
+}
+
+// generation differs between two processes of an instance, and grows when all
+// instances of a failure domain have restarted. As long as one of them goes on,
+// it knows what the others had used.
+func (u Use) generation() int64 {
+	switch {
+	case !u.Far:
+		return u.Boot
+	case u.Cold == u.Members:
+		return u.Oldest
+	}
+	return 0
+}
+
+// source is a peer, or another failure domain.
+type source struct {
+	reported time.Duration
+	use      Use
+	// known is the number of instances that are known behind it.
+	known      int
+	generation int64
+	// line is what the present generation has used, and past what earlier ones
+	// had; a new process does not know of them.
+	line, past ledger
+	// ownThen is what this instance had used itself at the last report; what it
+	// has used since is not in the peer's total.
+	ownThen map[string]float64
+}
+
+// report takes in a report. A report holds the sum over the sender's window, so
+// that a lost one is made good by the next, and only what exceeds the known sum is
+// new.
+func (s *source) report(now, window time.Duration, use Use) {
+	if generation := use.generation(); generation > s.generation {
+		if s.generation != 0 {
+			s.past.absorb(now, window, s.line)
+			s.line = ledger{}
+		}
+		s.generation = generation
+	} else if s.generation == 0 {
+		s.generation = use.Oldest
+	}
+	for team, amount := range use.Used {
+		line := s.line.window(team, window)
+		line.Add(now, max(0, amount-line.Sum(now)))
+	}
+	s.reported, s.use = now, use
+	s.known = max(s.known, use.Members)
+}
+
+// ledger holds what was used of each team's limit.
+type ledger map[string]*Window
+
+func (l ledger) window(team string, length time.Duration) *Window { return windowOf(l, team, length) }
+
+func (l ledger) sum(now time.Duration, team string) float64 {
+	if w := l[team]; w != nil {
+		return w.Sum(now)
+	}
+	return 0
+}
+
+// sums returns the amounts of all teams that have used something.
+func (l ledger) sums(now time.Duration) map[string]float64 {
+	sums := make(map[string]float64, len(l))
+	l.addTo(sums, now)
+	return sums
+}
+
+func (l ledger) addTo(sums map[string]float64, now time.Duration) {
+	for team, w := range l {
+		if sum := w.Sum(now); sum > 0 {
+			sums[team] += sum
+		}
+	}
+}
+
+// absorb adds the amounts of another ledger, each at the time when it was used.
+func (l ledger) absorb(now, window time.Duration, other ledger) {
+	for team, w := range other {
+		l.window(team, window).merge(now, w)
+	}
+}
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -22,50 +22,20 @@
 // after a restart.
 const partitionReserve = 0.2
 
-// Use is what a peer reports.
-type Use struct {
-	// Boot is the start of the peer's process.
-	Boot int64
-	// Members is the number of instances that the peer reports for: 1, or those
-	// of a failure domain.
-	Members int
-	// Cold is the number of members that started within the last window and do
-	// not know what they had used before.
-	Cold int
-	// Far is true for the sum of another failure domain.
-	Far bool
-	// Used is what it has used of each team's limit in its window.
-	Used map[string]float64
-}
-
-type peerUse struct {
-	reported time.Duration
-	use      Use
-	// known is the number of instances that are known behind the peer.
-	known int
-	// lines hold when the peer's process used its amounts, and former those of
-	// its processes that have ended; a new process does not know of them.
-	lines  map[string]*Window
-	former []map[string]*Window
-}
-
 // Teams decides whether requests of teams are within their limits.
 type Teams struct {
 	rules Rules
-	own   map[string]*Window
-	peers map[string]peerUse
+	own   ledger
+	peers map[string]*source
 	// coldUntil is the end of the first window after a restart. Until then the
-	// instance does not know all that was used before.
+	// instance has not seen all that was used itself.
 	coldUntil time.Duration
 	// limits are those of the teams that were charged.
 	limits map[string]Limit
-	// timeline holds when the instances of the own failure domain used their
-	// amounts, and recalled what lay in the store at a restart.
-	timeline map[string]*Window
+	// timeline holds when all instances together used their amounts, and
+	// recalled what lay in the store at a restart.
+	timeline ledger
 	recalled map[string][]part
-	// firstHeard is what each peer reported first after a restart: the part of
-	// what was recalled that somebody knows of.
-	firstHeard map[string]map[string]float64
 }
 
 // part is an amount that leaves the window at a known time.
@@ -74,14 +44,11 @@
 	until  time.Duration
 }
 
-// busyFrom is the share of a limit from which its use is recorded in the store.
-const busyFrom = 0.6
-
 // NewTeams returns the accounts of all teams. restarted is true if the instance
 // may have run before.
 func NewTeams(rules Rules, now time.Duration, restarted bool) *Teams {
-	t := &Teams{rules: rules, own: map[string]*Window{}, peers: map[string]peerUse{},
-		limits: map[string]Limit{}, timeline: map[string]*Window{}, recalled: map[string][]part{}, firstHeard: map[string]map[string]float64{}}
+	t := &Teams{rules: rules, own: ledger{}, peers: map[string]*source{},
+		limits: map[string]Limit{}, timeline: ledger{}, recalled: map[string][]part{}}
 	if restarted {
 		t.coldUntil = now + rules.Window
 	}
@@ -91,24 +58,14 @@
 // Cold reports whether the instance may have used amounts that it does not know.
 func (t *Teams) Cold(now time.Duration) bool { return now < t.coldUntil }
 
-// Report takes in what a peer has used.
-func (t *Teams) Report(now time.Duration, peer string, use Use) {
-	known := t.peers[peer]
-	known.follow(now, t.rules.Window, use)
-	if _, found := t.firstHeard[peer]; !found && t.Cold(now) {
-		t.firstHeard[peer] = use.Used
-	}
-	known.reported, known.use = now, use
-	known.known = max(known.known, use.Members)
-	t.peers[peer] = known
-}
-
 // Limit is a team's limit: an amount a second, and a burst.
 type Limit struct {
 	PerSecond float64
 	Burst     float64
 }
 
+func (l Limit) full(window time.Duration) float64 { return l.PerSecond*window.Seconds() + l.Burst }
+
 // Verdict says whether a request may be admitted, with the inputs.
 type Verdict struct {
 	Allowed bool
@@ -125,219 +82,147 @@
 	t.limits[team] = limit
 	verdict := t.verdict(now, team, limit, amount)
 	if verdict.Allowed {
-		t.window(team).Add(now, amount)
+		t.own.window(team, t.rules.Window).Add(now, amount)
 	}
 	return verdict
 }
 
 // Return takes back an amount whose request did not run.
 func (t *Teams) Return(now time.Duration, team string, amount float64) {
-	t.window(team).Add(now, -amount)
+	t.own.window(team, t.rules.Window).Add(now, -amount)
 }
 
-// Used returns what this instance has used of each team's limit.
-func (t *Teams) Used(now time.Duration) map[string]float64 {
-	used := make(map[string]float64, len(t.own))
-	for team, window := range t.own {
-		if sum := window.Sum(now); sum > 0 {
-			used[team] = sum
-		}
+func (t *Teams) verdict(now time.Duration, team string, limit Limit, amount float64) Verdict {
+	full := limit.full(t.rules.Window)
+	heard, silent := t.audible(now)
+	total := float64(heard + silent)
+	reserve := full*t.rules.Overage + t.rules.Slack
+	v := Verdict{
+		Used:      t.used(now, team, full, total),
+		Allowance: (full + reserve*partitionReserve) * float64(heard) / total,
+		Silent:    silent,
 	}
-	return used
+	v.Allowed = v.Used+amount <= v.Allowance
+	return v
 }
 
-// unknown is what instances that restarted may have used of a limit and nobody
-// here knows: what they had recorded, or else a use that was not worth recording
-// and leaves the window evenly.
-func (t *Teams) unknown(now time.Duration, team string, full, coldShare float64) float64 {
-	left := t.coldUntil - now
-	if left <= 0 {
-		return 0
-	}
-	parts, recorded := t.recalled[team]
-	if !recorded {
-		return coldShare * busyFrom * full * left.Seconds() / t.rules.Window.Seconds()
-	}
-	sum, all := 0.0, 0.0
-	for _, p := range parts {
-		all += p.amount
-		if now < p.until {
-			sum += p.amount
+// audible returns the number of instances that are heard, this one included, and
+// of those that may be cut off and still serving; their share is left to them.
+func (t *Teams) audible(now time.Duration) (heard, silent int) {
+	heard = 1
+	for name, peer := range t.peers {
+		switch age := now - peer.reported; {
+		case age > t.rules.Forget:
+			delete(t.peers, name)
+		case age > t.rules.Fresh:
+			silent += peer.known
+		default:
+			heard += peer.use.Members
+			silent += max(0, peer.known-peer.use.Members)
 		}
 	}
-	heard := 0.0
-	for _, used := range t.firstHeard {
-		heard += used[team]
-	}
-	return sum * max(0, 1-heard/max(1, all))
+	return heard, silent
 }
 
-// recordParts is the number of parts of the window that are recorded.
-const recordParts = 8
-
-// Record returns, for each team that uses much of its limit, what the instances
-// of the own failure domain used, by the age of the use, the newest part first.
-func (t *Teams) Record(now time.Duration) map[string][]float64 {
-	used, _ := t.Sum(now)
-	record := map[string][]float64{}
-	for team, limit := range t.limits {
-		line := windowOf(t.timeline, team, t.rules.Window)
-		line.Add(now, max(0, used[team]-line.Sum(now)))
-		if t.verdict(now, team, limit, 0).Used >= busyFrom*limit.full(t.rules.Window) {
-			record[team] = line.parts(now, recordParts)
+// used is what all instances have used, of the total number of instances.
+func (t *Teams) used(now time.Duration, team string, full, total float64) float64 {
+	sum := t.own.sum(now, team)
+	told, informed := 0.0, false
+	for _, peer := range t.peers {
+		sum += peer.past.sum(now, team)
+		if now-peer.reported > t.rules.Fresh {
+			// What a peer had used before it fell silent may be more than the
+			// share that is left to it.
+			sum += max(0, peer.line.sum(now, team)-full*float64(peer.known)/total)
+			continue
 		}
+		sum += peer.line.sum(now, team)
+		if peer.use.Total != nil {
+			since := t.own.sum(now, team) - peer.ownThen[team]
+			told, informed = max(told, peer.use.Total[team]+max(0, since)), true
+		}
+	}
+	switch {
+	case !t.Cold(now):
+		return sum
+	case informed:
+		return max(sum, told)
 	}
-	return record
+	return sum + t.unknown(now, team, full)
 }
 
-// Recall takes in what a failure domain had recorded before this start. It may
-// have gone on for the length of a part after that, at the same pace.
-func (t *Teams) Recall(now time.Duration, record map[string][]float64) {
-	for team, amounts := range record {
-		length := t.rules.Window / time.Duration(max(1, len(amounts)))
-		for i, amount := range amounts {
-			t.recalled[team] = append(t.recalled[team], part{amount: amount, until: now + t.rules.Window - time.Duration(i)*length})
-		}
-		if len(amounts) > 0 {
-			t.recalled[team] = append(t.recalled[team], part{amount: amounts[0], until: now + t.rules.Window})
-		}
+// Used returns what this instance has used of each team's limit.
+func (t *Teams) Used(now time.Duration) map[string]float64 { return t.own.sums(now) }
+
+// Total returns what all instances have used, for those that have restarted and
+// do not know; nil if this instance does not know either.
+func (t *Teams) Total(now time.Duration) map[string]float64 {
+	if t.Cold(now) {
+		return nil
 	}
+	total := t.own.sums(now)
+	for _, peer := range t.peers {
+		peer.past.addTo(total, now)
+		peer.line.addTo(total, now)
+	}
+	return total
 }
 
-func (l Limit) full(window time.Duration) float64 { return l.PerSecond*window.Seconds() + l.Burst }
-
-func (t *Teams) verdict(now time.Duration, team string, limit Limit, amount float64) Verdict {
-	full := limit.full(t.rules.Window)
-	v := Verdict{Used: t.window(team).Sum(now)}
-	heard, cold := 1, 0
+// Sum returns what this instance and the peers of its failure domain have used,
+// their former processes included, and how many of them are cold.
+func (t *Teams) Sum(now time.Duration) (used map[string]float64, cold int) {
+	used = t.own.sums(now)
 	if t.Cold(now) {
 		cold++
 	}
-	var silent []peerUse
-	for name, peer := range t.peers {
-		age := now - peer.reported
-		if age > t.rules.Forget {
-			delete(t.peers, name)
+	for _, peer := range t.peers {
+		if peer.use.Far {
 			continue
 		}
-		v.Used += peer.remembered(now, team)
-		if age > t.rules.Fresh {
-			// They may still serve without being heard; their share is left to
-			// them.
-			v.Silent += peer.known
-			if age < t.rules.Window {
-				silent = append(silent, peer)
-			}
+		peer.past.addTo(used, now)
+		if now-peer.reported > t.rules.Fresh {
 			continue
 		}
-		heard += peer.use.Members
-		v.Silent += max(0, peer.known-peer.use.Members)
-		v.Used += peer.use.Used[team]
 		cold += peer.use.Cold
+		peer.line.addTo(used, now)
 	}
-	v.Used += t.unknown(now, team, full, float64(cold)/float64(heard))
-	total := float64(heard + v.Silent)
-	for _, peer := range silent {
-		// What a peer had used before it fell silent may be more than its share.
-		v.Used += max(0, peer.use.Used[team]-full*float64(peer.known)/total)
-	}
-	share := float64(heard) / total
-	reserve := full*t.rules.Overage + t.rules.Slack
-	v.Allowance = (full + reserve*partitionReserve) * share
-	v.Allowed = v.Used+amount <= v.Allowance
-	return v
-}
-
-func (t *Teams) window(team string) *Window {
-	return windowOf(t.own, team, t.rules.Window)
-}
-
-// follow notes when the peer's process used its amounts.
-func (p *peerUse) follow(now, window time.Duration, use Use) {
-	if p.restarted(now, use) {
-		p.former = append(p.former, p.lines)
-		p.lines = nil
-	}
-	if len(p.former) > formerKept {
-		p.former = p.former[1:]
-	}
-	if p.lines == nil {
-		p.lines = map[string]*Window{}
-	}
-	for team, amount := range use.Used {
-		line := windowOf(p.lines, team, window)
-		line.Add(now, max(0, amount-line.Sum(now)))
-	}
-}
-
-// restarted reports whether the peer does not know any more what it had used. A
-// failure domain may have another reporter without having forgotten anything.
-func (p *peerUse) restarted(now time.Duration, use Use) bool {
-	if !use.Far {
-		return p.use.Boot != 0 && p.use.Boot != use.Boot
-	}
-	reported, known := 0.0, 0.0
-	for team, line := range p.lines {
-		reported += use.Used[team]
-		known += line.Sum(now)
-	}
-	return use.Cold > 0 && reported < forgotten*known
+	return used, cold
 }
 
-// forgotten is the part of the known use below which a report shows that the
-// rest was forgotten and has not merely left the window.
-const forgotten = 0.8
-
-// formerKept is the number of former processes of a peer whose use is kept. A
-// process takes longer to start than a part of the window that this leaves.
-const formerKept = 8
-
-// remembered is what former processes of the peer had used and has not left the
-// window yet.
-func (p peerUse) remembered(now time.Duration, team string) float64 {
-	sum := 0.0
-	for _, lines := range p.former {
-		if line := lines[team]; line != nil {
-			sum += line.Sum(now)
-		}
+// Report takes in what a peer has used.
+func (t *Teams) Report(now time.Duration, peer string, use Use) {
+	s := t.source(peer)
+	s.report(now, t.rules.Window, use)
+	if t.Cold(now) {
+		s.ownThen = t.own.sums(now)
 	}
-	return sum
 }
 
 // Known notes the number of instances behind a peer that may not have been
 // heard of yet: they may be cut off and serving.
 func (t *Teams) Known(now time.Duration, peer string, members int) {
-	known, found := t.peers[peer]
-	if !found {
-		known.reported = now - t.rules.Fresh - 1
+	if _, found := t.peers[peer]; !found {
+		t.source(peer).reported = now - t.rules.Fresh - 1
 	}
-	known.known = max(known.known, members)
-	t.peers[peer] = known
+	s := t.source(peer)
+	s.known = max(s.known, members)
 }
 
-// Sum returns what this instance and the peers of its failure domain have used,
-// and how many of them are cold.
-func (t *Teams) Sum(now time.Duration) (used map[string]float64, cold int) {
-	used = t.Used(now)
-	if t.Cold(now) {
-		cold++
+func (t *Teams) source(name string) *source {
+	s := t.peers[name]
+	if s == nil {
+		s = &source{line: ledger{}, past: ledger{}}
+		t.peers[name] = s
 	}
+	return s
+}
+
+// Informed reports whether a peer that knows what was used is heard.
+func (t *Teams) Informed(now time.Duration) bool {
 	for _, peer := range t.peers {
-		if peer.use.Far {
-			continue
-		}
-		for _, lines := range peer.former {
-			for team, line := range lines {
-				used[team] += line.Sum(now)
-			}
-		}
-		if now-peer.reported > t.rules.Fresh {
-			continue
-		}
-		cold += peer.use.Cold
-		for team, amount := range peer.use.Used {
-			used[team] += amount
+		if now-peer.reported <= t.rules.Fresh && peer.use.Total != nil {
+			return true
 		}
 	}
-	return used, cold
+	return !t.Cold(now)
 }
--- a/pkg/quota/window.go
+++ b/pkg/quota/window.go
@@ -65,3 +65,14 @@
 	}
 	return sums
 }
+
+// merge adds the amounts of another window of the same length, each to the part
+// in which it was counted.
+func (w *Window) merge(now time.Duration, other *Window) {
+	w.advance(now)
+	other.advance(now)
+	for i, amount := range other.amounts {
+		w.amounts[i] += amount
+	}
+	w.sum += other.sum
+}
