storesync: one instance reads the store for all failure domains that hear each other

Change: relays follow the relay of the first failure domain that is heard. A source that cannot read the store says so, and is bypassed at once; while the store is down, instances that follow try it less and less often. An answer of a relay is no older than its call plus the wait there. At a start an instance reads the list of instances, writes its record only if it has changed, and then follows whom it hears; it reads the record of quotas only if no peer knows them. The lead alone records the use of quotas.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -114,7 +114,7 @@
 		}
 	}
 	c.g.instances.Store(int64(c.peers.Count()))
-	c.g.relay.Store(c.peers.Relay())
+	c.g.lead.Store(c.peers.Lead())
 	c.recordUsage(now)
 	c.report(now)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,13 +57,16 @@
 	// force was still the newest.
 	asOf    atomic.Int64
 	leaving atomic.Bool
-	// relay is the address of the instance that reads the store for this failure
-	// domain; empty if it is this one.
-	relay atomic.Value
+	// lead is the address of the instance whose copies of the store this one
+	// follows; empty if this one reads the store itself.
+	lead atomic.Value
 	// copies are what the instances that follow this one get.
-	copies  map[string]*storesync.Copy
-	dialer  *peer.Dialer
-	traffic *peer.Traffic
+	copies map[string]*storesync.Copy
+	// joined is closed after the first try to read the instance list.
+	joined     chan struct{}
+	joinedOnce sync.Once
+	dialer     *peer.Dialer
+	traffic    *peer.Traffic
 	// instances is the number of known instances, this one included.
 	instances atomic.Int64
 	patience  patience
@@ -105,7 +109,7 @@
 			DialTimeout: dialTimeout, Silence: upstreamSilence, MaxIdle: idlePerUpstream, Clock: opts.Clock,
 		}),
 		metrics: newGauges(registry), traffic: peer.NewTraffic(registry),
-		copies: map[string]*storesync.Copy{},
+		copies: map[string]*storesync.Copy{}, joined: make(chan struct{}),
 	}
 	// No freshness is shown before the first answer of the store.
 	g.asOf.Store(int64(g.now() - time.Hour))
--- a/pkg/gateway/life.go
+++ b/pkg/gateway/life.go
@@ -18,22 +18,25 @@
 	// configWait is how long a watch of the configuration waits. The keys are
 	// shown to be valid by two waits, a margin and a list after a watch that was
 	// not answered; that must stay below the time for which keys may be served.
-	configWait = 1200 * time.Millisecond
-	// relayWait is how long an instance waits for news from the one that reads
-	// the store for its failure domain.
-	relayWait = 500 * time.Millisecond
-	// relaySlack is added to two waits and a margin, which are the age of a
-	// relay's copy after one watch that was not answered.
-	relaySlack = 200 * time.Millisecond
+	configWait = 700 * time.Millisecond
+	// relayWait is how long an instance waits for news from the one that it
+	// follows.
+	relayWait = 400 * time.Millisecond
+	// relaySlack is added to two waits and a margin, which are the age of a copy
+	// after one watch that was not answered: a relay's copy is older than the
+	// lead's by one wait.
+	relaySlack = relayWait
 	// directEvery is the pause between two attempts to reach the store instead
-	// of a relay that cannot reach it.
-	directEvery = 3 * time.Second
+	// of a relay that cannot reach it. It doubles while the store fails, since it
+	// is then down for all.
+	directEvery    = 3 * time.Second
+	maxDirectEvery = 4 * directEvery
 	// returnGrace is the time within which the entries of upstreams are back
 	// that lapsed while the store was away.
 	returnGrace = 2 * time.Second
 	// upstreamWait is how long a watch of the upstreams waits. Changes end it at
 	// once; it only bounds how long a connection that went silent is believed.
-	upstreamWait = 1500 * time.Millisecond
+	upstreamWait = time.Second
 	// watchMargin is the time after the wait in which a slow store, at a
 	// hundred times its usual 4 ms, answers.
 	watchMargin = 500 * time.Millisecond
@@ -127,16 +130,20 @@
 		syncer := storesync.New(storesync.Options{
 			Store: g.store, Relay: g.followed, Copy: g.copies[kind], Kind: kind,
 			Wait: wait, RelayWait: relayWait, Margin: watchMargin, ListTimeout: listTimeout,
-			MaxRelayAge: 2*wait + watchMargin + relaySlack, DirectEvery: directEvery, ReturnGrace: returnGrace,
+			MaxRelayAge: 2*wait + watchMargin + relaySlack, DirectEvery: directEvery, MaxDirectEvery: maxDirectEvery, ReturnGrace: returnGrace,
 			Now: g.now, Clock: g.clock, Log: g.log,
 			Deliver: func(update storesync.Update) { g.tellUntil(ctx, storeUpdate{update: update}) },
 			Lost: func(kind string, err error) {
 				g.log.Info("dependency lost", "dependency", "store", "kind", kind, "error", err.Error(), "config_age_ms", g.configAge().Milliseconds())
 			},
 		})
-		tasks.Go(func() { syncer.Run(ctx) })
+		tasks.Go(func() {
+			g.settle(ctx)
+			syncer.Run(ctx)
+		})
 	}
 	tasks.Go(func() { g.register(ctx) })
+	tasks.Go(func() { g.recall(ctx) })
 	tasks.Go(func() {
 		for {
 			select {
--- /dev/null
+++ b/pkg/gateway/registry.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
+	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+)
+
+// peerRecord is an instance that the store names.
+type peerRecord struct {
+	name   string
+	record InstanceRecord
+}
+
+func (m peerRecord) apply(c *control) {
+	now := c.g.now()
+	added, err := c.peers.Add(now, m.name, m.record.Domain, m.record.PeerAddress)
+	if err != nil {
+		c.g.log.Info("instance record ignored", "peer", m.name, "error", err.Error())
+		return
+	}
+	if !added {
+		return
+	}
+	if m.record.Domain == c.g.settings.Instance.Domain {
+		c.teams.Known(now, m.name, 1)
+	} else {
+		c.teams.Known(now, loadshare.DomainPeer(m.record.Domain), c.peers.Known(m.record.Domain))
+	}
+	c.noteChange()
+	c.g.log.Info("peer known", "peer", m.name, "domain", m.record.Domain, "address", m.record.PeerAddress)
+}
+
+// Times of the registration in the store.
+const (
+	// registerEvery is the pause between two readings of the instance list.
+	// Peers usually learn of each other by reports; the list is for those that
+	// started while others were out of reach.
+	registerEvery = 15 * time.Second
+	registerRetry = time.Second
+	storeTimeout  = 2 * time.Second
+	// settleWait is how long an instance that knows its peers waits to hear one
+	// that has read the store already, and settleLimit how long it waits for the
+	// list of its peers. Four reports are due within settleWait.
+	settleWait  = 250 * time.Millisecond
+	settleLimit = time.Second
+	settleTick  = 10 * time.Millisecond
+)
+
+// register makes this instance known in the store and reads the records of the
+// others, at its start and then now and again.
+func (g *Gateway) register(ctx context.Context) {
+	join := g.rejoin
+	if g.settings.Instance.FirstStart {
+		join = g.join
+	}
+	for ctx.Err() == nil {
+		pause := registerEvery
+		if err := join(ctx); err != nil {
+			g.log.Info("instance list not exchanged", "error", err.Error())
+			pause = registerRetry
+		} else {
+			join = g.refresh
+		}
+		g.joinedOnce.Do(func() { close(g.joined) })
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(pause):
+		}
+	}
+}
+
+// join writes this instance's record before it reads the others', so that of two
+// instances that start at once the later one sees the earlier.
+func (g *Gateway) join(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	record := InstanceRecord{PeerAddress: g.socket.LocalAddress(), Domain: g.settings.Instance.Domain}
+	if err := g.store.Put(ctx, g.kinds.Instances, g.settings.Instance.Name, record); err != nil {
+		return err
+	}
+	_, err := g.readInstances(ctx, g.store.List)
+	return err
+}
+
+// rejoin saves the write if the record of an earlier start still holds.
+func (g *Gateway) rejoin(ctx context.Context) error {
+	reading, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	recorded, err := g.readInstances(reading, g.store.List)
+	if err != nil || recorded {
+		return err
+	}
+	return g.join(ctx)
+}
+
+func (g *Gateway) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := g.readInstances(ctx, g.store.ListStale)
+	return err
+}
+
+// readInstances makes the instances known that the store names. It reports
+// whether this one is among them, at its address.
+func (g *Gateway) readInstances(ctx context.Context, list func(context.Context, string) (storesync.Listing, error)) (recorded bool, err error) {
+	listing, err := list(ctx, g.kinds.Instances)
+	if err != nil {
+		return false, err
+	}
+	own := InstanceRecord{PeerAddress: g.socket.LocalAddress(), Domain: g.settings.Instance.Domain}
+	for _, object := range listing.Objects {
+		record, err := g.records.Instance(object.Spec)
+		if err != nil {
+			g.log.Info("instance record ignored", "peer", object.Name, "error", err.Error())
+			continue
+		}
+		if object.Name == g.settings.Instance.Name {
+			recorded = record == own
+			continue
+		}
+		g.tellUntil(ctx, peerRecord{name: object.Name, record: record})
+	}
+	return recorded, nil
+}
+
+// settle waits until this instance can know whom to follow, so that a restart of
+// all does not make each of them read the store.
+func (g *Gateway) settle(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-g.joined:
+	case <-g.clock.After(settleLimit):
+		return
+	}
+	for end := g.now() + settleWait; g.now() < end && g.followed() == nil; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.clock.After(settleTick):
+		}
+	}
+}
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -17,7 +17,14 @@
 
 // storeServer lets other instances follow this one's copies of the store. It
 // implements peer.StoreHandler.
-type storeServer struct{ copies map[string]*storesync.Copy }
+type storeServer struct {
+	copies map[string]*storesync.Copy
+	now    func() time.Duration
+}
+
+// firstWait is how long a call waits for the first answer of the store after a
+// start, within the time limit of the caller's list.
+const firstWait = listTimeout / 2
 
 // FollowStore implements peer.StoreHandler.
 func (s storeServer) FollowStore(ctx context.Context, in *peer.FollowStoreRequest) (*peer.FollowStoreReply, error) {
@@ -25,9 +32,12 @@
 	if kept == nil {
 		return nil, fmt.Errorf("kind %q is not kept", in.GetKind())
 	}
+	arrived := s.now()
 	if in.GetAfter() == 0 {
-		listing, known := kept.List()
-		reply := newReply(listing.Revision, listing.Freshness, known)
+		ctx, cancel := context.WithTimeout(ctx, firstWait)
+		defer cancel()
+		listing, known := kept.List(ctx)
+		reply := newReply(listing.Revision, listing.Freshness, known, s.now()-arrived)
 		for _, object := range listing.Objects {
 			reply.Changed = append(reply.Changed, stored(object))
 		}
@@ -40,7 +50,7 @@
 		// The only error says that the history is gone.
 		return &peer.FollowStoreReply{Compacted: true}, nil
 	}
-	reply := newReply(changes.Revision, changes.Freshness, true)
+	reply := newReply(changes.Revision, changes.Freshness, true, s.now()-arrived)
 	for _, event := range changes.Events {
 		if event.Deleted {
 			reply.Deleted = append(reply.Deleted, event.Object.Name)
@@ -51,9 +61,10 @@
 	return reply, nil
 }
 
-func newReply(revision uint64, freshness storesync.Freshness, known bool) *peer.FollowStoreReply {
+func newReply(revision uint64, freshness storesync.Freshness, known bool, waited time.Duration) *peer.FollowStoreReply {
 	return &peer.FollowStoreReply{
-		Revision: revision, Known: known,
+		Revision: revision, Known: known, Failing: freshness.Failing,
+		WaitedMs:      uint64(waited.Milliseconds()),
 		AgeMs:         uint64(math.Ceil(float64(freshness.Age) / float64(time.Millisecond))),
 		SinceReturnMs: uint64(freshness.SinceReturn.Milliseconds()),
 	}
@@ -114,6 +125,8 @@
 func freshness(reply *peer.FollowStoreReply) storesync.Freshness {
 	return storesync.Freshness{
 		Age:         time.Duration(reply.GetAgeMs()) * time.Millisecond,
+		Waited:      time.Duration(reply.GetWaitedMs()) * time.Millisecond,
+		Failing:     reply.GetFailing(),
 		SinceReturn: time.Duration(reply.GetSinceReturnMs()) * time.Millisecond,
 	}
 }
@@ -123,9 +136,9 @@
 }
 
 // followed returns the instance whose copies are followed, or nil if this
-// instance reads the store for its failure domain.
+// instance reads the store itself.
 func (g *Gateway) followed() storesync.Source {
-	address, _ := g.relay.Load().(string)
+	address, _ := g.lead.Load().(string)
 	if address == "" {
 		return nil
 	}
@@ -134,7 +147,7 @@
 
 // servePeers serves the instances that follow this one.
 func (g *Gateway) servePeers(ctx context.Context, listener net.Listener) error {
-	server, err := peer.NewServer(peer.Handlers{Store: storeServer{copies: g.copies}}, g.traffic, g.log)
+	server, err := peer.NewServer(peer.Handlers{Store: storeServer{copies: g.copies, now: g.now}}, g.traffic, g.log)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/gateway/usage.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+)
+
+// usageRecord is kept in the store while teams use much of their quotas, since
+// instances that are all restarted know nothing of it. Each failure domain that
+// cannot hear the others writes its own.
+type usageRecord struct {
+	// WrittenUnixMs is the time of day of the record.
+	WrittenUnixMs int64 `json:"written_unix_ms"`
+	// Used holds, for each team, what was used by age, the newest part first.
+	Used map[string][]float64 `json:"used"`
+}
+
+// Limits of the usage records.
+const (
+	// usagePause is the time between two records.
+	usagePause = time.Second
+	// usageValid is the age from which a record is ignored, by the time of day,
+	// which may be off by seconds.
+	usageValid = time.Minute
+	// clockError is how far the times of day of two instances may differ.
+	clockError = 3 * time.Second
+)
+
+// recallUsage takes in what teams had used before this start.
+type recallUsage struct {
+	domain string
+	age    time.Duration
+	used   map[string][]float64
+}
+
+func (m recallUsage) apply(c *control) {
+	c.teams.Recall(c.g.now(), m.age, m.used)
+	c.g.log.Info("quota use before the start recalled", "domain", m.domain, "teams", len(m.used), "age_ms", m.age.Milliseconds())
+}
+
+// recall reads what teams had used before a start from the store, unless a peer
+// is heard that knows it.
+func (g *Gateway) recall(ctx context.Context) {
+	if g.settings.Instance.FirstStart {
+		return
+	}
+	g.settle(ctx)
+	for ctx.Err() == nil {
+		reply := make(chan bool, 1)
+		g.tellUntil(ctx, askInformed{reply: reply})
+		select {
+		case <-ctx.Done():
+			return
+		case informed := <-reply:
+			if informed {
+				return
+			}
+		}
+		err := g.readUsage(ctx)
+		if err == nil {
+			return
+		}
+		g.log.Info("quota use before the start not read", "error", err.Error())
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(registerRetry):
+		}
+	}
+}
+
+// askInformed asks whether it is known what teams have used.
+type askInformed struct{ reply chan bool }
+
+func (m askInformed) apply(c *control) { m.reply <- c.teams.Informed(c.g.now()) }
+
+func (g *Gateway) readUsage(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	listing, err := g.store.List(ctx, g.kinds.Usage)
+	if err != nil {
+		return err
+	}
+	for _, object := range listing.Objects {
+		var record usageRecord
+		if err := json.Unmarshal(object.Spec, &record); err != nil {
+			g.log.Info("usage record ignored", "domain", object.Name, "error", err.Error())
+			continue
+		}
+		age := g.clock.Now().Sub(time.UnixMilli(record.WrittenUnixMs))
+		if age.Abs() < usageValid {
+			g.tellUntil(ctx, recallUsage{domain: object.Name, age: max(0, age-clockError), used: record.Used})
+		}
+	}
+	return nil
+}
+
+// recordUsage records what busy teams have used at all instances, without waiting
+// for the store. Instances that follow another leave it to that one.
+func (c *control) recordUsage(now time.Duration) {
+	if now-c.usageAt < usagePause {
+		return
+	}
+	c.usageAt = now
+	used := c.teams.Record(now)
+	if len(used) == 0 || c.peers.Lead() != "" || c.usageWriting.Swap(true) {
+		return
+	}
+	record := usageRecord{WrittenUnixMs: c.g.clock.Now().UnixMilli(), Used: used}
+	go func() {
+		defer c.usageWriting.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := c.g.store.Put(ctx, c.g.kinds.Usage, c.g.settings.Instance.Domain, record); err != nil {
+			c.g.log.Info("quota use not recorded", "teams", len(used), "error", err.Error())
+		}
+	}()
+}
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -119,3 +119,19 @@
 		}
 	})
 }
+
+// Guards against each failure domain reading the store for itself, and against
+// relays that follow each other.
+func TestRelaysFollowTheFirstFailureDomainThatIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	p := loadshare.NewPeers("b", "north")
+	g.Expect(p.Lead()).To(BeEmpty())
+	heard(g, p, 0, loadshare.Report{Instance: "z", Boot: 1, Sequence: 1, Address: "127.0.0.1:9", Domain: "south", Members: 2})
+	g.Expect(p.Lead()).To(BeEmpty(), "domains behind the own one are not followed")
+	heard(g, p, 0, loadshare.Report{Instance: "y", Boot: 1, Sequence: 1, Address: "127.0.0.1:8", Domain: "east", Members: 2})
+	g.Expect(p.Lead()).To(Equal("127.0.0.1:8"))
+	heard(g, p, 0, loadshare.Report{Instance: "a", Boot: 1, Sequence: 1, Address: "127.0.0.1:7", Domain: "north"})
+	g.Expect(p.Lead()).To(Equal("127.0.0.1:7"), "the own relay is nearer")
+	p.Silent(time.Second)
+	g.Expect(p.Lead()).To(BeEmpty(), "silent instances are not followed")
+}
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -182,6 +182,24 @@
 	return address
 }
 
+// Lead returns the address of the instance whose copies of the store this one
+// follows: the relay of its failure domain, or, for a relay, that of the first
+// failure domain by name that is heard. It is empty if that is this instance.
+// Nobody follows an instance behind it in this order, so that no two follow each
+// other.
+func (p *Peers) Lead() string {
+	if relay := p.Relay(); relay != "" {
+		return relay
+	}
+	first, address := p.ownDomain, ""
+	for name, d := range p.domains {
+		if !d.silent && name < first && d.addresses[d.relay] != nil {
+			first, address = name, d.addresses[d.relay].String()
+		}
+	}
+	return address
+}
+
 // Oldest returns the earliest start of the instances in the own failure domain
 // that are heard, of which this one started at boot.
 func (p *Peers) Oldest(boot int64) int64 {
--- a/pkg/storesync/copy.go
+++ b/pkg/storesync/copy.go
@@ -24,7 +24,10 @@
 	asOf   time.Duration
 	// regained is when the store could be read again after an outage.
 	regained time.Duration
-	changed  chan struct{}
+	// failing is true while the store cannot be read.
+	failing bool
+	// changed is closed when something changes that a watch reports.
+	changed chan struct{}
 }
 
 // revisedEvent is an event with the revision at which it was known.
@@ -42,7 +45,8 @@
 func (c *Copy) apply(update Update, regained time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision == 0 {
+	first := c.revision == 0
+	if first {
 		c.oldest = update.Revision
 	}
 	for _, object := range update.Changed {
@@ -55,9 +59,26 @@
 	}
 	c.revision = max(c.revision, update.Revision)
 	c.asOf, c.regained = max(c.asOf, update.AsOf), regained
-	if len(update.Changed)+len(update.Deleted) > 0 {
-		close(c.changed)
-		c.changed = make(chan struct{})
+	c.failing = false
+	if first || len(update.Changed)+len(update.Deleted) > 0 {
+		c.wake()
+	}
+}
+
+// wake ends the waits of all watches.
+func (c *Copy) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// fail notes that the store cannot be read, so that followers can try themselves
+// before the copy is too old.
+func (c *Copy) fail() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.failing {
+		c.failing = true
+		c.wake()
 	}
 }
 
@@ -69,32 +90,50 @@
 	}
 }
 
-// List returns all objects; false if nothing is known yet.
-func (c *Copy) List() (Listing, bool) {
+// List returns all objects. While nothing is known yet it waits until the context
+// ends; it returns false if nothing is known then.
+func (c *Copy) List(ctx context.Context) (Listing, bool) {
+	for {
+		listing, known, changed := c.list()
+		if known {
+			return listing, true
+		}
+		select {
+		case <-ctx.Done():
+			return listing, false
+		case <-changed:
+		}
+	}
+}
+
+func (c *Copy) list() (Listing, bool, chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	listing := Listing{Revision: c.revision, Freshness: c.freshness()}
 	for _, object := range c.objects {
 		listing.Objects = append(listing.Objects, object)
 	}
-	return listing, c.revision > 0
+	return listing, c.revision > 0, c.changed
 }
 
 func (c *Copy) freshness() Freshness {
-	f := Freshness{Age: c.now() - c.asOf}
+	f := Freshness{Age: c.now() - c.asOf, Failing: c.failing}
 	if c.regained > 0 {
 		f.SinceReturn = max(1, c.now()-c.regained)
 	}
 	return f
 }
 
-// Watch returns the changes after a revision, or none when the context ends.
+// Watch returns the changes after a revision, or none when the context ends or the
+// store can no longer be read.
 func (c *Copy) Watch(ctx context.Context, after uint64) (Changes, error) {
+	failing := true
 	for {
 		changes, changed, err := c.since(after)
-		if err != nil || len(changes.Events) > 0 {
+		if err != nil || len(changes.Events) > 0 || changes.Failing && !failing {
 			return changes, err
 		}
+		failing = changes.Failing
 		select {
 		case <-ctx.Done():
 			changes, _, err = c.since(after)
--- /dev/null
+++ b/pkg/storesync/copy_test.go
@@ -0,0 +1,56 @@
+package storesync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func stoodStill() time.Duration { return time.Minute }
+
+// Failure: the store cannot be read any more. Guards against followers whose
+// watches wait for its return, and against watches that never wait meanwhile.
+func TestFollowersAreToldThatTheStoreCannotBeRead(t *testing.T) {
+	g := NewWithT(t)
+	kept := NewCopy(stoodStill)
+	kept.apply(Update{Revision: 5, Changed: []Object{{Name: "a", Revision: 1}}}, 0)
+	answers := make(chan Changes)
+	watch := func(ctx context.Context) {
+		changes, err := kept.Watch(ctx, 5)
+		if err == nil {
+			answers <- changes
+		}
+	}
+	go watch(context.Background())
+	g.Consistently(answers, "20ms").ShouldNot(Receive())
+	kept.fail()
+	var changes Changes
+	g.Eventually(answers, "20s").Should(Receive(&changes))
+	g.Expect(changes.Failing).To(BeTrue())
+
+	ended, end := context.WithCancel(context.Background())
+	go watch(ended)
+	g.Consistently(answers, "20ms").ShouldNot(Receive())
+	end()
+	g.Eventually(answers, "20s").Should(Receive(&changes))
+	kept.apply(Update{Revision: 6}, 0)
+	changes, _, _ = kept.since(5)
+	g.Expect(changes.Failing).To(BeFalse())
+}
+
+// Failure: all instances restart, and those that follow another ask it before it
+// has read anything. Guards against each of them reading the store instead.
+func TestAFollowerWaitsForTheFirstAnswerOfTheStore(t *testing.T) {
+	g := NewWithT(t)
+	kept := NewCopy(stoodStill)
+	ended, end := context.WithCancel(context.Background())
+	end()
+	_, known := kept.List(ended)
+	g.Expect(known).To(BeFalse())
+	go kept.apply(Update{Revision: 5}, 0)
+	listing, known := kept.List(context.Background())
+	g.Expect(known).To(BeTrue())
+	g.Expect(listing.Revision).To(BeEquivalentTo(5))
+}
--- a/pkg/storesync/storesync.go
+++ b/pkg/storesync/storesync.go
@@ -35,6 +35,11 @@
 type Freshness struct {
 	// Age is how old the newest state was when it was answered; 0 for the store.
 	Age time.Duration
+	// Waited is the time between the arrival of the call and the answer, by which
+	// the answer is newer than the call.
+	Waited time.Duration
+	// Failing is true while the source cannot read the store.
+	Failing bool
 	// SinceReturn is the time since the source could read the store again after
 	// an outage; 0 if there was none.
 	SinceReturn time.Duration
@@ -81,8 +86,8 @@
 	// those that were removed.
 	Changed []Object
 	Deleted []string
-	// AsOf is a time at or before which the store had the state that results:
-	// the moment before the call was sent, less the age of the answer.
+	// AsOf is a time at or after which the store had the state that results: the
+	// moment before the call was sent, plus the wait for the answer, less its age.
 	AsOf time.Duration
 	// Regained is true for the first update after failed calls.
 	Regained bool
--- a/pkg/storesync/syncer.go
+++ b/pkg/storesync/syncer.go
@@ -27,9 +27,11 @@
 	// ListTimeout bounds a list.
 	ListTimeout time.Duration
 	// MaxRelayAge is the age of a relay's copy from which the store is asked
-	// instead, at most once in DirectEvery while it fails.
-	MaxRelayAge time.Duration
-	DirectEvery time.Duration
+	// instead. While the store fails it is asked once in DirectEvery, and then in
+	// twice the time, up to MaxDirectEvery.
+	MaxRelayAge    time.Duration
+	DirectEvery    time.Duration
+	MaxDirectEvery time.Duration
 	// ReturnGrace is the time after the store's return within which objects are
 	// back that lapsed while it was away; until then they are kept.
 	ReturnGrace time.Duration
@@ -71,11 +73,14 @@
 	// the time until which the store is not asked although the relay is old.
 	directUntil time.Duration
 	relayUntil  time.Duration
+	directPause time.Duration
+	// relayFails is true if the relay said that it cannot read the store.
+	relayFails bool
 }
 
 // New returns a Syncer.
 func New(opts Options) *Syncer {
-	return &Syncer{opts: opts, backoff: minBackoff, known: map[string]uint64{}, missing: map[string]time.Duration{}}
+	return &Syncer{opts: opts, backoff: minBackoff, directPause: opts.DirectEvery, known: map[string]uint64{}, missing: map[string]time.Duration{}}
 }
 
 // Run delivers updates until the context ends.
@@ -115,13 +120,13 @@
 
 func (s *Syncer) succeeded(update Update, isRelay bool) {
 	now := s.opts.Now()
-	if isRelay && now-update.AsOf > s.opts.MaxRelayAge && now >= s.relayUntil {
+	if isRelay && (s.relayFails || now-update.AsOf > s.opts.MaxRelayAge) && now >= s.relayUntil {
 		// The relay may be cut off from the store alone.
 		s.directUntil = now + s.opts.DirectEvery
 	}
 	if !isRelay {
 		update.Regained = s.failing
-		s.failing, s.backoff, s.relayUntil = false, minBackoff, 0
+		s.failing, s.backoff, s.relayUntil, s.directPause = false, minBackoff, 0, s.opts.DirectEvery
 		if update.Regained {
 			s.regained = now
 		}
@@ -171,6 +176,9 @@
 		s.opts.Lost(s.opts.Kind, err)
 	}
 	s.failing = true
+	if s.opts.Copy != nil {
+		s.opts.Copy.fail()
+	}
 	// A list is answered at once, also while the store delivers no events.
 	s.listed = false
 	// A connection that has gone silent must not be used for the next call.
@@ -178,7 +186,8 @@
 	if s.opts.Relay != nil && s.opts.Relay() != nil {
 		// The relay asks the store more often; it is followed until the store
 		// is tried again.
-		s.directUntil, s.relayUntil = 0, s.opts.Now()+s.opts.DirectEvery
+		s.directUntil, s.relayUntil = 0, s.opts.Now()+s.directPause
+		s.directPause = min(2*s.directPause, s.opts.MaxDirectEvery)
 	}
 	pause := s.backoff/2 + rand.N(s.backoff)
 	s.backoff = min(2*s.backoff, maxBackoff)
@@ -212,7 +221,7 @@
 		return Update{}, err
 	}
 	s.noteFreshness(listing.Freshness)
-	update := Update{Kind: s.opts.Kind, AsOf: sent - listing.Age}
+	update := Update{Kind: s.opts.Kind, AsOf: s.asOfCall(sent, listing.Freshness)}
 	if listing.Revision < s.revision {
 		// A relay that is behind must not bring back what was removed.
 		return update, nil
@@ -248,7 +257,7 @@
 	}
 	s.noteFreshness(changes.Freshness)
 	s.revision = max(s.revision, changes.Revision)
-	update := Update{Kind: s.opts.Kind, AsOf: sent - changes.Age}
+	update := Update{Kind: s.opts.Kind, AsOf: s.asOfCall(sent, changes.Freshness)}
 	last := make(map[string]int, len(changes.Events))
 	for i, event := range changes.Events {
 		last[event.Object.Name] = i
@@ -265,8 +274,15 @@
 	return update, nil
 }
 
+// asOfCall is the time at which the store had the state of an answer. The call
+// arrived after it was sent, and was answered after it had waited there.
+func (s *Syncer) asOfCall(sent time.Duration, freshness Freshness) time.Duration {
+	return min(s.opts.Now(), sent+freshness.Waited) - freshness.Age
+}
+
 // noteFreshness takes in when a relay could read the store again.
 func (s *Syncer) noteFreshness(freshness Freshness) {
+	s.relayFails = freshness.Failing
 	if freshness.SinceReturn > 0 {
 		s.regained = max(s.regained, s.opts.Now()-freshness.SinceReturn)
 	}
--- a/pkg/storesync/syncer_test.go
+++ b/pkg/storesync/syncer_test.go
@@ -94,7 +94,7 @@
 	f.copied = storesync.NewCopy(f.now.Now)
 	opts := storesync.Options{
 		Store: f.store, Kind: "servers", Wait: time.Hour, RelayWait: time.Hour, Margin: time.Hour, ListTimeout: time.Hour,
-		MaxRelayAge: 3 * time.Second, DirectEvery: 3 * time.Second, ReturnGrace: 2 * time.Second,
+		MaxRelayAge: 3 * time.Second, DirectEvery: 3 * time.Second, MaxDirectEvery: 12 * time.Second, ReturnGrace: 2 * time.Second,
 		Copy: f.copied, Now: f.now.Now, Clock: clockwork.NewRealClock(), Log: logr.Discard(),
 		Deliver: func(update storesync.Update) { f.updates <- update },
 		Lost:    func(_ string, err error) { f.lost <- err },
@@ -170,7 +170,7 @@
 	f.Expect(f.update().Deleted).To(BeEmpty())
 	f.now.set(time.Minute + 2*time.Second)
 	// Followers of the copy learn how long ago the store returned.
-	listing, known := f.copied.List()
+	listing, known := f.copied.List(context.Background())
 	f.Expect(known).To(BeTrue())
 	f.Expect(listing.Objects).To(Equal([]storesync.Object{object("a", 8)}))
 	f.Expect(listing.SinceReturn).To(Equal(2 * time.Second))
@@ -218,3 +218,28 @@
 	_, err = f.copied.Watch(context.Background(), 3)
 	f.Expect(err).To(MatchError(storesync.ErrCompacted))
 }
+
+// Failure: the relay alone cannot read the store any more. Guards against
+// followers that wait until its copy is too old.
+func TestARelayThatCannotReadTheStoreIsBypassedAtOnce(t *testing.T) {
+	relay := &source{steps: []step{
+		{listing: storesync.Listing{Revision: 9}},
+		{changes: storesync.Changes{Revision: 9, Freshness: storesync.Freshness{Failing: true}}},
+	}}
+	f := run(t, relay, step{changes: storesync.Changes{Revision: 10, Events: []storesync.Event{{Object: object("a", 10)}}}})
+	f.update()
+	f.update()
+	f.Expect(f.update().Changed).To(HaveLen(1))
+	f.Expect(f.store.seen()[0]).To(Equal("watch"))
+}
+
+// Guards against an answer that counts as older than it is because its call had
+// waited for news.
+func TestTheWaitForAnAnswerDoesNotMakeItOlder(t *testing.T) {
+	relay := &source{steps: []step{
+		{listing: storesync.Listing{Revision: 9, Freshness: storesync.Freshness{Age: 700 * time.Millisecond, Waited: 400 * time.Millisecond}}},
+	}}
+	f := run(t, relay)
+	// The clock has stood still, so that the answer cannot be newer than now.
+	f.Expect(f.update().AsOf).To(Equal(time.Minute - 700*time.Millisecond))
+}
