storesync: who cannot read the store hands that over to the next

Change: reports say whether the sender can read the store, and those that can act for the others first. A copy counts as too old only after the time in which a lead is replaced, for followers a little later than for relays. One wait for both kinds. Bypassing a copy is logged with its age.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -113,8 +113,12 @@
 			}
 		}
 	}
+	if c.peers.SetFailing(c.g.storeFails(now)) {
+		c.noteChange()
+	}
 	c.g.instances.Store(int64(c.peers.Count()))
 	c.g.lead.Store(c.peers.Lead())
+	c.g.isRelay.Store(c.peers.Relay() == "")
 	c.recordUsage(now)
 	c.report(now)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -57,9 +57,14 @@
 	// force was still the newest.
 	asOf    atomic.Int64
 	leaving atomic.Bool
+	// storeFailed is the time of the last call to the store that failed; 0 if one
+	// has succeeded since.
+	storeFailed atomic.Int64
 	// lead is the address of the instance whose copies of the store this one
 	// follows; empty if this one reads the store itself.
 	lead atomic.Value
+	// isRelay is true if this instance acts for its failure domain.
+	isRelay atomic.Bool
 	// copies are what the instances that follow this one get.
 	copies map[string]*storesync.Copy
 	// joined is closed after the first try to read the instance list.
@@ -135,6 +140,16 @@
 // newest.
 func (g *Gateway) configAge() time.Duration { return g.now() - time.Duration(g.asOf.Load()) }
 
+// failingFor is how long an instance whose calls to the store fail leaves reading
+// it to others before it may try again in their place.
+const failingFor = 10 * time.Second
+
+// storeFails reports whether others should read the store instead.
+func (g *Gateway) storeFails(now time.Duration) bool {
+	failed := time.Duration(g.storeFailed.Load())
+	return failed > 0 && now-failed < failingFor
+}
+
 // freshMargin covers the time between the check of the configuration's age and
 // the first byte to an upstream.
 const freshMargin = 400 * time.Millisecond
--- a/pkg/gateway/life.go
+++ b/pkg/gateway/life.go
@@ -15,17 +15,22 @@
 
 // Times of the start and the stop.
 const (
-	// configWait is how long a watch of the configuration waits. The keys are
-	// shown to be valid by two waits, a margin and a list after a watch that was
-	// not answered; that must stay below the time for which keys may be served.
-	configWait = 700 * time.Millisecond
+	// storeWait is how long a watch of the store waits. Changes end it at once; it
+	// bounds how long a connection that went silent is believed, and how old a
+	// copy is.
+	storeWait = 700 * time.Millisecond
 	// relayWait is how long an instance waits for news from the one that it
 	// follows.
 	relayWait = 400 * time.Millisecond
-	// relaySlack is added to two waits and a margin, which are the age of a copy
-	// after one watch that was not answered: a relay's copy is older than the
-	// lead's by one wait.
-	relaySlack = relayWait
+	// handOver is the time in which another instance takes the place of one that
+	// has found out that it cannot read the store: two reports and a list.
+	handOver = 300 * time.Millisecond
+	// relayAge is the age of a copy from which the store is asked instead: one
+	// wait for the store and two for copies of copies, a watch that was not
+	// answered, and the time in which the lead is replaced.
+	relayAge = storeWait + 2*relayWait + storeWait + watchMargin + handOver
+	// followerAge leaves the relay of a failure domain time to try first.
+	followerAge = relayAge + relayWait
 	// directEvery is the pause between two attempts to reach the store instead
 	// of a relay that cannot reach it. It doubles while the store fails, since it
 	// is then down for all.
@@ -34,9 +39,6 @@
 	// returnGrace is the time within which the entries of upstreams are back
 	// that lapsed while the store was away.
 	returnGrace = 2 * time.Second
-	// upstreamWait is how long a watch of the upstreams waits. Changes end it at
-	// once; it only bounds how long a connection that went silent is believed.
-	upstreamWait = time.Second
 	// watchMargin is the time after the wait in which a slow store, at a
 	// hundred times its usual 4 ms, answers.
 	watchMargin = 500 * time.Millisecond
@@ -126,13 +128,20 @@
 				g.log.V(1).Info("datagram ignored", "error", err.Error())
 			})
 	})
-	for kind, wait := range map[string]time.Duration{g.kinds.Config: configWait, g.kinds.Upstreams: upstreamWait} {
+	for kind := range g.copies {
 		syncer := storesync.New(storesync.Options{
 			Store: g.store, Relay: g.followed, Copy: g.copies[kind], Kind: kind,
-			Wait: wait, RelayWait: relayWait, Margin: watchMargin, ListTimeout: listTimeout,
-			MaxRelayAge: 2*wait + watchMargin + relaySlack, DirectEvery: directEvery, MaxDirectEvery: maxDirectEvery, ReturnGrace: returnGrace,
+			Wait: storeWait, RelayWait: relayWait, Margin: watchMargin, ListTimeout: listTimeout,
+			MaxRelayAge: g.maxRelayAge, DirectEvery: directEvery, MaxDirectEvery: maxDirectEvery, ReturnGrace: returnGrace,
 			Now: g.now, Clock: g.clock, Log: g.log,
 			Deliver: func(update storesync.Update) { g.tellUntil(ctx, storeUpdate{update: update}) },
+			Reached: func(err error) {
+				if err != nil {
+					g.storeFailed.Store(int64(g.now()))
+				} else {
+					g.storeFailed.Store(0)
+				}
+			},
 			Lost: func(kind string, err error) {
 				g.log.Info("dependency lost", "dependency", "store", "kind", kind, "error", err.Error(), "config_age_ms", g.configAge().Milliseconds())
 			},
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -153,3 +153,11 @@
 	}
 	return server.Serve(ctx, listener)
 }
+
+// maxRelayAge is the age of a followed copy from which the store is asked.
+func (g *Gateway) maxRelayAge() time.Duration {
+	if g.isRelay.Load() {
+		return relayAge
+	}
+	return followerAge
+}
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -91,7 +91,7 @@
 	c.sequence++
 	report := loadshare.Report{
 		Instance: c.g.settings.Instance.Name, Boot: c.g.boot, Oldest: c.g.boot, Sequence: c.sequence,
-		Address: c.g.socket.LocalAddress(), Domain: c.g.settings.Instance.Domain, Leaving: c.g.leaving.Load(),
+		Address: c.g.socket.LocalAddress(), Domain: c.g.settings.Instance.Domain, Leaving: c.g.leaving.Load(), Failing: c.g.storeFails(now),
 		Strikes: c.strikes.recent(now),
 	}
 	used, cold := c.teams.Used(now), 0
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -35,8 +35,10 @@
 	// Members is the number of instances that the report covers; 0 if it covers
 	// the sender alone.
 	Members uint16
-	// Leaving is true in the last reports of a process.
+	// Leaving is true in the last reports of a process, and Failing while the
+	// sender cannot read the store.
 	Leaving bool
+	Failing bool
 	// Cold is the number of covered instances that do not know what the team
 	// quotas were used for before they started. Informed is true if the sender
 	// knows what all instances have used.
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -132,6 +132,14 @@
 	g.Expect(p.Lead()).To(Equal("127.0.0.1:8"))
 	heard(g, p, 0, loadshare.Report{Instance: "a", Boot: 1, Sequence: 1, Address: "127.0.0.1:7", Domain: "north"})
 	g.Expect(p.Lead()).To(Equal("127.0.0.1:7"), "the own relay is nearer")
+	// Failure: those that would be followed cannot read the store.
+	heard(g, p, 0, loadshare.Report{Instance: "a", Boot: 1, Sequence: 2, Address: "127.0.0.1:7", Domain: "north", Failing: true})
+	g.Expect(p.Relay()).To(BeEmpty())
+	heard(g, p, 0, loadshare.Report{Instance: "y", Boot: 1, Sequence: 2, Address: "127.0.0.1:8", Domain: "east", Members: 2, Failing: true})
+	g.Expect(p.Lead()).To(BeEmpty())
+	g.Expect(p.SetFailing(true)).To(BeTrue())
+	g.Expect(p.Lead()).To(Equal("127.0.0.1:7"), "the first by name if none can")
+	g.Expect(p.SetFailing(false)).To(BeTrue())
 	p.Silent(time.Second)
 	g.Expect(p.Lead()).To(BeEmpty(), "silent instances are not followed")
 }
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -35,6 +35,7 @@
 	known    time.Duration
 	silent   bool
 	leaving  bool
+	failing  bool
 }
 
 // domain is another failure domain.
@@ -47,14 +48,17 @@
 	sequence uint64
 	heard    time.Duration
 	silent   bool
+	failing  bool
 }
 
 // Peers is the list of other instances, owned by one goroutine.
 type Peers struct {
 	own       string
 	ownDomain string
-	near      map[string]*peer
-	domains   map[string]*domain
+	// failing is true while this instance cannot read the store.
+	failing bool
+	near    map[string]*peer
+	domains map[string]*domain
 }
 
 // NewPeers returns an empty list for an instance.
@@ -117,7 +121,7 @@
 		return false, false
 	}
 	regained = d.silent
-	d.relay, d.boot, d.sequence, d.heard, d.silent = report.Instance, report.Boot, report.Sequence, now, false
+	d.relay, d.boot, d.sequence, d.heard, d.silent, d.failing = report.Instance, report.Boot, report.Sequence, now, false, report.Failing
 	return true, regained
 }
 
@@ -131,7 +135,7 @@
 		}
 	}
 	regained = k.silent
-	k.boot, k.sequence, k.heard, k.silent, k.leaving = report.Boot, report.Sequence, now, false, report.Leaving
+	k.boot, k.sequence, k.heard, k.silent, k.leaving, k.failing = report.Boot, report.Sequence, now, false, report.Leaving, report.Failing
 	return true, regained, nil
 }
 
@@ -168,15 +172,38 @@
 	return false
 }
 
+// SetFailing notes whether this instance can read the store. It reports whether
+// that is new.
+func (p *Peers) SetFailing(failing bool) bool {
+	changed := p.failing != failing
+	p.failing = failing
+	return changed
+}
+
+// rank is the order in which instances, or failure domains, act for others: those
+// that can read the store first, then by name. Nobody follows one behind it, so
+// that no two follow each other for longer than their views differ.
+type rank struct {
+	failing bool
+	name    string
+}
+
+func (r rank) before(other rank) bool {
+	if r.failing != other.failing {
+		return !r.failing
+	}
+	return r.name < other.name
+}
+
 // Relay returns the address of the instance that acts for this failure domain:
-// the first by name of those that live. It is empty if that is this instance.
-// For a moment none or two may believe to be it; that costs a report or sends
-// one twice.
+// the first of those that live. It is empty if that is this instance. For a
+// moment none or two may believe to be it; that costs a report or sends one
+// twice.
 func (p *Peers) Relay() string {
-	first, address := p.own, ""
+	first, address := rank{p.failing, p.own}, ""
 	for name, known := range p.near {
-		if !known.silent && !known.leaving && name < first {
-			first, address = name, known.address.String()
+		if r := (rank{known.failing, name}); !known.silent && !known.leaving && r.before(first) {
+			first, address = r, known.address.String()
 		}
 	}
 	return address
@@ -184,17 +211,15 @@
 
 // Lead returns the address of the instance whose copies of the store this one
 // follows: the relay of its failure domain, or, for a relay, that of the first
-// failure domain by name that is heard. It is empty if that is this instance.
-// Nobody follows an instance behind it in this order, so that no two follow each
-// other.
+// failure domain that is heard. It is empty if that is this instance.
 func (p *Peers) Lead() string {
 	if relay := p.Relay(); relay != "" {
 		return relay
 	}
-	first, address := p.ownDomain, ""
+	first, address := rank{p.failing, p.ownDomain}, ""
 	for name, d := range p.domains {
-		if !d.silent && name < first && d.addresses[d.relay] != nil {
-			first, address = name, d.addresses[d.relay].String()
+		if r := (rank{d.failing, name}); !d.silent && r.before(first) && d.addresses[d.relay] != nil {
+			first, address = r, d.addresses[d.relay].String()
 		}
 	}
 	return address
--- a/pkg/storesync/syncer.go
+++ b/pkg/storesync/syncer.go
@@ -29,7 +29,7 @@
 	// MaxRelayAge is the age of a relay's copy from which the store is asked
 	// instead. While the store fails it is asked once in DirectEvery, and then in
 	// twice the time, up to MaxDirectEvery.
-	MaxRelayAge    time.Duration
+	MaxRelayAge    func() time.Duration
 	DirectEvery    time.Duration
 	MaxDirectEvery time.Duration
 	// ReturnGrace is the time after the store's return within which objects are
@@ -39,6 +39,8 @@
 	Copy *Copy
 	// Deliver receives the updates, in order.
 	Deliver func(Update)
+	// Reached is called after each call to the store, with its error.
+	Reached func(err error)
 	// Lost is called when calls to the store start to fail.
 	Lost  func(kind string, err error)
 	Now   func() time.Duration
@@ -74,8 +76,9 @@
 	directUntil time.Duration
 	relayUntil  time.Duration
 	directPause time.Duration
-	// relayFails is true if the relay said that it cannot read the store.
-	relayFails bool
+	// relayFails is since when the relay has said that it cannot read the store;
+	// 0 if it can.
+	relayFails time.Duration
 }
 
 // New returns a Syncer.
@@ -120,11 +123,14 @@
 
 func (s *Syncer) succeeded(update Update, isRelay bool) {
 	now := s.opts.Now()
-	if isRelay && (s.relayFails || now-update.AsOf > s.opts.MaxRelayAge) && now >= s.relayUntil {
+	if isRelay && now >= s.relayUntil && (s.unable(now) || now-update.AsOf > s.opts.MaxRelayAge()) {
 		// The relay may be cut off from the store alone.
 		s.directUntil = now + s.opts.DirectEvery
+		s.opts.Log.Info("dependency lost", "dependency", "copy of the relay", "kind", s.opts.Kind,
+			"age_ms", (now - update.AsOf).Milliseconds(), "relay_fails", s.relayFails > 0)
 	}
 	if !isRelay {
+		s.opts.Reached(nil)
 		update.Regained = s.failing
 		s.failing, s.backoff, s.relayUntil, s.directPause = false, minBackoff, 0, s.opts.DirectEvery
 		if update.Regained {
@@ -140,6 +146,12 @@
 	s.opts.Deliver(update)
 }
 
+// unable reports whether the relay has been without the store for longer than
+// another one needs to take its place.
+func (s *Syncer) unable(now time.Duration) bool {
+	return s.relayFails > 0 && now-s.relayFails >= s.opts.RelayWait/2
+}
+
 // remove returns the names of the objects that count as gone now, and takes
 // them out of the copy.
 func (s *Syncer) remove(now time.Duration, update Update) []string {
@@ -172,6 +184,7 @@
 }
 
 func (s *Syncer) failed(ctx context.Context, err error) {
+	s.opts.Reached(err)
 	if !s.failing {
 		s.opts.Lost(s.opts.Kind, err)
 	}
@@ -282,7 +295,11 @@
 
 // noteFreshness takes in when a relay could read the store again.
 func (s *Syncer) noteFreshness(freshness Freshness) {
-	s.relayFails = freshness.Failing
+	if !freshness.Failing {
+		s.relayFails = 0
+	} else if s.relayFails == 0 {
+		s.relayFails = s.opts.Now()
+	}
 	if freshness.SinceReturn > 0 {
 		s.regained = max(s.regained, s.opts.Now()-freshness.SinceReturn)
 	}
