loadshare: tell changes between whole reports

Cause: with 140 engines a whole report is 2 KB, and at 40 KB/s an instance could send one in 150 ms.

Change: whole reports every 0.8 s, and reports of what has changed in between.

--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -112,12 +112,25 @@
 // covers the instances of another failure domain.
 func (p *Pool) SetPeerLoad(now time.Duration, peer string, far bool, loads map[string]Load) {
 	p.dropPeer(peer)
-	p.peers[peer] = peerReport{reported: now, far: far, loads: loads}
+	p.peers[peer] = peerReport{far: far, loads: map[string]Load{}}
+	p.UpdatePeerLoad(now, peer, far, loads)
+}
+
+// UpdatePeerLoad takes in what has changed at some of the upstreams.
+func (p *Pool) UpdatePeerLoad(now time.Duration, peer string, far bool, loads map[string]Load) {
+	report := p.peers[peer]
+	if report.loads == nil {
+		report = peerReport{far: far, loads: map[string]Load{}}
+	}
+	report.reported = now
 	for id, load := range loads {
 		if u := p.upstreams[id]; u != nil {
+			u.others.remove(report.loads[id])
 			u.others.add(load)
 		}
+		report.loads[id] = load
 	}
+	p.peers[peer] = report
 }
 
 func (p *Pool) dropPeer(peer string) {
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -263,3 +263,16 @@
 	f.submit(0, 1, 100)
 	f.Expect(count(placed(f.pool.Advance(0)))).To(Equal(1))
 }
+
+// Load pattern: 16 instances place on 23 engines, and tell each change at once.
+// Guards against changes that replace what was told before, and against loads
+// that are counted twice.
+func TestChangesOfAPeersLoadAreAddedToWhatItTold(t *testing.T) {
+	f := newFixture(t, 2)
+	f.pool.SetPeerLoad(0, "peer", false, map[string]admission.Load{"e0": {InFlight: room - 1}, "e1": {InFlight: room}})
+	f.pool.UpdatePeerLoad(second/10, "peer", false, map[string]admission.Load{"e0": {InFlight: room}})
+	f.submit(second/10, 1, 200)
+	f.Expect(placed(f.pool.Advance(second / 10))).To(BeEmpty())
+	f.pool.UpdatePeerLoad(second/5, "peer", false, map[string]admission.Load{"e1": {InFlight: room - 1}})
+	f.Expect(placed(f.pool.Advance(second / 5))).To(HaveKey("e1"))
+}
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -17,6 +17,9 @@
 	// 20 ms to get there.
 	nearPause = 15 * time.Millisecond
 	farPause  = 40 * time.Millisecond
+	// wholeEvery is the time between two whole reports. It must stay below the
+	// time after which the load of a peer no longer counts.
+	wholeEvery = 800 * time.Millisecond
 	// reportBytes is what an instance sends to each audience, per second. With
 	// more peers or upstreams the reports come less often.
 	reportBytes = 40_000
@@ -30,6 +33,11 @@
 	changed bool
 	sent    time.Duration
 	pause   time.Duration
+	// whole is when the last whole report was sent, and loads and used are what
+	// the reports since then have told.
+	whole time.Duration
+	loads map[string]admission.Load
+	used  map[string]float64
 }
 
 // due reports whether a report should be sent now.
@@ -44,6 +52,33 @@
 	a.pause = min(idleEvery, max(least, time.Duration(bytes)*time.Second/reportBytes))
 }
 
+// news returns what the audience does not know yet: everything, if a whole report
+// is due.
+func (a *audience) news(now time.Duration, loads map[string]admission.Load, used map[string]float64) (newLoads map[string]admission.Load, newUsed map[string]float64, partial bool) {
+	if a.whole == 0 || now-a.whole >= wholeEvery {
+		a.whole, a.loads, a.used = now, loads, used
+		return loads, used, false
+	}
+	newLoads, newUsed = map[string]admission.Load{}, map[string]float64{}
+	for id, load := range loads {
+		if told := a.loads[id]; told.InFlight != load.InFlight || told.AwaitedTokens != load.AwaitedTokens {
+			newLoads[id] = load
+		}
+	}
+	for id, told := range a.loads {
+		if _, found := loads[id]; !found && told.InFlight > 0 {
+			newLoads[id] = admission.Load{}
+		}
+	}
+	for team, amount := range used {
+		if a.used[team] != amount {
+			newUsed[team] = amount
+		}
+	}
+	a.loads, a.used = loads, used
+	return newLoads, newUsed, true
+}
+
 // noteChange marks that the next reports differ from the last ones.
 func (c *control) noteChange() { c.near.changed, c.far.changed = true, true }
 
@@ -51,12 +86,12 @@
 func (c *control) report(now time.Duration) {
 	if c.near.due(now) {
 		targets := c.peers.Near(now)
-		bytes := c.send(c.buildReport(now, false), targets)
+		bytes := c.send(c.buildReport(now, &c.near, false), targets)
 		c.near.noteSent(now, nearPause, bytes)
 	}
 	if c.peers.Relay() == "" && c.far.due(now) {
 		targets := c.peers.Far()
-		bytes := c.send(c.buildReport(now, true), targets)
+		bytes := c.send(c.buildReport(now, &c.far, true), targets)
 		c.far.noteSent(now, farPause, bytes)
 	}
 }
@@ -87,12 +122,12 @@
 }
 
 // buildReport describes this instance, or all of its failure domain.
-func (c *control) buildReport(now time.Duration, whole bool) loadshare.Report {
+func (c *control) buildReport(now time.Duration, to *audience, whole bool) loadshare.Report {
 	c.sequence++
 	report := loadshare.Report{
 		Instance: c.g.settings.Instance.Name, Boot: c.g.boot, Oldest: c.g.boot, Sequence: c.sequence,
-		Address: c.g.socket.LocalAddress(), Domain: c.g.settings.Instance.Domain, Leaving: c.g.leaving.Load(), Failing: c.g.storeFails(now),
-		Strikes: c.strikes.recent(now),
+		Address: c.g.socket.LocalAddress(), Domain: c.g.settings.Instance.Domain,
+		Leaving: c.g.leaving.Load(), Failing: c.g.storeFails(now), Strikes: c.strikes.recent(now),
 	}
 	used, cold := c.teams.Used(now), 0
 	if whole {
@@ -106,15 +141,13 @@
 	for _, pool := range c.pools {
 		pool.Loads(loads, whole)
 	}
-	for id, load := range loads {
-		report.Upstreams = append(report.Upstreams, loadshare.UpstreamUse{
-			Upstream: loadshare.ShortHash(id), InFlight: clampTo[uint16](load.InFlight),
-			AwaitedTokens: clampTo[uint32](load.AwaitedTokens),
-			SpeedPercent:  clampTo[uint16](int(load.Speed * percent)), Samples: clampTo[uint8](int(load.Samples)),
-		})
+	loads, used, report.Partial = to.news(now, loads, used)
+	report.Upstreams = upstreamUses(loads)
+	var total map[string]float64
+	if !report.Partial {
+		total = c.teams.Total(now)
+		report.Informed = total != nil
 	}
-	total := c.teams.Total(now)
-	report.Informed = total != nil
 	for team := range teamsOf(used, total) {
 		report.Teams = append(report.Teams, loadshare.TeamUse{
 			Team: loadshare.ShortHash(team), Used: tokens(used[team]), Total: tokens(total[team]),
@@ -123,6 +156,18 @@
 	return report
 }
 
+func upstreamUses(loads map[string]admission.Load) []loadshare.UpstreamUse {
+	uses := make([]loadshare.UpstreamUse, 0, len(loads))
+	for id, load := range loads {
+		uses = append(uses, loadshare.UpstreamUse{
+			Upstream: loadshare.ShortHash(id), InFlight: clampTo[uint16](load.InFlight),
+			AwaitedTokens: clampTo[uint32](load.AwaitedTokens),
+			SpeedPercent:  clampTo[uint16](int(load.Speed * percent)), Samples: clampTo[uint8](int(load.Samples)),
+		})
+	}
+	return uses
+}
+
 // teamsOf returns the teams that have an amount in one of the lists.
 func teamsOf(used, total map[string]float64) map[string]struct{} {
 	teams := make(map[string]struct{}, len(used)+len(total))
@@ -169,28 +214,43 @@
 		c.far.changed = true
 	}
 	if regained {
+		// The peer has missed what was told before.
 		c.noteChange()
+		c.near.whole, c.far.whole = 0, 0
 		c.g.log.Info("peer heard", "peer", name, "sender", report.Instance, "address", report.Address, "boot", report.Boot)
 	}
-	loads := make(map[string]admission.Load, len(report.Upstreams))
+	c.takeLoads(now, name, far, report)
+	c.teams.Report(now, name, c.quotaUse(report, members, far))
+	for _, s := range report.Strikes {
+		c.strikes.learn(now, report.Instance, s)
+	}
+}
+
+func (c *control) takeLoads(now time.Duration, peer string, far bool, report loadshare.Report) {
+	loads := make(map[string]map[string]admission.Load, len(c.pools))
 	for _, use := range report.Upstreams {
-		loads[c.upstreamNames[use.Upstream]] = admission.Load{
+		id := c.upstreamNames[use.Upstream]
+		service := c.services[id]
+		if loads[service] == nil {
+			loads[service] = map[string]admission.Load{}
+		}
+		loads[service][id] = admission.Load{
 			InFlight: int(use.InFlight), AwaitedTokens: int(use.AwaitedTokens),
 			Speed: float64(use.SpeedPercent) / percent, Samples: float64(use.Samples),
 		}
 	}
-	for _, pool := range c.pools {
-		pool.SetPeerLoad(now, name, far, loads)
-	}
-	c.teams.Report(now, name, c.quotaUse(report, members, far))
-	for _, s := range report.Strikes {
-		c.strikes.learn(now, report.Instance, s)
+	for service, pool := range c.pools {
+		if report.Partial {
+			pool.UpdatePeerLoad(now, peer, far, loads[service])
+		} else {
+			pool.SetPeerLoad(now, peer, far, loads[service])
+		}
 	}
 }
 
 func (c *control) quotaUse(report loadshare.Report, members int, far bool) quota.Use {
 	use := quota.Use{
-		Boot: report.Boot, Oldest: report.Oldest, Members: members, Cold: int(report.Cold), Far: far,
+		Boot: report.Boot, Oldest: report.Oldest, Members: members, Cold: int(report.Cold), Far: far, Partial: report.Partial,
 		Used: make(map[string]float64, len(report.Teams)),
 	}
 	if report.Informed {
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -1,6 +1,6 @@
 // Package loadshare tells other instances what this one has at each upstream
-// and what its teams have used, in datagrams. Reports are complete: a lost one
-// is made good by the next.
+// and what its teams have used, in datagrams. Whole reports make good what was
+// lost; in between, partial ones tell what has changed.
 //
 // Each instance reports to all others of its failure domain. One of them, the
 // relay, sums these reports up for the other failure domains, where whoever
@@ -35,6 +35,9 @@
 	// Members is the number of instances that the report covers; 0 if it covers
 	// the sender alone.
 	Members uint16
+	// Partial reports hold only what has changed since the sender's last report.
+	// What was lost is made good by the next whole one.
+	Partial bool
 	// Leaving is true in the last reports of a process, and Failing while the
 	// sender cannot read the store.
 	Leaving bool
--- a/pkg/quota/source.go
+++ b/pkg/quota/source.go
@@ -15,6 +15,8 @@
 	Cold int
 	// Far is true for the sum of another failure domain.
 	Far bool
+	// Partial reports name only teams whose use has changed.
+	Partial bool
 	// Used is what it has used of each team's limit in its window, and Total what
 	// it knows that all instances have used; nil if it has restarted itself.
 	Used  map[string]float64
@@ -66,6 +68,9 @@
 		line := s.line.window(team, window)
 		line.Add(now, max(0, amount-line.Sum(now)))
 	}
+	if use.Partial {
+		use.Total = s.use.Total
+	}
 	s.reported, s.use = now, use
 	s.known = max(s.known, use.Members)
 }
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -193,7 +193,7 @@
 func (t *Teams) Report(now time.Duration, peer string, use Use) {
 	s := t.source(peer)
 	s.report(now, t.rules.Window, use)
-	if t.Cold(now) {
+	if t.Cold(now) && !use.Partial {
 		s.ownThen = t.own.sums(now)
 	}
 }
