admission: blur the comparison of upstreams; start reading the store sooner

Cause: between two reports all instances chose the engine that looked best. After a restart of all, the first instance waited 250 ms for one to follow although none could be before it, so that 1,047 requests were refused as not_ready.

Change: the cost of an upstream is raised at random by up to its double. The first instance by name reads the store as soon as it has the list.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -106,7 +105,8 @@
 	return Decision{}, false
 }
 
-// place chooses the upstream with the least expected time. Requests that will
+// place chooses the upstream with the least expected time, blurred so that the
+// instances that see the same picture do not all choose the same one. Requests that will
 // be late come last in the queue and take the slots that others leave.
 func (p *Pool) place(now time.Duration, r *Request) (Decision, bool) {
 	var best *upstream
@@ -125,6 +125,7 @@
 		if now+expected+u.expectRest(&p.tuning, r.OutputTokens) > r.Until {
 			cost += endlessCost
 		}
+		cost *= 1 + p.tuning.Spread*p.random.Float64()
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, Expected: expected, InFlight: inFlight}
@@ -164,7 +165,7 @@
 
 func (p *Pool) refuse(now time.Duration, r *Request, reason string) Decision {
 	left := max(0, r.Until-now)
-	wait := time.Duration(float64(left) * retryShare * (1 - retrySpread*rand.Float64()))
+	wait := time.Duration(float64(left) * retryShare * (1 - retrySpread*p.random.Float64()))
 	return Decision{Key: r.Key, Action: Refuse, Reason: reason, RetryAfter: max(minRetryAfter, wait)}
 }
 
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -38,6 +39,7 @@
 	// stayMs is the usual time that a request occupies a slot of an engine of
 	// speed 1.
 	stayMs float64
+	random *rand.Rand
 }
 
 // peerReport is what a peer, or all instances of another failure domain
@@ -48,9 +50,10 @@
 	loads    map[string]Load
 }
 
-// NewPool returns a pool without upstreams.
-func NewPool(service Service, location Location, tuning Tuning) *Pool {
-	return &Pool{service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerReport{}, stayMs: firstStayMs}
+// NewPool returns a pool without upstreams. The random numbers must differ between
+// instances.
+func NewPool(service Service, location Location, tuning Tuning, random *rand.Rand) *Pool {
+	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerReport{}, stayMs: firstStayMs}
 }
 
 // SetService changes what is known of the service.
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -23,13 +24,22 @@
 // newFixture returns a pool of engines in the instance's own failure domain.
 func newFixture(t *testing.T, engines int) *fixture {
 	t.Helper()
-	pool := admission.NewPool(admission.Service{Name: "llm", Engine: true, Slots: 8, EventTokens: 6}, location, admission.DefaultTuning())
+	pool := admission.NewPool(admission.Service{Name: "llm", Engine: true, Slots: 8, EventTokens: 6}, location, exactTuning(), seeded())
 	for i := range engines {
 		pool.SetUpstream(admission.Info{ID: fmt.Sprintf("e%d", i), Service: "llm", Address: fmt.Sprintf("a%d", i), Domain: "north", Slots: 8})
 	}
 	return &fixture{GomegaWithT: NewWithT(t), pool: pool}
 }
 
+// exactTuning compares upstreams by their expected time alone.
+func exactTuning() admission.Tuning {
+	tuning := admission.DefaultTuning()
+	tuning.Spread = 0
+	return tuning
+}
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
 // submit adds a request of the given tier and prompt that waits up to 15 s.
 func (f *fixture) submit(now time.Duration, tier, prompt int) uint64 {
 	f.next++
@@ -276,3 +286,27 @@
 	f.pool.UpdatePeerLoad(second/5, "peer", false, map[string]admission.Load{"e1": {InFlight: room - 1}})
 	f.Expect(placed(f.pool.Advance(second / 5))).To(HaveKey("e1"))
 }
+
+// Load pattern: 16 instances place two requests each before they hear of each
+// other, on 23 engines with five slots. Guards against instances that all choose
+// the engine that looks best, where most of the requests then wait.
+func TestInstancesWithTheSamePictureChooseDifferentEngines(t *testing.T) {
+	f := newFixture(t, 0)
+	at := map[string]int{}
+	random := seeded()
+	for instance := range 16 {
+		pool := admission.NewPool(admission.Service{Name: "llm", Engine: true, Slots: 5, EventTokens: 6}, location, admission.DefaultTuning(), random)
+		for i := range 23 {
+			pool.SetUpstream(admission.Info{ID: fmt.Sprintf("e%d", i), Service: "llm", Address: fmt.Sprintf("a%d", i), Domain: "north", Slots: 5})
+		}
+		for range 2 {
+			pool.Submit(&admission.Request{Key: uint64(instance), Service: "llm", PromptTokens: 600, Due: second, Until: 12 * second})
+			for id, keys := range placed(pool.Advance(0)) {
+				at[id] += len(keys)
+			}
+		}
+	}
+	for id, placed := range at {
+		f.Expect(placed).To(BeNumerically("<=", 5), id)
+	}
+}
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -130,6 +130,9 @@
 	FarReserve int
 	// HoldShare is the part of a request's patience for which it may wait.
 	HoldShare float64
+	// Spread is the part by which the cost of an upstream is raised at random, at
+	// most, before upstreams are compared.
+	Spread float64
 	// PeerTimeout is the age at which the report of a peer no longer counts.
 	PeerTimeout time.Duration
 }
@@ -139,7 +142,7 @@
 	return Tuning{
 		PrefillPerMs: 55, StepMs: 2.89, StepMsPerRequest: 0.101, FirstMs: 15, PlainMs: 30,
 		SameRegionMs: 30, OtherRegionMs: 80,
-		ExtraSlots: 1, HoldShare: 0.08,
+		ExtraSlots: 1, HoldShare: 0.08, Spread: 1,
 		PeerTimeout: time.Second,
 	}
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -119,6 +120,7 @@
 	c.g.instances.Store(int64(c.peers.Count()))
 	c.g.lead.Store(c.peers.Lead())
 	c.g.isRelay.Store(c.peers.Relay() == "")
+	c.g.isFirst.Store(c.peers.IsFirst())
 	c.recordUsage(now)
 	c.report(now)
 }
@@ -140,7 +142,7 @@
 	pool := c.pools[name]
 	if pool == nil {
 		location := admission.Location{Domain: c.g.settings.Instance.Domain, Regions: c.g.settings.Regions}
-		pool = admission.NewPool(c.describe(name), location, admission.DefaultTuning())
+		pool = admission.NewPool(c.describe(name), location, admission.DefaultTuning(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		c.pools[name] = pool
 	}
 	return pool
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -65,6 +65,8 @@
 	lead atomic.Value
 	// isRelay is true if this instance acts for its failure domain.
 	isRelay atomic.Bool
+	// isFirst is true if no known instance would lead in place of this one.
+	isFirst atomic.Bool
 	// copies are what the instances that follow this one get.
 	copies map[string]*storesync.Copy
 	// joined is closed after the first try to read the instance list.
--- a/pkg/gateway/registry.go
+++ b/pkg/gateway/registry.go
@@ -136,11 +136,14 @@
 	case <-g.clock.After(settleLimit):
 		return
 	}
-	for end := g.now() + settleWait; g.now() < end && g.followed() == nil; {
+	for end := g.now() + settleWait; g.now() < end; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.clock.After(settleTick):
 		}
+		if g.followed() != nil || g.isFirst.Load() {
+			return
+		}
 	}
 }
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -225,6 +225,22 @@
 	return address
 }
 
+// IsFirst reports whether no known instance, heard or not, would lead in place of
+// this one.
+func (p *Peers) IsFirst() bool {
+	for name := range p.near {
+		if name < p.own {
+			return false
+		}
+	}
+	for name := range p.domains {
+		if name < p.ownDomain {
+			return false
+		}
+	}
+	return true
+}
+
 // Oldest returns the earliest start of the instances in the own failure domain
 // that are heard, of which this one started at boot.
 func (p *Peers) Oldest(boot int64) int64 {
