quota: believe the newest sum of a peer; a stopped instance leaves its share

A process that had just started spoke for its failure domain before it knew its peers, which looked like a restart of all of them. A stopped instance kept its share for 30 s, one of another failure domain for ever.

Change: a heard source has used what it reports last. An instance that has just started is relay only if all have, and speaks for others only after it could hear them. The last report of a process says that it has ended. Failure domains tell how many of their instances may be serving.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -41,6 +41,9 @@
 	sequence      uint64
 	// near and far are the audiences of the reports.
 	near, far audience
+	// speakFrom is when this instance may speak for its failure domain: a process
+	// that has just started does not know who else lives there.
+	speakFrom time.Duration
 	// usageAt is when the use of quotas was last looked at for the store.
 	usageAt      time.Duration
 	usageWriting atomic.Bool
@@ -50,7 +53,7 @@
 	b := g.settings.Bounds
 	now := g.now()
 	return &control{
-		g: g, inbox: make(chan message, inboxSize),
+		g: g, inbox: make(chan message, inboxSize), speakFrom: now + settleLimit + speakWait,
 		pools: map[string]*admission.Pool{}, services: map[string]string{},
 		waiting: map[uint64]chan admission.Decision{},
 		teams: quota.NewTeams(quota.Rules{
@@ -114,7 +117,7 @@
 			}
 		}
 	}
-	if c.peers.SetFailing(c.g.storeFails(now)) {
+	if c.peers.SetState(c.g.storeFails(now), c.teams.Cold(now)) {
 		c.noteChange()
 	}
 	c.g.instances.Store(int64(c.peers.Count()))
--- a/pkg/gateway/life.go
+++ b/pkg/gateway/life.go
@@ -45,6 +45,8 @@
 	listTimeout = 1500 * time.Millisecond
 	// stopMargin is left between the last answer and SIGKILL.
 	stopMargin = 500 * time.Millisecond
+	// endNotice bounds the last report to the peers.
+	endNotice = 100 * time.Millisecond
 	// pruneEvery is the pause between two searches for idle connections that
 	// are too old.
 	pruneEvery = time.Second
@@ -105,6 +107,7 @@
 		case err = <-failures:
 		}
 	}
+	g.sayEnded(background)
 	stop()
 	_ = callers.Close()
 	for _, server := range servers {
@@ -118,6 +121,16 @@
 	return err
 }
 
+// sayEnded lets the peers take over what is kept for this instance.
+func (g *Gateway) sayEnded(ctx context.Context) {
+	done := make(chan struct{})
+	g.tellUntil(ctx, sayEnded{done: done})
+	select {
+	case <-done:
+	case <-g.clock.After(endNotice):
+	}
+}
+
 func (g *Gateway) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
 	tasks.Go(func() { g.control.run(ctx) })
 	tasks.Go(func() {
--- a/pkg/gateway/registry.go
+++ b/pkg/gateway/registry.go
@@ -33,6 +33,11 @@
 	c.g.log.Info("peer known", "peer", m.name, "domain", m.record.Domain, "address", m.record.PeerAddress)
 }
 
+// peersKnown says that the peers of the instance list are known.
+type peersKnown struct{}
+
+func (peersKnown) apply(c *control) { c.speakFrom = min(c.speakFrom, c.g.now()+speakWait) }
+
 // Times of the registration in the store.
 const (
 	// registerEvery is the pause between two readings of the instance list.
@@ -63,6 +68,7 @@
 			pause = registerRetry
 		} else {
 			join = g.refresh
+			g.tellUntil(ctx, peersKnown{})
 		}
 		g.joinedOnce.Do(func() { close(g.joined) })
 		select {
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -26,6 +26,9 @@
 	// idleEvery is the time between two reports when nothing changes, a quarter
 	// of the time after which a peer counts as silent.
 	idleEvery = loadshare.SilentAfter / 4
+	// speakWait is how long an instance that knows its peers waits for their
+	// reports before it speaks for its failure domain.
+	speakWait = idleEvery
 )
 
 // audience is a set of peers that get the same reports.
@@ -89,7 +92,7 @@
 		bytes := c.send(c.buildReport(now, &c.near, false), targets)
 		c.near.noteSent(now, nearPause, bytes)
 	}
-	if c.peers.Relay() == "" && c.far.due(now) {
+	if c.peers.Relay() == "" && now >= c.speakFrom && c.far.due(now) {
 		targets := c.peers.Far()
 		bytes := c.send(c.buildReport(now, &c.far, true), targets)
 		c.far.noteSent(now, farPause, bytes)
@@ -133,6 +136,7 @@
 	if whole {
 		used, cold = c.teams.Sum(now)
 		report.Members, report.Oldest = clampTo[uint16](c.peers.Live()), c.peers.Oldest(c.g.boot)
+		report.Known = clampTo[uint16](c.peers.Expected(now, peerForget))
 	} else if c.teams.Cold(now) {
 		cold = 1
 	}
@@ -202,6 +206,10 @@
 	if !current {
 		return
 	}
+	if report.Ended {
+		c.end(now, report.Instance)
+		return
+	}
 	far := report.Members > 0
 	name, members := report.Instance, 1
 	if far {
@@ -226,6 +234,27 @@
 	}
 }
 
+// end drops a peer that has stopped.
+func (c *control) end(now time.Duration, peer string) {
+	c.teams.End(now, peer)
+	for _, pool := range c.pools {
+		pool.SetPeerLoad(now, peer, false, nil)
+	}
+	c.far.changed = true
+	c.g.log.Info("peer stopped", "peer", peer)
+}
+
+// sayEnded tells the peers that this instance has stopped.
+type sayEnded struct{ done chan struct{} }
+
+func (m sayEnded) apply(c *control) {
+	defer close(m.done)
+	now := c.g.now()
+	report := c.buildReport(now, &c.near, false)
+	report.Ended = true
+	c.send(report, c.peers.Near(now))
+}
+
 func (c *control) takeLoads(now time.Duration, peer string, far bool, report loadshare.Report) {
 	loads := make(map[string]map[string]admission.Load, len(c.pools))
 	for _, use := range report.Upstreams {
@@ -250,7 +279,7 @@
 
 func (c *control) quotaUse(report loadshare.Report, members int, far bool) quota.Use {
 	use := quota.Use{
-		Boot: report.Boot, Oldest: report.Oldest, Members: members, Cold: int(report.Cold), Far: far, Partial: report.Partial,
+		Boot: report.Boot, Oldest: report.Oldest, Members: members, Known: max(members, int(report.Known)), Cold: int(report.Cold), Far: far, Partial: report.Partial,
 		Used: make(map[string]float64, len(report.Teams)),
 	}
 	if report.Informed {
--- a/pkg/gateway/sharing_test.go
+++ b/pkg/gateway/sharing_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
@@ -41,3 +43,27 @@
 	g.Expect(partial).To(BeFalse())
 	g.Expect(told).To(HaveLen(2))
 }
+
+// Failure: one of two instances of a failure domain restarts. Guards against a
+// process that speaks for its failure domain before it knows the other: that
+// looked like a restart of both, and all that they had used was counted twice.
+func TestAProcessKnowsItsPeersBeforeItSpeaksForThem(t *testing.T) {
+	g := NewWithT(t)
+	settings := defaultSettings()
+	settings.Instance = InstanceSettings{Name: "a", Domain: "north"}
+	settings.Listen.Peers = "127.0.0.1:0"
+	now := time.Second
+	instance, err := New(Options{Settings: settings, Log: logr.Discard(), Clock: clockwork.NewFakeClock(), Now: func() time.Duration { return now }})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = instance.socket.Close() }()
+	c := instance.control
+	_, err = c.peers.Add(now, "z", "south", "127.0.0.1:9")
+	g.Expect(err).NotTo(HaveOccurred())
+	c.report(now)
+	g.Expect(c.near.sent).To(Equal(now))
+	g.Expect(c.far.sent).To(BeZero())
+	peersKnown{}.apply(c)
+	now += speakWait
+	c.report(now)
+	g.Expect(c.far.sent).To(Equal(now))
+}
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -33,14 +33,18 @@
 	Address string
 	Domain  string
 	// Members is the number of instances that the report covers; 0 if it covers
-	// the sender alone.
+	// the sender alone. Known counts those of the failure domain as well that are
+	// silent and may still be serving.
 	Members uint16
+	Known   uint16
 	// Partial reports hold only what has changed since the sender's last report.
 	// What was lost is made good by the next whole one.
 	Partial bool
-	// Leaving is true in the last reports of a process, and Failing while the
-	// sender cannot read the store.
+	// Leaving is true in the last reports of a process, and Ended in the very last
+	// one, after which it serves nothing. Failing is true while the sender cannot
+	// read the store.
 	Leaving bool
+	Ended   bool
 	Failing bool
 	// Cold is the number of covered instances that do not know what the team
 	// quotas were used for before they started. Informed is true if the sender
--- a/pkg/quota/source.go
+++ b/pkg/quota/source.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Use is what a peer reports.
 type Use struct {
@@ -9,8 +13,10 @@
 	Boot   int64
 	Oldest int64
 	// Members is the number of instances that the peer reports for: 1, or those
-	// of a failure domain.
+	// of a failure domain. Known counts those as well that it does not hear and
+	// that may still be serving.
 	Members int
+	Known   int
 	// Cold is the number of members that started within the last window.
 	Cold int
 	// Far is true for the sum of another failure domain.
@@ -43,8 +49,8 @@
 	// known is the number of instances that are known behind it.
 	known      int
 	generation int64
-	// line is what the present generation has used, and past what earlier ones
-	// had; a new process does not know of them.
+	// line holds when the present generation used its amounts, and past what
+	// earlier ones had used, of which a new process does not know.
 	line, past ledger
 	// ownThen is what this instance had used itself at the last report; what it
 	// has used since is not in the peer's total.
@@ -58,7 +64,7 @@
 	if generation := use.generation(); generation > s.generation {
 		if s.generation != 0 {
 			s.past.absorb(now, window, s.line)
-			s.line = ledger{}
+			s.line, s.use.Used = ledger{}, nil
 		}
 		s.generation = generation
 	} else if s.generation == 0 {
@@ -70,9 +76,36 @@
 	}
 	if use.Partial {
 		use.Total = s.use.Total
+		use.Used = merged(s.use.Used, use.Used)
 	}
 	s.reported, s.use = now, use
-	s.known = max(s.known, use.Members)
+	s.known = max(use.Known, use.Members)
+}
+
+// teams returns the teams that the source has used something of.
+func (s *source) teams() []string {
+	names := slices.Collect(maps.Keys(s.line))
+	for team := range s.past {
+		if s.line[team] == nil {
+			names = append(names, team)
+		}
+	}
+	return names
+}
+
+// end notes that the peer has stopped and uses nothing more.
+func (s *source) end(now, window time.Duration) {
+	s.past.absorb(now, window, s.line)
+	s.line, s.use, s.known = ledger{}, Use{Far: s.use.Far}, 0
+}
+
+func merged(old, changes map[string]float64) map[string]float64 {
+	all := maps.Clone(old)
+	if all == nil {
+		all = make(map[string]float64, len(changes))
+	}
+	maps.Copy(all, changes)
+	return all
 }
 
 // ledger holds what was used of each team's limit.
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -129,18 +129,12 @@
 	sum := t.own.sum(now, team)
 	told, informed := 0.0, false
 	for _, peer := range t.peers {
-		sum += peer.past.sum(now, team)
-		if now-peer.reported > t.rules.Fresh {
-			// What a peer had used before it fell silent may be more than the
-			// share that is left to it.
-			sum += max(0, peer.line.sum(now, team)-full*float64(peer.known)/total)
+		sum += t.usedBy(now, peer, team, full, total)
+		if peer.use.Total == nil || now-peer.reported > t.rules.Fresh {
 			continue
 		}
-		sum += peer.line.sum(now, team)
-		if peer.use.Total != nil {
-			since := t.own.sum(now, team) - peer.ownThen[team]
-			told, informed = max(told, peer.use.Total[team]+max(0, since)), true
-		}
+		since := t.own.sum(now, team) - peer.ownThen[team]
+		told, informed = max(told, peer.use.Total[team]+max(0, since)), true
 	}
 	switch {
 	case !t.Cold(now):
@@ -151,6 +145,16 @@
 	return sum + t.unknown(now, team, full)
 }
 
+// usedBy is what a peer has used. A share of the limit is left to a silent one;
+// what it had used before may be more than that.
+func (t *Teams) usedBy(now time.Duration, peer *source, team string, full, total float64) float64 {
+	former := peer.past.sum(now, team)
+	if now-peer.reported > t.rules.Fresh {
+		return former + max(0, peer.line.sum(now, team)-full*float64(peer.known)/total)
+	}
+	return former + peer.use.Used[team]
+}
+
 // Used returns what this instance has used of each team's limit.
 func (t *Teams) Used(now time.Duration) map[string]float64 { return t.own.sums(now) }
 
@@ -161,13 +165,20 @@
 		return nil
 	}
 	total := t.own.sums(now)
+	heard, silent := t.audible(now)
 	for _, peer := range t.peers {
-		peer.past.addTo(total, now)
-		peer.line.addTo(total, now)
+		t.addUse(total, now, peer, float64(heard+silent))
 	}
 	return total
 }
 
+// addUse adds what a peer has used of each limit.
+func (t *Teams) addUse(sums map[string]float64, now time.Duration, peer *source, total float64) {
+	for _, team := range peer.teams() {
+		sums[team] += t.usedBy(now, peer, team, t.limits[team].full(t.rules.Window), total)
+	}
+}
+
 // Sum returns what this instance and the peers of its failure domain have used,
 // their former processes included, and how many of them are cold.
 func (t *Teams) Sum(now time.Duration) (used map[string]float64, cold int) {
@@ -175,16 +186,15 @@
 	if t.Cold(now) {
 		cold++
 	}
+	heard, silent := t.audible(now)
 	for _, peer := range t.peers {
 		if peer.use.Far {
 			continue
 		}
-		peer.past.addTo(used, now)
-		if now-peer.reported > t.rules.Fresh {
-			continue
+		if now-peer.reported <= t.rules.Fresh {
+			cold += peer.use.Cold
 		}
-		cold += peer.use.Cold
-		peer.line.addTo(used, now)
+		t.addUse(used, now, peer, float64(heard+silent))
 	}
 	return used, cold
 }
@@ -198,6 +208,9 @@
 	}
 }
 
+// End notes that a peer has stopped.
+func (t *Teams) End(now time.Duration, peer string) { t.source(peer).end(now, t.rules.Window) }
+
 // Known notes the number of instances behind a peer that may not have been
 // heard of yet: they may be cut off and serving.
 func (t *Teams) Known(now time.Duration, peer string, members int) {
