admission: no place beyond an engine's slots for requests that will be late

Cause: late requests took the places beyond the slots and made those wait that could have been in time.

Changed test: TestTheQueueIsServedByTierAndThenTheNewest lets a slot become free for the late request, since the place beyond the slots is not for it any more; the order that it checks is the same.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -121,6 +121,10 @@
 			continue
 		}
 		expected := u.expect(&p.tuning, r.PromptTokens, inFlight, awaited, p.stayMs)
+		if inFlight >= u.slots && now+expected > r.Due {
+			// It would wait there for a slot that a newer request can use in time.
+			continue
+		}
 		cost := toMs(expected) + p.distance(u) + u.failures(now)*failureCost
 		if now+expected+u.expectRest(&p.tuning, r.OutputTokens) > r.Until {
 			cost += endlessCost
