loadshare: the most powerful instance acts for its failure domain; test the settings

Cause: machines of the grown sites have 0.19 to 0.8 of a core, and the first by name carried the reports and the copies for all.

Change: settings, records and reports say what part of a core an instance may use. The settings of the gateway have tests of their own.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -63,7 +63,7 @@
 		retries: quota.NewRetries(quota.RetryRules{
 			Window: seconds(b.RetryWindowS), Ratio: b.RetryRatio, Extra: b.RetryExtra,
 		}),
-		peers:         loadshare.NewPeers(g.settings.Instance.Name, g.settings.Instance.Domain),
+		peers:         loadshare.NewPeers(g.settings.Instance.Name, g.settings.Instance.Domain, g.power()),
 		strikes:       newStrikes(),
 		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{},
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -129,6 +129,11 @@
 	return g, nil
 }
 
+// power is the percentage of a core that the instance may use.
+func (g *Gateway) power() uint16 {
+	return clampTo[uint16](int(g.settings.Limits.ProcessorShare * percent))
+}
+
 // capacity is the number of requests that may be held at once.
 func (g *Gateway) capacity() int64 {
 	byDescriptors := (g.settings.Limits.Descriptors - reservedDescriptors) / descriptorsPerRequest
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -62,6 +62,8 @@
 type InstanceRecord struct {
 	PeerAddress string `json:"peer_address"`
 	Domain      string `json:"domain"`
+	// Power is the percentage of a core that the instance may use.
+	Power uint16 `json:"power"`
 }
 
 // Records decodes what lies in the store.
--- a/pkg/gateway/registry.go
+++ b/pkg/gateway/registry.go
@@ -16,7 +16,7 @@
 
 func (m peerRecord) apply(c *control) {
 	now := c.g.now()
-	added, err := c.peers.Add(now, m.name, m.record.Domain, m.record.PeerAddress)
+	added, err := c.peers.Add(now, m.name, loadshare.Place{Domain: m.record.Domain, Address: m.record.PeerAddress, Power: m.record.Power})
 	if err != nil {
 		c.g.log.Info("instance record ignored", "peer", m.name, "error", err.Error())
 		return
@@ -78,13 +78,16 @@
 	}
 }
 
+func (g *Gateway) ownRecord() InstanceRecord {
+	return InstanceRecord{PeerAddress: g.socket.LocalAddress(), Domain: g.settings.Instance.Domain, Power: g.power()}
+}
+
 // join writes this instance's record before it reads the others', so that of two
 // instances that start at once the later one sees the earlier.
 func (g *Gateway) join(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	record := InstanceRecord{PeerAddress: g.socket.LocalAddress(), Domain: g.settings.Instance.Domain}
-	if err := g.store.Put(ctx, g.kinds.Instances, g.settings.Instance.Name, record); err != nil {
+	if err := g.store.Put(ctx, g.kinds.Instances, g.settings.Instance.Name, g.ownRecord()); err != nil {
 		return err
 	}
 	_, err := g.readInstances(ctx, g.store.List)
@@ -116,7 +119,6 @@
 	if err != nil {
 		return false, err
 	}
-	own := InstanceRecord{PeerAddress: g.socket.LocalAddress(), Domain: g.settings.Instance.Domain}
 	for _, object := range listing.Objects {
 		record, err := g.records.Instance(object.Spec)
 		if err != nil {
@@ -124,7 +126,7 @@
 			continue
 		}
 		if object.Name == g.settings.Instance.Name {
-			recorded = record == own
+			recorded = record == g.ownRecord()
 			continue
 		}
 		g.tellUntil(ctx, peerRecord{name: object.Name, record: record})
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -49,6 +49,9 @@
 type LimitSettings struct {
 	MemoryMiB   int `ini:"memory_mib"`
 	Descriptors int `ini:"descriptors"`
+	// ProcessorShare is the part of a core that the process may use. Of several
+	// instances, the one with the largest share acts for the others.
+	ProcessorShare float64 `ini:"processor_share"`
 }
 
 // BoundSettings are the bounds that all instances keep together; see
@@ -80,7 +83,7 @@
 // defaultSettings are in force for keys that a file leaves out.
 func defaultSettings() Settings {
 	return Settings{
-		Limits: LimitSettings{MemoryMiB: 256, Descriptors: 4096},
+		Limits: LimitSettings{MemoryMiB: 256, Descriptors: 4096, ProcessorShare: 1},
 		Bounds: BoundSettings{
 			ConfigFreshMs: 5000, StopGraceSeconds: 8, LeaveNoticeS: 3,
 			RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 50,
@@ -150,6 +153,9 @@
 	if s.Limits.MemoryMiB < minMemoryMiB || s.Limits.Descriptors < minDescriptors {
 		problems = append(problems, fmt.Errorf("limits: at least %d MiB and %d descriptors are needed", minMemoryMiB, minDescriptors))
 	}
+	if s.Limits.ProcessorShare <= 0 {
+		problems = append(problems, errors.New("limits.processor_share must be above 0"))
+	}
 	b := s.Bounds
 	if b.ConfigFreshMs <= 0 || b.StopGraceSeconds <= 0 || b.RetryWindowS <= 0 || b.QuotaWindowS <= 0 {
 		problems = append(problems, errors.New("bounds: times must be above 0"))
--- /dev/null
+++ b/pkg/gateway/settings_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const goodSettings = `
+[instance]
+name = edge-1
+domain = north
+[domains]
+north = r1
+[listen]
+callers = 10.0.0.1:1
+ready = 10.0.0.1:2
+peers = 10.0.0.1:3
+admin = 10.0.0.1:4
+[store]
+address = 10.0.0.9:1
+[limits]
+processor_share = 0.192
+`
+
+func load(t *testing.T, content string) (Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "gateway.ini")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadSettings(path)
+}
+
+func TestSettingsAreReadWithDefaults(t *testing.T) {
+	g := NewWithT(t)
+	settings, err := load(t, goodSettings)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(settings.Regions).To(Equal(map[string]string{"north": "r1"}))
+	g.Expect(settings.Limits.ProcessorShare).To(Equal(0.192))
+	g.Expect(settings.Limits.Descriptors).To(Equal(defaultSettings().Limits.Descriptors))
+	g.Expect(settings.Bounds).To(Equal(defaultSettings().Bounds))
+}
+
+// Guards against a slip of the pen that starts an instance with a default.
+func TestBadSettingsAreRefused(t *testing.T) {
+	for name, change := range map[string][2]string{
+		"an unknown key":                 {"[store]", "[store]\nadress = 1"},
+		"an unknown section":             {"[store]", "[stores]"},
+		"no name":                        {"name = edge-1", "name ="},
+		"a domain without a region":      {"north = r1", "south = r1"},
+		"an address without a port":      {"10.0.0.1:3", "10.0.0.1"},
+		"no processor":                   {"0.192", "0"},
+		"a number that is none":          {"0.192", "much"},
+		"too little memory":              {"[limits]", "[limits]\nmemory_mib = 8"},
+		"a window without length":        {"[limits]", "[bounds]\nquota_window_s = 0\n[limits]"},
+		"a negative share of the quotas": {"[limits]", "[bounds]\nquota_slack = -1\n[limits]"},
+	} {
+		_, err := load(t, strings.Replace(goodSettings, change[0], change[1], 1))
+		NewWithT(t).Expect(err).To(HaveOccurred(), name)
+	}
+	_, err := LoadSettings(filepath.Join(t.TempDir(), "missing.ini"))
+	NewWithT(t).Expect(err).To(HaveOccurred())
+}
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -128,7 +128,7 @@
 func (c *control) buildReport(now time.Duration, to *audience, whole bool) loadshare.Report {
 	c.sequence++
 	report := loadshare.Report{
-		Instance: c.g.settings.Instance.Name, Boot: c.g.boot, Oldest: c.g.boot, Sequence: c.sequence,
+		Instance: c.g.settings.Instance.Name, Boot: c.g.boot, Oldest: c.g.boot, Sequence: c.sequence, Power: c.g.power(),
 		Address: c.g.socket.LocalAddress(), Domain: c.g.settings.Instance.Domain,
 		Leaving: c.g.leaving.Load(), Failing: c.g.storeFails(now), Strikes: c.strikes.recent(now),
 	}
--- a/pkg/gateway/sharing_test.go
+++ b/pkg/gateway/sharing_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
+	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 )
 
 // Load pattern: 87 instances and 140 engines, where whole reports are so large
@@ -57,7 +58,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = instance.socket.Close() }()
 	c := instance.control
-	_, err = c.peers.Add(now, "z", "south", "127.0.0.1:9")
+	_, err = c.peers.Add(now, "z", loadshare.Place{Domain: "south", Address: "127.0.0.1:9"})
 	g.Expect(err).NotTo(HaveOccurred())
 	c.report(now)
 	g.Expect(c.near.sent).To(Equal(now))
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -29,6 +29,8 @@
 	Boot     int64
 	Oldest   int64
 	Sequence uint64
+	// Power is the percentage of a core that the sender may use.
+	Power uint16
 	// Address is the sender's address, and Domain its failure domain.
 	Address string
 	Domain  string
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -11,7 +11,7 @@
 )
 
 func report(name, domain string, members uint16, boot int64, sequence uint64) loadshare.Report {
-	return loadshare.Report{Instance: name, Domain: domain, Members: members, Boot: boot, Sequence: sequence, Address: "127.0.0.1:" + map[string]string{"a": "7001", "b": "7002", "c": "7003", "z": "7009"}[name]}
+	return loadshare.Report{Power: 40, Instance: name, Domain: domain, Members: members, Boot: boot, Sequence: sequence, Address: "127.0.0.1:" + map[string]string{"a": "7001", "b": "7002", "c": "7003", "z": "7009"}[name]}
 }
 
 func heard(g *GomegaWithT, p *loadshare.Peers, now time.Duration, r loadshare.Report) (current, regained bool) {
@@ -41,7 +41,7 @@
 // process of a peer.
 func TestOldReportsAreNotCurrent(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north")
+	p := loadshare.NewPeers("b", "north", 40)
 	for _, c := range []struct {
 		boot     int64
 		sequence uint64
@@ -58,7 +58,7 @@
 // store for and whose load the others do not see.
 func TestTheFirstLiveInstanceIsTheRelay(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north")
+	p := loadshare.NewPeers("b", "north", 40)
 	g.Expect(p.Relay()).To(BeEmpty())
 	heard(g, p, time.Second, report("a", "north", 0, 1, 1))
 	heard(g, p, time.Second, report("c", "north", 0, 1, 1))
@@ -79,9 +79,9 @@
 // and against a silent one that is never tried again.
 func TestSumsGoToTheRelayOfAnotherFailureDomain(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north")
+	p := loadshare.NewPeers("b", "north", 40)
 	for name, address := range map[string]string{"x": "127.0.0.1:8001", "y": "127.0.0.1:8002", "z": "127.0.0.1:7009"} {
-		_, err := p.Add(0, name, "south", address)
+		_, err := p.Add(0, name, loadshare.Place{Domain: "south", Address: address})
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	g.Expect(p.Far()).To(HaveLen(2))
@@ -96,7 +96,7 @@
 
 func TestSilentPeersAreProbedAndThenForgotten(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north")
+	p := loadshare.NewPeers("b", "north", 40)
 	heard(g, p, 0, report("a", "north", 0, 1, 1))
 	g.Expect(p.Near(time.Millisecond)).To(HaveLen(1))
 	p.Silent(time.Second)
@@ -124,21 +124,21 @@
 // relays that follow each other.
 func TestRelaysFollowTheFirstFailureDomainThatIsHeard(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north")
+	p := loadshare.NewPeers("b", "north", 40)
 	g.Expect(p.Lead()).To(BeEmpty())
 	g.Expect(p.IsFirst()).To(BeTrue())
 	heard(g, p, 0, loadshare.Report{Instance: "z", Boot: 1, Sequence: 1, Address: "127.0.0.1:9", Domain: "south", Members: 2})
 	g.Expect(p.Lead()).To(BeEmpty(), "domains behind the own one are not followed")
 	g.Expect(p.IsFirst()).To(BeTrue())
-	_, err := p.Add(0, "x", "east", "127.0.0.1:6")
+	_, err := p.Add(0, "x", loadshare.Place{Domain: "east", Address: "127.0.0.1:6"})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(p.IsFirst()).To(BeFalse(), "one that is not heard yet may lead")
 	heard(g, p, 0, loadshare.Report{Instance: "y", Boot: 1, Sequence: 1, Address: "127.0.0.1:8", Domain: "east", Members: 2})
 	g.Expect(p.Lead()).To(Equal("127.0.0.1:8"))
-	heard(g, p, 0, loadshare.Report{Instance: "a", Boot: 1, Sequence: 1, Address: "127.0.0.1:7", Domain: "north"})
+	heard(g, p, 0, loadshare.Report{Instance: "a", Boot: 1, Sequence: 1, Power: 40, Address: "127.0.0.1:7", Domain: "north"})
 	g.Expect(p.Lead()).To(Equal("127.0.0.1:7"), "the own relay is nearer")
 	// Failure: those that would be followed cannot read the store.
-	heard(g, p, 0, loadshare.Report{Instance: "a", Boot: 1, Sequence: 2, Address: "127.0.0.1:7", Domain: "north", Failing: true})
+	heard(g, p, 0, loadshare.Report{Instance: "a", Boot: 1, Sequence: 2, Power: 40, Address: "127.0.0.1:7", Domain: "north", Failing: true})
 	g.Expect(p.Relay()).To(BeEmpty())
 	heard(g, p, 0, loadshare.Report{Instance: "y", Boot: 1, Sequence: 2, Address: "127.0.0.1:8", Domain: "east", Members: 2, Failing: true})
 	g.Expect(p.Lead()).To(BeEmpty())
@@ -153,7 +153,7 @@
 // failure domain without knowing what was used there before its start.
 func TestAnInstanceThatHasJustStartedIsNoRelay(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north")
+	p := loadshare.NewPeers("b", "north", 40)
 	cold := report("a", "north", 0, 1, 1)
 	cold.Cold = 1
 	heard(g, p, 0, cold)
@@ -166,3 +166,18 @@
 	g.Expect(p.Relay()).To(BeEmpty())
 	g.Expect(p.Expected(0, time.Minute)).To(Equal(1))
 }
+
+// Load pattern: instances of 0.2 to 0.8 of a core. Guards against the weakest one
+// carrying the reports and the copies for all.
+func TestTheMostPowerfulInstanceIsTheRelay(t *testing.T) {
+	g := NewWithT(t)
+	p := loadshare.NewPeers("b", "north", 40)
+	weak := report("a", "north", 0, 1, 1)
+	weak.Power = 19
+	heard(g, p, 0, weak)
+	g.Expect(p.Relay()).To(BeEmpty())
+	strong := report("c", "north", 0, 1, 1)
+	strong.Power = 80
+	heard(g, p, 0, strong)
+	g.Expect(p.Relay()).To(Equal("127.0.0.1:7003"))
+}
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -38,6 +38,7 @@
 	ended    bool
 	failing  bool
 	cold     bool
+	power    uint16
 }
 
 // domain is another failure domain.
@@ -57,6 +58,7 @@
 type Peers struct {
 	own       string
 	ownDomain string
+	ownPower  uint16
 	// failing is true while this instance cannot read the store, and cold while it
 	// does not know what was used before its start.
 	failing bool
@@ -65,22 +67,31 @@
 	domains map[string]*domain
 }
 
-// NewPeers returns an empty list for an instance.
-func NewPeers(own, ownDomain string) *Peers {
-	return &Peers{own: own, ownDomain: ownDomain, near: map[string]*peer{}, domains: map[string]*domain{}}
+// NewPeers returns an empty list for an instance that may use a percentage of a
+// core.
+func NewPeers(own, ownDomain string, power uint16) *Peers {
+	return &Peers{own: own, ownDomain: ownDomain, ownPower: power, near: map[string]*peer{}, domains: map[string]*domain{}}
+}
+
+// Place is where an instance stands, and what it can do.
+type Place struct {
+	Domain  string
+	Address string
+	// Power is the percentage of a core that the instance may use.
+	Power uint16
 }
 
 // Add makes an instance known. It reports whether it is new.
-func (p *Peers) Add(now time.Duration, name, domainName, address string) (bool, error) {
+func (p *Peers) Add(now time.Duration, name string, place Place) (bool, error) {
 	if name == p.own {
 		return false, nil
 	}
-	resolved, err := net.ResolveUDPAddr("udp4", address)
+	resolved, err := net.ResolveUDPAddr("udp4", place.Address)
 	if err != nil {
 		return false, fmt.Errorf("peer %q: %w", name, err)
 	}
-	if domainName != p.ownDomain {
-		d := p.domain(domainName)
+	if place.Domain != p.ownDomain {
+		d := p.domain(place.Domain)
 		_, known := d.addresses[name]
 		d.addresses[name] = resolved
 		return !known, nil
@@ -91,7 +102,7 @@
 		}
 		return false, nil
 	}
-	p.near[name] = &peer{address: resolved, known: now, silent: true}
+	p.near[name] = &peer{address: resolved, known: now, silent: true, power: place.Power}
 	return true, nil
 }
 
@@ -110,7 +121,7 @@
 	if report.Instance == p.own || (report.Members > 0) == (report.Domain == p.ownDomain) {
 		return false, false, nil
 	}
-	if _, err := p.Add(now, report.Instance, report.Domain, report.Address); err != nil {
+	if _, err := p.Add(now, report.Instance, Place{Domain: report.Domain, Address: report.Address, Power: report.Power}); err != nil {
 		return false, false, err
 	}
 	if report.Members > 0 {
@@ -140,7 +151,7 @@
 	}
 	regained = k.silent
 	k.boot, k.sequence, k.heard, k.silent, k.leaving = report.Boot, report.Sequence, now, report.Ended, report.Leaving
-	k.ended, k.failing, k.cold = report.Ended, report.Failing, report.Cold > 0
+	k.ended, k.failing, k.cold, k.power = report.Ended, report.Failing, report.Cold > 0, report.Power
 	return true, regained, nil
 }
 
@@ -186,11 +197,12 @@
 }
 
 // rank is the order in which instances, or failure domains, act for others: those
-// that can read the store first, then those that know what was used, then by
-// name. Nobody follows one behind it, so that no two follow each other for longer
+// that can read the store first, then those that know what was used, then the
+// most powerful, then by name. Nobody follows one behind it, so that no two follow each other for longer
 // than their views differ.
 type rank struct {
 	failing, cold bool
+	power         uint16
 	name          string
 }
 
@@ -200,6 +212,8 @@
 		return !r.failing
 	case r.cold != other.cold:
 		return !r.cold
+	case r.power != other.power:
+		return r.power > other.power
 	}
 	return r.name < other.name
 }
@@ -209,9 +223,9 @@
 // moment none or two may believe to be it; that costs a report or sends one
 // twice.
 func (p *Peers) Relay() string {
-	first, address := rank{p.failing, p.cold, p.own}, ""
+	first, address := rank{p.failing, p.cold, p.ownPower, p.own}, ""
 	for name, known := range p.near {
-		if r := (rank{known.failing, known.cold, name}); !known.silent && !known.leaving && r.before(first) {
+		if r := (rank{known.failing, known.cold, known.power, name}); !known.silent && !known.leaving && r.before(first) {
 			first, address = r, known.address.String()
 		}
 	}
@@ -225,9 +239,9 @@
 	if relay := p.Relay(); relay != "" {
 		return relay
 	}
-	first, address := rank{p.failing, false, p.ownDomain}, ""
+	first, address := rank{failing: p.failing, name: p.ownDomain}, ""
 	for name, d := range p.domains {
-		if r := (rank{d.failing, false, name}); !d.silent && r.before(first) && d.addresses[d.relay] != nil {
+		if r := (rank{failing: d.failing, name: name}); !d.silent && r.before(first) && d.addresses[d.relay] != nil {
 			first, address = r, d.addresses[d.relay].String()
 		}
 	}
@@ -237,8 +251,9 @@
 // IsFirst reports whether no known instance, heard or not, would lead in place of
 // this one.
 func (p *Peers) IsFirst() bool {
-	for name := range p.near {
-		if name < p.own {
+	own := rank{power: p.ownPower, name: p.own}
+	for name, known := range p.near {
+		if (rank{power: known.power, name: name}).before(own) {
 			return false
 		}
 	}
