--- a/pkg/cli/explain.go
+++ b/pkg/cli/explain.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"io"
 	"os"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
@@ -42,7 +41,7 @@
 }
 
 func (c *explainCommand) read(name string, each func(explain.Entry)) (int, error) {
-	var log io.Reader = c.app.in
+	log := c.app.in
 	if name != stdinName {
 		file, err := os.Open(name)
 		if err != nil {
--- a/pkg/gateway/settings_test.go
+++ b/pkg/gateway/settings_test.go
@@ -48,7 +48,7 @@
 // Guards against a slip of the pen that starts an instance with a default.
 func TestBadSettingsAreRefused(t *testing.T) {
 	for name, change := range map[string][2]string{
-		"an unknown key":                 {"[store]", "[store]\nadress = 1"},
+		"an unknown key":                 {"[store]", "[store]\nsocket = 1"},
 		"an unknown section":             {"[store]", "[stores]"},
 		"no name":                        {"name = edge-1", "name ="},
 		"a domain without a region":      {"north = r1", "south = r1"},
