quota: what was used before restarts outlives those that know it

Reports name teams by hashes. An instance that had not read the configuration yet took them for reports of nothing, counted as informed, and admitted a second limit if the sender was gone before its next whole report. 2. Of instances that had all restarted within a window, the newest could become the relay (by name, or since it alone could read the store); its sum lacks what its own former process had used. 3. A team without a record was taken to have used 0.6 of its limit evenly; it may have used all of that in the last second. 4. What an informed peer had told was forgotten with the peer.

Change: (1) the last whole report of each peer waits for the first configuration. (2) The oldest of those that have just started speaks for its failure domain, by seconds, before the ability to read the store counts. (3) Use is looked at every 0.2 s and recorded from 0.3 of a limit, when it has grown by a tenth or after a second; without a record 0.45 counts for a whole window. (4) What was told ages in a ledger of its own, and is told on once. The soak keeps the logs of all processes.

Each has a test that failed before: TestUseReportedBeforeTheConfigurationIsKnownCounts, TestTheOldestOfThoseThatHaveJustStartedIsTheRelay, TestUseWithoutARecordCountsForAWholeWindow, TestAKillDuringABurstFindsItRecorded (with one look a second), TestWhatAnInformedPeerToldOutlivesIt.

Ruled out: the check of the soak; it counts the first run of each request, and the bound is the settings' own.

--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -141,6 +141,9 @@
 // Terminate asks the process to shut down.
 func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// HangUp asks the process to read its settings again.
+func (p *Process) HangUp() { _ = p.cmd.Process.Signal(syscall.SIGHUP) }
+
 func (p *Process) signal(signal syscall.Signal, frozen bool) {
 	if p.cmd.Process.Signal(signal) == nil {
 		p.frozen = frozen
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -38,7 +38,9 @@
 	// names maps the short hashes in reports to upstreams and teams.
 	upstreamNames map[uint32]string
 	teamNames     map[uint32]string
-	sequence      uint64
+	// unread holds, by peer, what was reported before the first configuration.
+	unread   map[string]unreadUse
+	sequence uint64
 	// near and far are the audiences of the reports.
 	near, far audience
 	// speakFrom is when this instance may speak for its failure domain: a process
@@ -63,9 +65,9 @@
 		retries: quota.NewRetries(quota.RetryRules{
 			Window: seconds(b.RetryWindowS), Ratio: b.RetryRatio, Extra: b.RetryExtra,
 		}),
-		peers:         loadshare.NewPeers(g.settings.Instance.Name, g.settings.Instance.Domain, g.power()),
+		peers:         loadshare.NewPeers(g.settings.Instance.Name, g.settings.Instance.Domain, g.power(), g.boot),
 		strikes:       newStrikes(),
-		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{},
+		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{}, unread: map[string]unreadUse{},
 	}
 }
 
--- a/pkg/gateway/directory.go
+++ b/pkg/gateway/directory.go
@@ -47,6 +47,7 @@
 	for _, team := range config.Teams {
 		c.teamNames[loadshare.ShortHash(team.Name)] = team.Name
 	}
+	c.readUse()
 	g.metrics.configVersion.Update(int64(config.Version))
 	g.log.Info("configuration in force", "version", config.Version, "revision", revision,
 		"routes", len(config.Routes), "services", len(config.Services), "teams", len(config.Teams),
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -149,8 +149,9 @@
 	report.Upstreams = upstreamUses(loads)
 	var total map[string]float64
 	if !report.Partial {
-		total = c.teams.Total(now)
-		report.Informed = total != nil
+		var hand quota.Hand
+		total, hand = c.teams.Told(now)
+		report.Hand = uint8(hand)
 	}
 	for team := range teamsOf(used, total) {
 		report.Teams = append(report.Teams, loadshare.TeamUse{
@@ -228,7 +229,7 @@
 		c.g.log.Info("peer heard", "peer", name, "sender", report.Instance, "address", report.Address, "boot", report.Boot)
 	}
 	c.takeLoads(now, name, far, report)
-	c.teams.Report(now, name, c.quotaUse(report, members, far))
+	c.takeUse(now, name, members, report)
 	for _, s := range report.Strikes {
 		c.strikes.learn(now, report.Instance, s)
 	}
@@ -277,12 +278,41 @@
 	}
 }
 
-func (c *control) quotaUse(report loadshare.Report, members int, far bool) quota.Use {
+// takeUse takes in what a peer has used of the quotas. Reports name teams by
+// hashes, which say nothing before the first configuration is known; the last whole
+// one of each peer is kept until then, since the peer may not live to repeat it.
+func (c *control) takeUse(now time.Duration, peer string, members int, report loadshare.Report) {
+	if c.g.table.Load() != nil {
+		c.teams.Report(now, peer, c.quotaUse(report, members))
+		return
+	}
+	if !report.Partial {
+		c.unread[peer] = unreadUse{at: now, members: members, report: report}
+	}
+}
+
+// unreadUse is a report whose teams are not known yet.
+type unreadUse struct {
+	at      time.Duration
+	members int
+	report  loadshare.Report
+}
+
+// readUse takes in what was reported before the first configuration was known.
+func (c *control) readUse() {
+	for peer, unread := range c.unread {
+		c.teams.Report(unread.at, peer, c.quotaUse(unread.report, unread.members))
+	}
+	clear(c.unread)
+}
+
+func (c *control) quotaUse(report loadshare.Report, members int) quota.Use {
+	far := report.Members > 0
 	use := quota.Use{
 		Boot: report.Boot, Oldest: report.Oldest, Members: members, Known: max(members, int(report.Known)), Cold: int(report.Cold), Far: far, Partial: report.Partial,
 		Used: make(map[string]float64, len(report.Teams)),
 	}
-	if report.Informed {
+	if use.Hand = quota.Hand(report.Hand); use.Hand != quota.Unknown {
 		use.Total = make(map[string]float64, len(report.Teams))
 	}
 	for _, t := range report.Teams {
--- a/pkg/gateway/sharing_test.go
+++ b/pkg/gateway/sharing_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
+	"github.com/rosemarywing/rosemarywing/pkg/quota"
+	"github.com/rosemarywing/rosemarywing/pkg/traffic"
 )
 
 // Load pattern: 87 instances and 140 engines, where whole reports are so large
@@ -45,20 +47,45 @@
 	g.Expect(told).To(HaveLen(2))
 }
 
+// idleControl returns the control state of instance a, whose goroutines do not run.
+func idleControl(t *testing.T, now *time.Duration, firstStart bool) *control {
+	settings := defaultSettings()
+	settings.Instance = InstanceSettings{Name: "a", Domain: "north", FirstStart: firstStart}
+	settings.Listen.Peers = "127.0.0.1:0"
+	instance, err := New(Options{Settings: settings, Log: logr.Discard(), Clock: clockwork.NewFakeClock(), Now: func() time.Duration { return *now }})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = instance.socket.Close() })
+	return instance.control
+}
+
+// Failure: an instance restarts, and the only one that knows what teams have used
+// stops before the restarted one has read the configuration, without which it
+// cannot tell the teams of a report. Guards against taking such a report for one
+// that says that nothing was used (soak: seeds 601 and 604).
+func TestUseReportedBeforeTheConfigurationIsKnownCounts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	c := idleControl(t, &now, false)
+	c.takeUse(now, "b", 1, loadshare.Report{Instance: "b", Boot: 1, Domain: "north", Hand: uint8(quota.First),
+		Teams: []loadshare.TeamUse{{Team: loadshare.ShortHash("desk"), Total: 700}}})
+	informed := make(chan bool, 1)
+	askInformed{reply: informed}.apply(c)
+	g.Expect(<-informed).To(BeTrue(), "the record in the store need not be read")
+	c.teams.End(now, "b")
+	c.setConfig(traffic.Config{Version: 1, Teams: []traffic.Team{{Name: "desk"}}}, 1, now)
+	now += time.Second
+	verdict := c.teams.Charge(now, "desk", quota.Limit{PerSecond: 100}, 1)
+	g.Expect(verdict.Used).To(Equal(700.0))
+}
+
 // Failure: one of two instances of a failure domain restarts. Guards against a
 // process that speaks for its failure domain before it knows the other: that
 // looked like a restart of both, and all that they had used was counted twice.
 func TestAProcessKnowsItsPeersBeforeItSpeaksForThem(t *testing.T) {
 	g := NewWithT(t)
-	settings := defaultSettings()
-	settings.Instance = InstanceSettings{Name: "a", Domain: "north"}
-	settings.Listen.Peers = "127.0.0.1:0"
 	now := time.Second
-	instance, err := New(Options{Settings: settings, Log: logr.Discard(), Clock: clockwork.NewFakeClock(), Now: func() time.Duration { return now }})
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = instance.socket.Close() }()
-	c := instance.control
-	_, err = c.peers.Add(now, "z", loadshare.Place{Domain: "south", Address: "127.0.0.1:9"})
+	c := idleControl(t, &now, true)
+	_, err := c.peers.Add(now, "z", loadshare.Place{Domain: "south", Address: "127.0.0.1:9"})
 	g.Expect(err).NotTo(HaveOccurred())
 	c.report(now)
 	g.Expect(c.near.sent).To(Equal(now))
--- a/pkg/gateway/usage.go
+++ b/pkg/gateway/usage.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/quota"
 )
 
 // usageRecord is kept in the store while teams use much of their quotas, since
@@ -18,8 +20,9 @@
 
 // Limits of the usage records.
 const (
-	// usagePause is the time between two records.
-	usagePause = time.Second
+	// usagePause is the time between two looks at the use of the quotas. A team that
+	// sends at five times its limit uses an eighth of it meanwhile.
+	usagePause = 200 * time.Millisecond
 	// usageValid is the age from which a record is ignored, by the time of day,
 	// which may be off by seconds.
 	usageValid = time.Minute
@@ -94,7 +97,13 @@
 // askInformed asks whether it is known what teams have used.
 type askInformed struct{ reply chan bool }
 
-func (m askInformed) apply(c *control) { m.reply <- c.teams.Informed(c.g.now()) }
+func (m askInformed) apply(c *control) {
+	informed := c.teams.Informed(c.g.now())
+	for _, unread := range c.unread {
+		informed = informed || unread.report.Hand > uint8(quota.Unknown)
+	}
+	m.reply <- informed
+}
 
 func (g *Gateway) readUsage(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -125,7 +134,7 @@
 	}
 	c.usageAt = now
 	used := c.teams.Record(now)
-	if len(used) == 0 || c.peers.Lead() != "" || c.usageWriting.Swap(true) {
+	if !c.teams.RecordDue(now, used) || c.peers.Lead() != "" || c.usageWriting.Swap(true) {
 		return
 	}
 	record := usageRecord{WrittenUnixMs: c.g.clock.Now().UnixMilli(), Used: used}
@@ -135,6 +144,16 @@
 		defer cancel()
 		if err := c.g.store.Put(ctx, c.g.kinds.Usage, c.g.settings.Instance.Domain, record); err != nil {
 			c.g.log.Info("quota use not recorded", "teams", len(used), "error", err.Error())
+			return
 		}
+		c.g.tellUntil(ctx, usageRecorded{at: now, used: used})
 	}()
 }
+
+// usageRecorded notes that a record was written.
+type usageRecorded struct {
+	at   time.Duration
+	used map[string][]float64
+}
+
+func (m usageRecorded) apply(c *control) { c.teams.Recorded(m.at, m.used) }
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -49,10 +49,11 @@
 	Ended   bool
 	Failing bool
 	// Cold is the number of covered instances that do not know what the team
-	// quotas were used for before they started. Informed is true if the sender
-	// knows what all instances have used.
+	// quotas were used for before they started. Hand is how the sender knows what
+	// all instances have used: 0 if it does not, 1 if it has seen it, 2 if it was
+	// told.
 	Cold      uint16
-	Informed  bool
+	Hand      uint8
 	Upstreams []UpstreamUse
 	Teams     []TeamUse
 	Strikes   []Strike
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -41,7 +41,7 @@
 // process of a peer.
 func TestOldReportsAreNotCurrent(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north", 40)
+	p := loadshare.NewPeers("b", "north", 40, 5)
 	for _, c := range []struct {
 		boot     int64
 		sequence uint64
@@ -58,7 +58,7 @@
 // store for and whose load the others do not see.
 func TestTheFirstLiveInstanceIsTheRelay(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north", 40)
+	p := loadshare.NewPeers("b", "north", 40, 5)
 	g.Expect(p.Relay()).To(BeEmpty())
 	heard(g, p, time.Second, report("a", "north", 0, 1, 1))
 	heard(g, p, time.Second, report("c", "north", 0, 1, 1))
@@ -79,7 +79,7 @@
 // and against a silent one that is never tried again.
 func TestSumsGoToTheRelayOfAnotherFailureDomain(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north", 40)
+	p := loadshare.NewPeers("b", "north", 40, 5)
 	for name, address := range map[string]string{"x": "127.0.0.1:8001", "y": "127.0.0.1:8002", "z": "127.0.0.1:7009"} {
 		_, err := p.Add(0, name, loadshare.Place{Domain: "south", Address: address})
 		g.Expect(err).NotTo(HaveOccurred())
@@ -96,7 +96,7 @@
 
 func TestSilentPeersAreProbedAndThenForgotten(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north", 40)
+	p := loadshare.NewPeers("b", "north", 40, 5)
 	heard(g, p, 0, report("a", "north", 0, 1, 1))
 	g.Expect(p.Near(time.Millisecond)).To(HaveLen(1))
 	p.Silent(time.Second)
@@ -124,7 +124,7 @@
 // relays that follow each other.
 func TestRelaysFollowTheFirstFailureDomainThatIsHeard(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north", 40)
+	p := loadshare.NewPeers("b", "north", 40, 5)
 	g.Expect(p.Lead()).To(BeEmpty())
 	g.Expect(p.IsFirst()).To(BeTrue())
 	heard(g, p, 0, loadshare.Report{Instance: "z", Boot: 1, Sequence: 1, Address: "127.0.0.1:9", Domain: "south", Members: 2})
@@ -153,7 +153,7 @@
 // failure domain without knowing what was used there before its start.
 func TestAnInstanceThatHasJustStartedIsNoRelay(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north", 40)
+	p := loadshare.NewPeers("b", "north", 40, 5)
 	cold := report("a", "north", 0, 1, 1)
 	cold.Cold = 1
 	heard(g, p, 0, cold)
@@ -167,11 +167,30 @@
 	g.Expect(p.Expected(0, time.Minute)).To(Equal(1))
 }
 
+// Failure: instances restart one after the other, within the window of the quotas.
+// Guards against the newest one speaking for its failure domain, which knows
+// neither what its own former process nor what those before it had used (soak:
+// seeds 601 and 604).
+func TestTheOldestOfThoseThatHaveJustStartedIsTheRelay(t *testing.T) {
+	g := NewWithT(t)
+	const second = int64(time.Second)
+	p := loadshare.NewPeers("b", "north", 40, 3*second)
+	p.SetState(true, true)
+	newer := report("a", "north", 0, 5*second, 1)
+	newer.Cold = 1
+	heard(g, p, 0, newer)
+	g.Expect(p.Relay()).To(BeEmpty(), "although this one cannot read the store")
+	older := report("c", "north", 0, 2*second, 1)
+	older.Cold = 1
+	heard(g, p, 0, older)
+	g.Expect(p.Relay()).To(Equal("127.0.0.1:7003"))
+}
+
 // Load pattern: instances of 0.2 to 0.8 of a core. Guards against the weakest one
 // carrying the reports and the copies for all.
 func TestTheMostPowerfulInstanceIsTheRelay(t *testing.T) {
 	g := NewWithT(t)
-	p := loadshare.NewPeers("b", "north", 40)
+	p := loadshare.NewPeers("b", "north", 40, 5)
 	weak := report("a", "north", 0, 1, 1)
 	weak.Power = 19
 	heard(g, p, 0, weak)
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -59,6 +59,7 @@
 	own       string
 	ownDomain string
 	ownPower  uint16
+	ownBoot   int64
 	// failing is true while this instance cannot read the store, and cold while it
 	// does not know what was used before its start.
 	failing bool
@@ -68,9 +69,9 @@
 }
 
 // NewPeers returns an empty list for an instance that may use a percentage of a
-// core.
-func NewPeers(own, ownDomain string, power uint16) *Peers {
-	return &Peers{own: own, ownDomain: ownDomain, ownPower: power, near: map[string]*peer{}, domains: map[string]*domain{}}
+// core and whose process started at boot, in Unix nanoseconds.
+func NewPeers(own, ownDomain string, power uint16, boot int64) *Peers {
+	return &Peers{own: own, ownDomain: ownDomain, ownPower: power, ownBoot: boot, near: map[string]*peer{}, domains: map[string]*domain{}}
 }
 
 // Place is where an instance stands, and what it can do.
@@ -197,21 +198,33 @@
 }
 
 // rank is the order in which instances, or failure domains, act for others: those
-// that can read the store first, then those that know what was used, then the
-// most powerful, then by name. Nobody follows one behind it, so that no two follow each other for longer
-// than their views differ.
+// that know longest what was used, then those that can read the store, then the
+// most powerful, then by name. Nobody follows one behind it, so that no two follow
+// each other for longer than their views differ.
 type rank struct {
-	failing, cold bool
-	power         uint16
-	name          string
+	// started is the second in which an instance started that does not know what
+	// was used before; 0 for others. An older process knows what a newer one has
+	// used, but not the other way round.
+	started int64
+	failing bool
+	power   uint16
+	name    string
+}
+
+func newRank(name string, power uint16, boot int64, cold, failing bool) rank {
+	r := rank{failing: failing, power: power, name: name}
+	if cold {
+		r.started = 1 + boot/int64(time.Second)
+	}
+	return r
 }
 
 func (r rank) before(other rank) bool {
 	switch {
+	case r.started != other.started:
+		return r.started < other.started
 	case r.failing != other.failing:
 		return !r.failing
-	case r.cold != other.cold:
-		return !r.cold
 	case r.power != other.power:
 		return r.power > other.power
 	}
@@ -223,9 +236,10 @@
 // moment none or two may believe to be it; that costs a report or sends one
 // twice.
 func (p *Peers) Relay() string {
-	first, address := rank{p.failing, p.cold, p.ownPower, p.own}, ""
+	first, address := newRank(p.own, p.ownPower, p.ownBoot, p.cold, p.failing), ""
 	for name, known := range p.near {
-		if r := (rank{known.failing, known.cold, known.power, name}); !known.silent && !known.leaving && r.before(first) {
+		r := newRank(name, known.power, known.boot, known.cold, known.failing)
+		if !known.silent && !known.leaving && r.before(first) {
 			first, address = r, known.address.String()
 		}
 	}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -163,11 +163,11 @@
 	for at := 6500 * time.Millisecond; at <= 12*time.Second; at += 200 * time.Millisecond {
 		a.Report(at, "b", quota.Use{Boot: 2, Members: 1, Cold: 1, Used: restarted.Used(at)})
 		a.Report(at, "c", quota.Use{Boot: 1, Members: 1})
-		restarted.Report(at, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(at), Total: a.Total(at)})
+		restarted.Report(at, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(at), Total: a.Total(at), Hand: quota.First})
 		restarted.Report(at, "c", quota.Use{Boot: 1, Members: 1})
 	}
 	after := drawDown(a, 12*time.Second)
-	restarted.Report(12*time.Second, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(12 * time.Second), Total: a.Total(12 * time.Second)})
+	restarted.Report(12*time.Second, "a", quota.Use{Boot: 1, Members: 1, Used: a.Used(12 * time.Second), Total: a.Total(12 * time.Second), Hand: quota.First})
 	after += drawDown(restarted, 12*time.Second)
 	g.Expect(used + after).To(BeNumerically("<=", bound))
 	// When the use from before the restart has left the window, it can be used.
@@ -325,10 +325,10 @@
 func TestARestartedInstanceTakesTheUseFromOthers(t *testing.T) {
 	g := NewWithT(t)
 	a := quota.NewTeams(rules, 8*time.Second, true)
-	a.Report(8*time.Second, "b", quota.Use{Boot: 1, Members: 1, Total: map[string]float64{"desk": 8800}})
+	a.Report(8*time.Second, "b", quota.Use{Boot: 1, Members: 1, Total: map[string]float64{"desk": 8800}, Hand: quota.First})
 	used := drawDown(a, 8*time.Second)
 	g.Expect(used + 8800).To(BeNumerically("<=", bound))
-	a.Report(9*time.Second, "b", quota.Use{Boot: 1, Members: 1, Total: map[string]float64{"desk": 1000 + used}})
+	a.Report(9*time.Second, "b", quota.Use{Boot: 1, Members: 1, Total: map[string]float64{"desk": 1000 + used}, Hand: quota.First})
 	g.Expect(drawDown(a, 9*time.Second)).To(BeNumerically(">", 7000-used))
 }
 
@@ -354,3 +354,131 @@
 	unread := quota.NewTeams(rules, 8*time.Second, true)
 	g.Expect(drawDown(unread, 8*time.Second+rules.RecallWait)).To(BeNumerically(">", 2000))
 }
+
+// afterKills is what the world looks like after an instance has used a team's
+// limit and was killed: b goes on and knows it; a, which starts at 5 s, does not.
+func afterKills() (a, b *quota.Teams, used float64) {
+	d := quota.NewTeams(rules, 0, false)
+	used = drawDown(d, 4*time.Second)
+	b = quota.NewTeams(rules, 0, false)
+	b.Report(4*time.Second, "d", quota.Use{Boot: 1, Members: 1, Used: d.Used(4 * time.Second)})
+	b.End(4500*time.Millisecond, "d")
+	return quota.NewTeams(rules, 5*time.Second, true), b, used
+}
+
+func useOf(t *quota.Teams, now time.Duration, boot int64) quota.Use {
+	use := quota.Use{Boot: boot, Members: 1, Used: t.Used(now)}
+	use.Total, use.Hand = t.Told(now)
+	if t.Cold(now) {
+		use.Cold = 1
+	}
+	return use
+}
+
+// Failure: a restarted instance has been told what was used by one that goes on,
+// and that one stops or falls silent soon after. Guards against forgetting what it
+// told.
+func TestWhatAnInformedPeerToldOutlivesIt(t *testing.T) {
+	for name, lose := range map[string]func(t *quota.Teams, at time.Duration){
+		"stopped": func(t *quota.Teams, at time.Duration) { t.End(at, "b") },
+		"silent":  func(*quota.Teams, time.Duration) {},
+	} {
+		g := NewWithT(t)
+		a, b, used := afterKills()
+		for at := 5 * time.Second; at < 6*time.Second; at += 100 * time.Millisecond {
+			a.Report(at, "b", useOf(b, at, 1))
+		}
+		lose(a, 6*time.Second)
+		after := drawDown(a, 8*time.Second)
+		g.Expect(used+after).To(BeNumerically("<=", bound), name)
+		// Once that has left the window it counts no more.
+		g.Expect(drawDown(a, 14*time.Second)).To(BeNumerically(">=", 1000*8*0.5-after), name)
+	}
+}
+
+// Failure: instances are killed one after the other until none is left that knew
+// what a team had used. Guards against starting again from a guess where those
+// that were told can still tell.
+func TestWhatWasToldIsToldToTheNext(t *testing.T) {
+	g := NewWithT(t)
+	a, b, used := afterKills()
+	a.Report(5*time.Second, "b", useOf(b, 5*time.Second, 1))
+	a.End(6*time.Second, "b")
+	c := quota.NewTeams(rules, 6*time.Second, true)
+	c.Report(7*time.Second, "a", useOf(a, 7*time.Second, 2))
+	c.Recalled()
+	g.Expect(c.Informed(7 * time.Second)).To(BeTrue())
+	used += drawDown(c, 7*time.Second)
+	g.Expect(used).To(BeNumerically("<=", bound))
+	_, hand := c.Told(7 * time.Second)
+	g.Expect(hand).To(Equal(quota.Unknown), "what was heard at second hand is not told on, so that no two tell each other")
+}
+
+// Load pattern: a team sends at five times its limit from one moment on, and all
+// instances are killed at any time after that. Guards against use between two
+// records that is neither recorded nor guessed (soak: seed 604).
+func TestAKillDuringABurstFindsItRecorded(t *testing.T) {
+	const tick, step = 200 * time.Millisecond, 20 * time.Millisecond
+	for n := range 60 * 10 {
+		g := NewWithT(t)
+		// The looks at the use are not in step with the burst.
+		phase, killed := time.Duration(n%10)*tick/10, time.Duration(n/10)*50*time.Millisecond
+		before := quota.NewTeams(rules, 0, false)
+		var record map[string][]float64
+		used, written := 0.0, time.Duration(0)
+		for at := time.Duration(0); at < killed; at += step {
+			if before.Charge(at, "desk", limit, 100).Allowed {
+				used += 100
+			}
+			if (at+phase)%tick != 0 {
+				continue
+			}
+			if newest := before.Record(at); before.RecordDue(at, newest) {
+				record, written = newest, at
+				before.Recorded(at, newest)
+			}
+		}
+		after := quota.NewTeams(rules, killed, true)
+		after.Recall(killed, killed-written, record)
+		after.Recalled()
+		used += drawDown(after, killed)
+		g.Expect(used).To(BeNumerically("<=", bound), "killed after %s, phase %s", killed, phase)
+	}
+}
+
+// Failure: all instances are killed just after a team has begun to send, before
+// that was worth a record. Guards against a guess that leaves the window evenly,
+// although all of the use was recent (soak: seeds 601 and 604).
+func TestUseWithoutARecordCountsForAWholeWindow(t *testing.T) {
+	g := NewWithT(t)
+	before := quota.NewTeams(rules, 0, false)
+	used := 0.0
+	for before.Charge(7900*time.Millisecond, "desk", limit, 100).Allowed {
+		used += 100
+		if len(before.Record(7900*time.Millisecond)) > 0 {
+			break
+		}
+	}
+	after := quota.NewTeams(rules, 8*time.Second, true)
+	after.Recalled()
+	for at := 8 * time.Second; at < 15900*time.Millisecond; at += 100 * time.Millisecond {
+		used += drawDown(after, at)
+	}
+	g.Expect(used).To(BeNumerically("<=", bound))
+	g.Expect(used).To(BeNumerically(">=", 1000*8*0.8))
+}
+
+// Load pattern: a team uses its limit evenly. Guards against more than about one
+// record a second, which each cost a call to the store.
+func TestAnEvenUseIsRecordedOnceASecond(t *testing.T) {
+	teams := quota.NewTeams(rules, 0, false)
+	records := 0
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		teams.Charge(at, "desk", limit, 90)
+		if newest := teams.Record(at); teams.RecordDue(at, newest) {
+			records++
+			teams.Recorded(at, newest)
+		}
+	}
+	NewWithT(t).Expect(records).To(BeNumerically("<=", 20))
+}
--- a/pkg/quota/recall.go
+++ b/pkg/quota/recall.go
@@ -2,11 +2,22 @@
 
 import "time"
 
-// busyFrom is the share of a limit from which its use is recorded in the store.
-const busyFrom = 0.6
-
-// recordParts is the number of parts of the window that are recorded.
-const recordParts = 8
+// What is recorded, and how often.
+const (
+	// busyFrom is the share of a limit from which its use is recorded in the store.
+	busyFrom = 0.3
+	// unrecorded is the share of a limit that may have been used without a record:
+	// busyFrom, and what a team that sends at five times its limit uses between two
+	// looks at it, 0.2 s apart, and while the record is written.
+	unrecorded = 0.45
+	// recordParts is the number of parts of the window that are recorded.
+	recordParts = 8
+	// recordEvery is the time between two records of an even use, and recordStep
+	// the share of a limit by which the use of a team grows before it is recorded
+	// sooner.
+	recordEvery = time.Second
+	recordStep  = 0.1
+)
 
 // Record returns, for each team that uses much of its limit, what all instances
 // have used, by the age of the use, the newest part first. It must be called more
@@ -26,6 +37,38 @@
 	return record
 }
 
+// RecordDue reports whether a record should be written.
+func (t *Teams) RecordDue(now time.Duration, record map[string][]float64) bool {
+	if len(record) == 0 {
+		return false
+	}
+	if now-t.recordedAt >= recordEvery {
+		return true
+	}
+	for team, parts := range record {
+		if sumOf(parts)-t.recorded[team] >= recordStep*t.limits[team].full(t.rules.Window) {
+			return true
+		}
+	}
+	return false
+}
+
+// Recorded notes that a record was written.
+func (t *Teams) Recorded(now time.Duration, record map[string][]float64) {
+	t.recorded, t.recordedAt = make(map[string]float64, len(record)), now
+	for team, parts := range record {
+		t.recorded[team] = sumOf(parts)
+	}
+}
+
+func sumOf(parts []float64) float64 {
+	sum := 0.0
+	for _, part := range parts {
+		sum += part
+	}
+	return sum
+}
+
 // Recall takes in a record that was written before this start, at the given age.
 // Several records may cover the same use; the largest counts.
 func (t *Teams) Recall(now, age time.Duration, record map[string][]float64) {
@@ -67,8 +110,8 @@
 func (t *Teams) Recalled() { t.recallUntil = 0 }
 
 // unknown is what may have been used before this start while nobody is heard who
-// knows: what was recorded, or else a use that was not worth recording and leaves
-// the window evenly.
+// knows: what was recorded, or else as much as is not worth recording, for a whole
+// window, since all of it may have been used just before.
 func (t *Teams) unknown(now time.Duration, team string, full float64) float64 {
 	if parts, recorded := t.recalled[team]; recorded {
 		_, sum := remaining(parts, now)
@@ -77,5 +120,5 @@
 	if now < t.recallUntil {
 		return full
 	}
-	return busyFrom * full * (t.coldUntil - now).Seconds() / t.rules.Window.Seconds()
+	return unrecorded * full
 }
--- a/pkg/quota/source.go
+++ b/pkg/quota/source.go
@@ -24,11 +24,26 @@
 	// Partial reports name only teams whose use has changed.
 	Partial bool
 	// Used is what it has used of each team's limit in its window, and Total what
-	// it knows that all instances have used; nil if it has restarted itself.
+	// it knows that all instances have used, if Hand says that it does.
 	Used  map[string]float64
 	Total map[string]float64
+	Hand  Hand
 }
 
+// Hand says how a peer knows what all instances have used.
+type Hand uint8
+
+// Hands.
+const (
+	// Unknown means that the peer has restarted and was not told.
+	Unknown Hand = iota
+	// First means that the peer has seen it for a whole window.
+	First
+	// Second means that the peer has restarted and was told by one that has seen
+	// it.
+	Second
+)
+
 // generation differs between two processes of an instance, and grows when all
 // instances of a failure domain have restarted. As long as one of them goes on,
 // it knows what the others had used.
@@ -52,9 +67,14 @@
 	// line holds when the present generation used its amounts, and past what
 	// earlier ones had used, of which a new process does not know.
 	line, past ledger
-	// ownThen is what this instance had used itself at the last report; what it
-	// has used since is not in the peer's total.
-	ownThen map[string]float64
+	// told holds what the peer has told that all instances had used, and hand how
+	// it knew. It is kept when the peer is lost, and counts until it has left the
+	// window.
+	told ledger
+	hand Hand
+	// heardThen is what was known of the use of this instance and of others at the
+	// last whole report; what they have used since is not in the peer's total.
+	heardThen map[string]float64
 }
 
 // report takes in a report. A report holds the sum over the sender's window, so
@@ -75,13 +95,24 @@
 		line.Add(now, max(0, amount-line.Sum(now)))
 	}
 	if use.Partial {
-		use.Total = s.use.Total
 		use.Used = merged(s.use.Used, use.Used)
 	}
 	s.reported, s.use = now, use
 	s.known = max(use.Known, use.Members)
 }
 
+// tell takes in what the peer knows that all have used. heard is what this instance
+// knows of at the same time.
+func (s *source) tell(now, window time.Duration, use Use, heard map[string]float64) {
+	for team := range use.Total {
+		s.told.window(team, window)
+	}
+	for team, line := range s.told {
+		line.settle(now, use.Total[team])
+	}
+	s.hand, s.heardThen = use.Hand, heard
+}
+
 // teams returns the teams that the source has used something of.
 func (s *source) teams() []string {
 	names := slices.Collect(maps.Keys(s.line))
--- a/pkg/quota/team.go
+++ b/pkg/quota/team.go
@@ -41,6 +41,10 @@
 	// recalled what lay in the store at a restart.
 	timeline ledger
 	recalled map[string][]part
+	// recorded is what the newest record in the store says that each team had used,
+	// and recordedAt when it was made.
+	recorded   map[string]float64
+	recordedAt time.Duration
 }
 
 // part is an amount that leaves the window at a known time.
@@ -132,24 +136,62 @@
 // used is what all instances have used, of the total number of instances.
 func (t *Teams) used(now time.Duration, team string, full, total float64) float64 {
 	sum := t.own.sum(now, team)
-	told, informed := 0.0, false
 	for _, peer := range t.peers {
 		sum += t.usedBy(now, peer, team, full, total)
-		if peer.use.Total == nil || now-peer.reported > t.rules.Fresh {
-			continue
-		}
-		since := t.own.sum(now, team) - peer.ownThen[team]
-		told, informed = max(told, peer.use.Total[team]+max(0, since)), true
 	}
-	switch {
-	case !t.Cold(now):
+	if !t.Cold(now) {
 		return sum
-	case informed:
-		return max(sum, told)
+	}
+	if hand := t.bestHand(); hand != Unknown {
+		return max(sum, t.told(now, team, hand))
 	}
 	return sum + t.unknown(now, team, full)
 }
 
+// bestHand says how the peers knew that have told what was used before this start.
+func (t *Teams) bestHand() Hand {
+	best := Unknown
+	for _, peer := range t.peers {
+		if peer.hand == First {
+			return First
+		}
+		best = max(best, peer.hand)
+	}
+	return best
+}
+
+// told is what all instances have used by what peers have told, of those that
+// knew at the given hand: the largest of those that are still heard, or else of
+// those that are lost.
+func (t *Teams) told(now time.Duration, team string, hand Hand) float64 {
+	most, fresh := 0.0, false
+	for _, peer := range t.peers {
+		if peer.hand != hand {
+			continue
+		}
+		amount := peer.told.sum(now, team) + max(0, t.heard(now, team, peer)-peer.heardThen[team])
+		switch isFresh := now-peer.reported <= t.rules.Fresh; {
+		case isFresh && !fresh:
+			most, fresh = amount, true
+		case isFresh == fresh:
+			most = max(most, amount)
+		}
+	}
+	return most
+}
+
+// heard is what this instance has used, and what the others, but for one, have
+// last reported.
+func (t *Teams) heard(now time.Duration, team string, except *source) float64 {
+	sum := t.own.sum(now, team)
+	for _, peer := range t.peers {
+		if peer != except {
+			sum += peer.use.Used[team]
+		}
+	}
+	return sum
+}
+
 // usedBy is what a peer has used. A share of the limit is left to a silent one;
 // what it had used before may be more than that.
 func (t *Teams) usedBy(now time.Duration, peer *source, team string, full, total float64) float64 {
@@ -163,12 +205,27 @@
 // Used returns what this instance has used of each team's limit.
 func (t *Teams) Used(now time.Duration) map[string]float64 { return t.own.sums(now) }
 
-// Total returns what all instances have used, for those that have restarted and
-// do not know; nil if this instance does not know either.
-func (t *Teams) Total(now time.Duration) map[string]float64 {
-	if t.Cold(now) {
-		return nil
+// Told returns what all instances have used, for those that have restarted and do
+// not know, and how this instance knows it. What was heard at second hand is not
+// told on: two instances that tell each other would keep it for ever.
+func (t *Teams) Told(now time.Duration) (total map[string]float64, hand Hand) {
+	switch {
+	case !t.Cold(now):
+		return t.Total(now), First
+	case t.bestHand() != First:
+		return nil, Unknown
 	}
+	total = t.Total(now)
+	for _, peer := range t.peers {
+		for team := range peer.told {
+			total[team] = max(total[team], t.told(now, team, First))
+		}
+	}
+	return total, Second
+}
+
+// Total returns what this instance and those that it knows have used.
+func (t *Teams) Total(now time.Duration) map[string]float64 {
 	total := t.own.sums(now)
 	heard, silent := t.audible(now)
 	for _, peer := range t.peers {
@@ -208,9 +265,20 @@
 func (t *Teams) Report(now time.Duration, peer string, use Use) {
 	s := t.source(peer)
 	s.report(now, t.rules.Window, use)
-	if t.Cold(now) && !use.Partial {
-		s.ownThen = t.own.sums(now)
+	if t.Cold(now) && use.Hand != Unknown {
+		s.tell(now, t.rules.Window, use, t.heardAll(now, s))
+	}
+}
+
+// heardAll is what is heard of each team that has used something.
+func (t *Teams) heardAll(now time.Duration, except *source) map[string]float64 {
+	sums := t.own.sums(now)
+	for _, peer := range t.peers {
+		for team := range peer.use.Used {
+			sums[team] = t.heard(now, team, except)
+		}
 	}
+	return sums
 }
 
 // End notes that a peer has stopped.
@@ -229,18 +297,12 @@
 func (t *Teams) source(name string) *source {
 	s := t.peers[name]
 	if s == nil {
-		s = &source{line: ledger{}, past: ledger{}}
+		s = &source{line: ledger{}, past: ledger{}, told: ledger{}}
 		t.peers[name] = s
 	}
 	return s
 }
 
-// Informed reports whether a peer that knows what was used is heard.
-func (t *Teams) Informed(now time.Duration) bool {
-	for _, peer := range t.peers {
-		if now-peer.reported <= t.rules.Fresh && peer.use.Total != nil {
-			return true
-		}
-	}
-	return !t.Cold(now)
-}
+// Informed reports whether this instance knows what was used before its start, or
+// was told by a peer.
+func (t *Teams) Informed(now time.Duration) bool { return !t.Cold(now) || t.bestHand() != Unknown }
--- a/pkg/quota/window.go
+++ b/pkg/quota/window.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// settle makes the sum what it is known to be: what exceeds it is counted now, and
+// what is missing has left the window, the oldest first.
+func (w *Window) settle(now time.Duration, amount float64) {
+	w.advance(now)
+	for age := int64(buckets); age >= 0 && w.sum > amount; age-- {
+		if number := w.current - age; number >= 0 {
+			slot := &w.amounts[number%(buckets+1)]
+			left := min(*slot, w.sum-amount)
+			*slot -= left
+			w.sum -= left
+		}
+	}
+	w.Add(now, max(0, amount-w.sum))
+}
+
 // parts returns the sums of equal parts of the window, the newest first.
 func (w *Window) parts(now time.Duration, count int) []float64 {
 	w.advance(now)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,10 +29,15 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{601, "quotas: reports were read before the configuration named their teams; the newest process spoke for its failure domain; recent use without a record was taken to leave the window evenly"},
+	{604, "quotas: as 601"},
+}
 
 const (
 	clients = 12
+	// busyClients are of the team that asks for more than its quota.
+	busyClients = 3
 	// keyBound is how long a withdrawn key may still be served: the setting's
 	// five seconds.
 	keyBound = 5 * time.Second
@@ -109,6 +115,9 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		kind := []string{"once", "safe", "stream", "resume"}[draw.IntN(4)]
 		s := sent{id: fmt.Sprintf("c%d-%d", client, n), kind: kind, key: w.key(), at: time.Now()}
+		if client < busyClients {
+			s.key = busyKey
+		}
 		w.exchange(http1, w.callers[draw.IntN(instances)], &s)
 		results <- s
 		time.Sleep(time.Duration(draw.IntN(30)) * time.Millisecond)
@@ -145,7 +154,7 @@
 	end := time.Now().Add(*length)
 	var running sync.WaitGroup
 	for time.Now().Before(end) {
-		fault := draw.IntN(11)
+		fault := draw.IntN(13)
 		i, pause := draw.IntN(instances), time.Duration(100+draw.IntN(1200))*time.Millisecond
 		u := draw.IntN(upstreams)
 		running.Go(func() { w.fault(fault, i, u, pause) })
@@ -191,6 +200,17 @@
 		w.register(u, "ready")
 	case 10:
 		w.rotateKey()
+	case 11:
+		lifecycle.Lock()
+		defer lifecycle.Unlock()
+		w.gateways[i].HangUp()
+	case 12:
+		lifecycle.Lock()
+		defer lifecycle.Unlock()
+		for i, process := range w.gateways {
+			process.Kill()
+			w.start(i)
+		}
 	}
 }
 
@@ -254,9 +274,34 @@
 			fail("%s %s ran %s after its key was withdrawn", s.kind, s.id, s.at.Sub(at))
 		}
 	}
+	if most := w.busiestWindow(); most > quotaBound {
+		fail("%d requests of the busy team ran in %s, of %d allowed", most, quotaWindow, quotaBound)
+	}
 	return failures
 }
 
+// quotaBound is what the busy team may run in a window.
+const quotaBound = int((busyRate*quotaWindow/time.Second+busyRate)*110/100) + quotaSlack
+
+// busiestWindow is the most requests of the busy team that began within a window.
+func (w *world) busiestWindow() int {
+	var begun []time.Time
+	for _, seen := range w.runs {
+		if seen.key == busyKey {
+			begun = append(begun, seen.at)
+		}
+	}
+	slices.SortFunc(begun, time.Time.Compare)
+	most, first := 0, 0
+	for last := range begun {
+		for begun[last].Sub(begun[first]) >= quotaWindow {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
 func expected(s sent) string {
 	if s.kind == "stream" || s.kind == "resume" {
 		return wholeStream(s.id)
@@ -268,8 +313,9 @@
 func (w *world) keepLogs(seed uint64) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	w.must(err)
-	for _, process := range w.gateways {
-		w.must(os.WriteFile(filepath.Join(dir, process.Name+".log"), []byte(process.Output()), 0o600))
+	for n, process := range w.started {
+		name := fmt.Sprintf("%s-%03d.log", process.Name, n)
+		w.must(os.WriteFile(filepath.Join(dir, name), []byte(process.Output()), 0o600))
 	}
 	w.t.Logf("logs are in %s", dir)
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -27,6 +27,17 @@
 	slots     = 6
 	// events is the number of events of a stream.
 	events = 6
+	// busyKey is that of a team which asks for more than its quota of busyRate
+	// requests a second, and as many in a burst.
+	busyKey  = "key-of-the-busy-team"
+	busyRate = 10
+)
+
+// Settings that bind all instances together.
+const (
+	quotaWindow  = 8 * time.Second
+	quotaOverage = 0.1
+	quotaSlack   = 5
 )
 
 // run is what upstreams have seen of a request.
@@ -34,9 +45,10 @@
 	begun int
 	// first is the first event that each run was asked for.
 	first []int
-	// revokedKey is true if a request whose key was withdrawn was run.
+	// key is the one that the caller used.
 	key string
-	at  time.Time
+	// at is when it began to run for the first time.
+	at time.Time
 }
 
 // world is a deployment whose outside is held by the test.
@@ -48,9 +60,11 @@
 	links      []*testbed.Link
 	servers    []*httptest.Server
 	gateways   []*testbed.Process
-	settings   []string
-	callers    []string
-	binary     string
+	// started holds all processes in the order of their starts.
+	started  []*testbed.Process
+	settings []string
+	callers  []string
+	binary   string
 
 	mu      sync.Mutex
 	runs    map[string]*run
@@ -109,7 +123,10 @@
 		"version":  w.version,
 		"routes":   []any{route("once", "unsafe", false, 1), route("safe", "safe", false, 2), route("stream", "streaming", false, 1), route("resume", "streaming", true, 3)},
 		"services": []any{map[string]any{"name": "desk", "max_connections": 500}},
-		"tenants":  []any{map[string]any{"name": "team", "api_keys": append([]string{}, w.keys...)}},
+		"tenants": []any{
+			map[string]any{"name": "team", "api_keys": append([]string{}, w.keys...)},
+			map[string]any{"name": "busy", "api_keys": []string{busyKey}, "rate_per_s": busyRate, "burst": busyRate},
+		},
 	})
 }
 
@@ -191,11 +208,10 @@
 	w.busy[i]++
 	seen := w.runs[id]
 	if seen == nil {
-		seen = &run{}
+		seen = &run{key: key, at: time.Now()}
 		w.runs[id] = seen
 	}
 	seen.begun++
-	seen.key, seen.at = key, time.Now()
 	from := 0
 	if last != "" {
 		_, _ = fmt.Sscan(last, &from)
@@ -240,15 +256,28 @@
 [bounds]
 leave_notice_s = 0.5
 stop_grace_s = 4
-`, i, domain, callers, freeAddress(w.t), freeAddress(w.t), freeAddress(w.t), w.storeLinks[i].Address())
+quota_window_s = %g
+quota_overage = %g
+quota_slack = %d
+`, i, domain, callers, freeAddress(w.t), freeAddress(w.t), freeAddress(w.t), w.storeLinks[i].Address(),
+		quotaWindow.Seconds(), quotaOverage, quotaSlack)
 	path := filepath.Join(w.t.TempDir(), fmt.Sprintf("edge-%d.ini", i))
 	w.must(os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
 
+// startedBefore says in the settings of an instance that it may have run before.
+func (w *world) startedBefore(i int) {
+	text, err := os.ReadFile(w.settings[i])
+	w.must(err)
+	w.must(os.WriteFile(w.settings[i], []byte(strings.Replace(string(text), "first_start = true", "first_start = false", 1)), 0o600))
+}
+
 func (w *world) start(i int) {
 	process, err := testbed.Start(fmt.Sprintf("edge-%d", i), w.binary, "--config", w.settings[i])
 	w.must(err)
 	w.gateways[i] = process
+	w.started = append(w.started, process)
+	w.startedBefore(i)
 	w.t.Cleanup(process.Stop)
 }
