admission: upstreams of other failure domains cost more

Cause: as before, instances choose by counts that are old, and those of other failure domains are older: two pauses and the way between regions.

Change: 100 ms for another failure domain of the region, 250 ms for another region, after 30 and 80.

--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -118,8 +118,9 @@
 	// PlainMs is the work of a request at a plain service of speed 1.
 	PlainMs float64
 	// SameRegionMs and OtherRegionMs are added to the expected time at
-	// upstreams outside the own failure domain: the way there and back, and
-	// the weight of bytes that are paid by volume.
+	// upstreams outside the own failure domain: the way there and back, the
+	// weight of bytes that are paid by volume, and the work that arrives there
+	// before it is known here, for 40 ms and 100 ms more at a hundred instances.
 	SameRegionMs  float64
 	OtherRegionMs float64
 	// ExtraSlots is the number of requests beyond its slots that an upstream
@@ -147,7 +148,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		PrefillPerMs: 55, StepMs: 2.89, StepMsPerRequest: 0.101, FirstMs: 15, PlainMs: 30,
-		SameRegionMs: 30, OtherRegionMs: 80,
+		SameRegionMs: 100, OtherRegionMs: 250,
 		ExtraSlots: 1, HoldShare: 0.08, Spread: 1,
 		ShortestRound: 60 * time.Millisecond, LongestRound: 200 * time.Millisecond,
 		PeerTimeout: time.Second,
