admission: say in the log how many places were free

Cause: since free places are shared, a request may be refused while some are free that others need; the line did not show it.

Change: lines of placements and refusals tell the free places as known; the reason of a refusal says whether others wait elsewhere.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -29,6 +29,7 @@
 	var decisions []Decision
 	kept := p.waiting[:0]
 	free := p.freeSlots(now)
+	known := free
 	p.renewRound(now, free)
 	for i, r := range p.waiting {
 		decision, done := p.decide(now, r, free)
@@ -39,7 +40,7 @@
 		if decision.Action == Place {
 			free--
 		}
-		decision.Age = oldest
+		decision.Age, decision.Free = oldest, known
 		decision.Waited, decision.Queue = now-r.Arrived, len(kept)+len(p.waiting)-i-1
 		decisions = append(decisions, decision)
 	}
@@ -101,7 +102,7 @@
 	}
 	hold := time.Duration(float64(r.Until-r.Arrived) * p.tuning.HoldShare)
 	if now-r.Arrived >= hold {
-		return p.refuse(now, r, "no upstream had room in time"), true
+		return p.refuse(now, r, p.noRoom()), true
 	}
 	return Decision{}, false
 }
@@ -169,6 +170,13 @@
 	}
 }
 
+func (p *Pool) noRoom() string {
+	if p.round.bounded {
+		return "no upstream had room in time, and others wait elsewhere"
+	}
+	return "no upstream had room in time"
+}
+
 func (p *Pool) refuse(now time.Duration, r *Request, reason string) Decision {
 	left := max(0, r.Until-now)
 	wait := time.Duration(float64(left) * retryShare * (1 - retrySpread*p.random.Float64()))
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -65,6 +65,9 @@
 	// wait for the service.
 	Waited time.Duration
 	Queue  int
+	// Free is the number of free places as known here when all that waits was
+	// looked at.
+	Free int
 	// InFlight is the number of requests at the upstream, as known here, and
 	// Age the age of the oldest report of a peer that counts in it.
 	InFlight int
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -311,7 +311,8 @@
 	if x.mayHaveRun {
 		return errkind.New(errkind.UpstreamBroken, "an upstream failed, and no other can take the request: %s", decision.Reason)
 	}
-	return errkind.New(errkind.Overloaded, "%s after %d ms, with %d waiting", decision.Reason, decision.Waited.Milliseconds(), decision.Queue)
+	return errkind.New(errkind.Overloaded, "%s after %d ms, with %d waiting here and %d places free",
+		decision.Reason, decision.Waited.Milliseconds(), decision.Queue, decision.Free)
 }
 
 // permitted checks, at the moment of sending, what may have changed while the
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -60,7 +60,7 @@
 
 func placement(decision admission.Decision) []any {
 	return []any{"upstream", decision.Upstream.ID, "reason", decision.Reason,
-		"waited_ms", decision.Waited.Milliseconds(), "queue", decision.Queue, "in_flight", decision.InFlight,
+		"waited_ms", decision.Waited.Milliseconds(), "queue", decision.Queue, "free", decision.Free, "in_flight", decision.InFlight,
 		"peer_age_ms", decision.Age.Milliseconds(), "expected_ms", decision.Expected.Milliseconds()}
 }
 
