--- a/pkg/admission/share.go
+++ b/pkg/admission/share.go
@@ -38,8 +38,12 @@
 		}
 	}
 	length := min(max(oldest, p.tuning.ShortestRound), p.tuning.LongestRound)
-	own := p.Demand(false)
-	p.round = round{end: now + length, length: length, bounded: others > 0 && own+others > free && p.usualStay() > length && length > 0, before: p.round.submitted}
+	own := p.demand()
+	scarce := others > 0 && own+others > free
+	p.round = round{
+		end: now + length, length: length, before: p.round.submitted,
+		bounded: scarce && length > 0 && p.usualStay() > length,
+	}
 	share := float64(free*own) / float64(max(1, own+others))
 	p.round.left = int(share)
 	if p.random.Float64() < share-float64(p.round.left) {
