--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -123,7 +123,7 @@
 	// SameRegionMs and OtherRegionMs are added to the expected time at
 	// upstreams outside the own failure domain: the way there and back, the
 	// weight of bytes that are paid by volume, and the work that arrives there
-	// before it is known here, for 40 ms and 100 ms more at a hundred instances.
+	// before it is known here.
 	SameRegionMs  float64
 	OtherRegionMs float64
 	// ExtraSlots is the number of requests beyond its slots that an upstream
--- a/pkg/gateway/sharing.go
+++ b/pkg/gateway/sharing.go
@@ -21,8 +21,8 @@
 	// time after which the load of a peer no longer counts.
 	wholeEvery = 800 * time.Millisecond
 	// reportBytes is what an instance sends to each audience, per second. With
-	// more peers or upstreams the reports come less often. It is what 87 instances
-	// need to tell each other of 140 upstreams about every 40 ms.
+	// more peers or upstreams the reports come less often. Four
+	// times less left the counts of 87 instances too old on an overloaded day.
 	reportBytes = 160_000
 	// idleEvery is the time between two reports when nothing changes, a quarter
 	// of the time after which a peer counts as silent.
