peer: a cancelled call returns once its connection can be used again

Cause: drpc's pool passes over a connection whose cancelled stream has not left it, so a call right after a cancelled one dialled another connection. Change: the call waits for the stream to leave, or for the connection to close, which drpc bounds by softCancelGrace. Ruled out: returning blocked connections from the pool, since the next call would fail when the connection is closed after the grace time.

--- a/pkg/peer/dialer.go
+++ b/pkg/peer/dialer.go
@@ -77,7 +77,25 @@
 		return nil, err
 	}
 	transport := &countedConn{Conn: conn, traffic: d.options.Traffic, address: address, faultHook: d.options.FaultHook}
-	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
+	return settlingConn{drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()})}, nil
+}
+
+// settlingConn is a connection whose calls return only when the connection can be
+// used again or has been closed. The pool passes over a connection whose cancelled
+// call has not left it yet, and would dial another one for the next call. The wait is
+// at most softCancelGrace, after which the connection is closed.
+type settlingConn struct{ drpcpool.Conn }
+
+// Invoke implements drpc.Conn.
+func (c settlingConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
+	if err != nil {
+		select {
+		case <-c.Unblocked():
+		case <-c.Closed():
+		}
+	}
+	return err
 }
 
 // clientConn adds the timeout of unary calls and the message counters to a pooled
