connpool: an answer without an ID is not delivered on a connection in use again

Operators reported that a late second copy of an answer reached the next caller. Now only the first request on a connection accepts an answer without an ID; later ones fail, and the connection is closed.

--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -52,6 +52,8 @@
 	upstream    string
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// requests is the number of requests that were sent on the connection.
+	requests int
 	// mayHaveWritten is set before the first byte of a request is written.
 	mayHaveWritten atomic.Bool
 	// writeDone is closed when the current request was written or its write has failed.
@@ -111,17 +113,22 @@
 	// Framed is true if the response has a length or is chunked, so that a truncated
 	// body can be detected.
 	Framed bool
+	// Length is the length of the body; -1 if the response does not state it.
+	Length int64
 	raw    *http.Response
 }
 
 // RoundTrip sends a request and returns its response once the head was read. A response
 // with an ID other than id in the header idHeader is skipped as one to another request;
-// more than maxSkippedResponses of them make the request fail.
+// more than maxSkippedResponses of them make the request fail. So does a response without
+// an ID, unless the request is the first on the connection: it may be a late copy of an
+// earlier response.
 // If the context ends, the connection is closed, even while the body is read.
 func (c *Conn) RoundTrip(ctx context.Context, request Request, idHeader, id string) (*Response, error) {
 	c.detachContext = context.AfterFunc(ctx, c.Close)
 	c.writeDone = make(chan struct{})
 	c.mayHaveWritten.Store(true)
+	c.requests++
 	if len(request.Body) < asyncBodyBytes {
 		c.write(request)
 		if c.writeErr != nil {
@@ -136,8 +143,11 @@
 			return nil, err
 		}
 		echoed := response.Header.Get(idHeader)
-		if echoed == "" || echoed == id {
+		switch {
+		case echoed == id || (echoed == "" && c.requests == 1):
 			return response, nil
+		case echoed == "":
+			return nil, errNoID
 		}
 		// A late response to an earlier request; the expected one follows.
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil || n == maxSkippedBytes || !response.Framed {
@@ -147,6 +157,8 @@
 	return nil, errWrongRequest
 }
 
+var errNoID = errors.New("the answer does not say to which of the connection's requests it belongs")
+
 var errWrongRequest = errors.New("the answer belongs to another request")
 
 func (c *Conn) write(request Request) {
@@ -192,7 +204,7 @@
 		return &Response{
 			Status: raw.StatusCode, Header: raw.Header, Body: raw.Body,
 			Framed: raw.ContentLength >= 0 || len(raw.TransferEncoding) > 0,
-			raw:    raw,
+			Length: raw.ContentLength, raw: raw,
 		}, nil
 	}
 }
