gateway: an incomplete answer never looks complete, endless bytes stay bounded

Operators reported answers that broke off and reached the caller as complete. Aborted answers to them now reset the connection, and the length of an answer is passed on also beyond the buffer.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -39,6 +40,10 @@
 // replaced by an error or a retry.
 const maxBufferedAnswerBytes = 256 << 10
 
+// maxRefusalBytes bounds the body of an upstream's refusal, which is read only so that
+// the connection can be used again.
+const maxRefusalBytes = 16 << 10
+
 // attempt sends the request to the selected upstream and forwards its answer.
 func (x *exchange) attempt(ctx context.Context, decision admission.Decision) attemptResult {
 	ctx, cancel := context.WithCancel(ctx)
@@ -152,8 +157,8 @@
 	success := response.Status/100 == 2
 	switch {
 	case reply.NotExecuted:
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedAnswerBytes))
-		return x.rejectedByUpstream(decision, reply, response.Status), err == nil
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
+		return x.rejectedByUpstream(decision, reply, response.Status), err == nil && n < maxRefusalBytes
 	case success && (!reply.Signed || reply.Encoded):
 		cause := errors.New("the answer is not the upstream's own")
 		return x.answerFailed(ctx, decision, cause, false), false
@@ -184,6 +189,9 @@
 	if err != nil {
 		return x.answerFailed(ctx, decision, err, false), false
 	}
+	if len(body) == maxBufferedAnswerBytes && response.Status/100 != 2 {
+		return x.answerFailed(ctx, decision, errFailureTooLong, false), false
+	}
 	timeToFirstOutput := x.g.now() - started
 	outcome := admission.Answered
 	if response.Status >= http.StatusInternalServerError {
@@ -202,9 +210,7 @@
 			"upstream %s answered %d instead of the rest of the stream", decision.Upstream.ID, response.Status)}, len(body) < maxBufferedAnswerBytes
 	}
 	x.copyHeader(response)
-	if len(body) < maxBufferedAnswerBytes && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified && x.r.Method != http.MethodHead {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
+	x.setContentLength(response, len(body))
 	x.answerStarted = true
 	x.w.WriteHeader(response.Status)
 	if _, err := x.w.Write(body); err != nil {
@@ -220,6 +226,23 @@
 	return attemptResult{outcome: outcome, timeToFirstOutput: timeToFirstOutput}, true
 }
 
+// setContentLength states the length of an answer if it is known: that of a buffered
+// answer, or else the one that the upstream states.
+func (x *exchange) setContentLength(response *connpool.Response, buffered int) {
+	if response.Status == http.StatusNoContent || response.Status == http.StatusNotModified || x.r.Method == http.MethodHead {
+		return
+	}
+	length := response.Length
+	if buffered < maxBufferedAnswerBytes {
+		length = int64(buffered)
+	}
+	if length >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+}
+
+var errFailureTooLong = fmt.Errorf("the body of a failure exceeds %d bytes", maxBufferedAnswerBytes)
+
 func (x *exchange) copyHeader(response *connpool.Response) {
 	header := x.w.Header()
 	for name, values := range x.g.headerCodec.CallerHeader(response.Header) {
--- a/pkg/gateway/error_answer.go
+++ b/pkg/gateway/error_answer.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -25,6 +27,26 @@
 	}
 }
 
+// callerConnKey is the key of the caller's net.Conn in the context of a request.
+type callerConnKey struct{}
+
+// withCallerConn is a http.Server.ConnContext that stores the connection.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// abortAnswer ends the connection so that the caller sees that the answer is incomplete.
+// To a caller of HTTP/1.0 an answer without a length is complete when the connection is
+// closed, so that its connection is reset.
+func (x *exchange) abortAnswer() {
+	if conn, ok := x.r.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error }); ok && !x.r.ProtoAtLeast(1, 1) {
+		if err := conn.SetLinger(0); err != nil {
+			x.g.log.Info("the connection of an aborted answer cannot be reset", "request", x.requestInfo.RequestID, "error", err.Error())
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // fail ends a request that got no complete answer from an upstream, and refunds
 // the quota if the request has not run.
 func (x *exchange) fail(err *errkind.Error, retryAfter time.Duration) {
@@ -33,8 +55,7 @@
 	}
 	x.logFailed(err, retryAfter)
 	if x.answerStarted || err.Kind == errkind.CallerGone {
-		// Aborting the connection shows the caller that the answer is incomplete.
-		panic(http.ErrAbortHandler)
+		x.abortAnswer()
 	}
 	x.writeErrorAnswer(err, retryAfter)
 }
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -17,7 +17,7 @@
 const (
 	streamReadBytes = 8 << 10
 	// maxEventBytes bounds the incomplete event at the end of the buffer.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 128 << 10
 	// maxIntervalSamples bounds the intervals between events that are sampled per
 	// stream; fewer than minIntervalSamples give no estimate.
 	maxIntervalSamples = 64
