gateway: a planned stop cuts off no request that has arrived

Operators reported requests that were cut off during a planned stop. The handler is now registered first and stays; the listener empties its queue, and a connection with a request is served before it is closed.

--- a/cmd/rosemarywing-gateway/main.go
+++ b/cmd/rosemarywing-gateway/main.go
@@ -32,6 +32,9 @@
 }
 
 func run(args []string, out, errOut io.Writer) int {
+	// Registered first and until the process ends, since an unhandled SIGHUP would end it.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	var flags options
 	if code, ok := command.ParseDaemon(&flags, args, out, errOut); !ok {
 		return code
@@ -44,7 +47,7 @@
 		_, _ = fmt.Fprintln(out, flags.Config+": ok")
 		return 0
 	}
-	if err := serve(settings, flags, out); err != nil {
+	if err := serve(settings, flags, out, reloads); err != nil {
 		return command.ReportError(errOut, err)
 	}
 	return 0
@@ -54,7 +57,7 @@
 // limit of the Go runtime. The rest is left for kernel buffers and code.
 const runtimeMemoryShare = 0.7
 
-func serve(settings gateway.Settings, flags options, out io.Writer) error {
+func serve(settings gateway.Settings, flags options, out io.Writer, reloads <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMiB) * runtimeMemoryShare * (1 << 20)))
 	log, closeLog := newLog(out, flags.Debug)
 	defer closeLog()
@@ -75,20 +78,17 @@
 	if err != nil {
 		return err
 	}
-	go reloadOnSIGHUP(ctx, g, flags.Config, log)
+	go reloadOnSignal(ctx, g, flags.Config, log, reloads)
 	return g.Run(ctx)
 }
 
-// reloadOnSIGHUP reads the settings file again at each SIGHUP.
-func reloadOnSIGHUP(ctx context.Context, g *gateway.Gateway, path string, log logr.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// reloadOnSignal reads the settings file again at each signal, until ctx ends.
+func reloadOnSignal(ctx context.Context, g *gateway.Gateway, path string, log logr.Logger, reloads <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-reloads:
 		}
 		settings, err := gateway.LoadSettings(path)
 		if err != nil {
--- a/pkg/gateway/lifecycle.go
+++ b/pkg/gateway/lifecycle.go
@@ -64,7 +64,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	tasksCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callerServer := &http.Server{Handler: g.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callerServer := &http.Server{Handler: g.Handler(), ConnContext: withCallerConn, ConnState: trackCallerConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	internalServers := map[string]*http.Server{
 		g.settings.Listen.Ready: {Handler: g.readyHandler(), ReadHeaderTimeout: readHeaderTimeout},
 		g.settings.Listen.Admin: {Handler: g.adminHandler(), ReadHeaderTimeout: readHeaderTimeout},
@@ -72,17 +72,12 @@
 	failures := make(chan error, len(internalServers)+2)
 	var tasks sync.WaitGroup
 	g.startTasks(tasksCtx, &tasks)
-	serveOn := func(server *http.Server, address string) error {
-		listener, err := net.Listen("tcp4", address)
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
+	serveOn := func(server *http.Server, listener net.Listener) {
 		tasks.Go(func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failures <- err
 			}
 		})
-		return nil
 	}
 	peerListener, err := net.Listen("tcp4", g.settings.Listen.Peers)
 	if err != nil {
@@ -93,18 +88,26 @@
 			failures <- err
 		}
 	})
-	err = serveOn(callerServer, g.settings.Listen.Callers)
+	callers, err := listenForCallers(g.settings.Listen.Callers)
+	if err == nil {
+		serveOn(callerServer, callers)
+	}
 	for address, server := range internalServers {
+		var listener net.Listener
 		if err == nil {
-			err = serveOn(server, address)
+			if listener, err = net.Listen("tcp4", address); err == nil {
+				serveOn(server, listener)
+			}
 		}
 	}
-	if err == nil {
+	if err != nil {
+		err = fmt.Errorf("listen: %w", err)
+	} else {
 		g.log.Info("started", "domain", g.settings.Instance.Domain,
 			"callers", g.settings.Listen.Callers, "store", g.settings.Store.Address, "capacity", g.capacity())
 		select {
 		case <-ctx.Done():
-			g.drain(callerServer)
+			g.drain(callers, callerServer)
 		case err = <-failures:
 		}
 	}
@@ -190,7 +193,7 @@
 
 // drain reports not ready, accepts requests until the load balancer has had time
 // to notice, and then waits for the requests in flight.
-func (g *Gateway) drain(callerServer *http.Server) {
+func (g *Gateway) drain(callers *callerListener, callerServer *http.Server) {
 	started := g.now()
 	g.stopping.Store(true)
 	g.log.Info("stopping", "held", g.inFlight.Load(), "grace_ms", g.settings.Bounds.StopGrace().Milliseconds())
@@ -198,7 +201,7 @@
 	<-g.clock.After(min(seconds(g.settings.Bounds.LeaveNoticeSeconds), grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-(g.now()-started))
 	defer cancel()
-	if err := callerServer.Shutdown(ctx); err != nil {
+	if err := callers.shutDown(ctx, callerServer); err != nil {
 		g.log.Info("grace time over, requests in flight are aborted", "held", g.inFlight.Load(), "error", err.Error())
 	}
 }
