Relay places the requests of a large failure domain

Placement by reports of 100 ms ago also filled the same slots. Change: above 16 instances in a failure domain, reports go to three observers only: the relay and its two standbys. The relay places the requests of its followers and sends them its view of quotas and loads. Followers decide themselves when it does not confirm in 60 ms. What an instance sends is bounded; the relay's part grows with its domain. Small failure domains are not changed.

--- a/internal/bench/gateway.go
+++ b/internal/bench/gateway.go
@@ -28,6 +28,12 @@
 	// Tiers is the number of tiers; the tier of each request is drawn at random.
 	// Tier 0 is the highest. Zero means one tier.
 	Tiers int
+	// Delegated makes the first instance the relay that places the requests of all. The
+	// second one replaces it if it is lost at RelayLostAt. MessageLoss is the share of
+	// the messages between instances that are lost; it applies to delegation only.
+	Delegated   bool
+	RelayLostAt time.Duration
+	MessageLoss float64
 	// ReturningEngines is the number of engines that the instances learn of only
 	// at ReturnAt.
 	ReturningEngines int
@@ -114,6 +120,8 @@
 	lastReport      time.Duration
 	// reportedQueueLength is the queue length at the time of the last report.
 	reportedQueueLength int
+	// delegation is nil if instances decide independently.
+	delegation *instanceDelegation
 }
 
 // callerRequest is a request of a caller, with all its attempts.
@@ -143,6 +151,9 @@
 	for i := range config.Instances {
 		s.instances = append(s.instances, s.newInstance(i))
 	}
+	if config.Delegated {
+		s.startDelegation()
+	}
 	for i := range trafficKinds {
 		s.scheduleArrivals(&trafficKinds[i])
 	}
@@ -238,24 +249,32 @@
 	r.attempts++
 	s.nextKey++
 	instance := s.instances[s.random.IntN(len(s.instances))]
+	if instance.lost() {
+		// The balancer sends callers to instances that are there.
+		instance = s.instances[1+s.random.IntN(len(s.instances)-1)]
+	}
 	instance.waiting[s.nextKey] = r
-	instance.pool.Submit(&admission.Request{
+	request := &admission.Request{
 		Key: s.nextKey, Service: llmService, Tier: r.tier, PromptTokens: r.promptTokens, OutputTokens: r.outputTokens,
 		Arrived: s.loop.now, SoftDeadline: r.arrivedAt + r.kind.latencyTarget, Deadline: r.deadline,
-	})
+	}
+	if instance.delegate(request) {
+		return
+	}
+	instance.pool.Submit(request)
 	instance.schedule()
 }
 
 // schedule places or refuses queued requests as decided by the admission pool.
 func (i *gatewayInstance) schedule() {
 	for _, decision := range i.pool.Schedule(i.sim.loop.now) {
-		r := i.waiting[decision.Key]
-		delete(i.waiting, decision.Key)
-		if decision.Action == admission.Place {
-			i.dispatch(r, decision)
-			continue
+		if i.delegation == nil || !i.delegation.relay.Decide(decision) {
+			i.carryOut(decision)
 		}
-		i.sim.handleRefusal(r, decision.RetryAfter)
+	}
+	if i.delegation != nil {
+		i.sendReplies()
+		return
 	}
 	if i.pool.QueueLength() != i.reportedQueueLength {
 		i.scheduleReport()
@@ -269,6 +288,17 @@
 	}
 }
 
+// carryOut dispatches or refuses a request of this instance.
+func (i *gatewayInstance) carryOut(decision admission.Decision) {
+	r := i.waiting[decision.Key]
+	delete(i.waiting, decision.Key)
+	if decision.Action == admission.Place {
+		i.dispatch(r, decision)
+		return
+	}
+	i.sim.handleRefusal(r, decision.RetryAfter)
+}
+
 // handleRefusal retries a refused request once, if the retry is within the
 // caller's timeout.
 func (s *gatewaySimulation) handleRefusal(r *callerRequest, retryAfter time.Duration) {
@@ -293,6 +323,7 @@
 	j := &job{firstOutputTokens: tokensPerEvent, arrival: &arrival{promptTokens: r.promptTokens, outputTokens: r.outputTokens}}
 	finish := func(result admission.Result) {
 		i.pool.Finish(s.loop.now, target.name, decision.Key, result)
+		i.addResult(target.name, result)
 		i.scheduleReport()
 		i.schedule()
 	}
@@ -332,6 +363,10 @@
 // scheduleReport schedules a load report to the other instances, at the earliest
 // MinReportInterval after the previous one.
 func (i *gatewayInstance) scheduleReport() {
+	if i.delegation != nil {
+		i.reportToRelay()
+		return
+	}
 	if i.reportScheduled {
 		return
 	}
@@ -340,7 +375,7 @@
 	s.loop.scheduleAt(max(s.loop.now, i.lastReport+s.config.MinReportInterval), func() {
 		i.reportScheduled, i.lastReport, i.reportedQueueLength = false, s.loop.now, i.pool.QueueLength()
 		state := admission.PeerState{Demand: i.pool.Demand(false), Loads: map[string]admission.Load{}}
-		i.pool.CollectLoads(state.Loads, false)
+		i.pool.CollectLoads(state.Loads, admission.OwnLoad)
 		for _, other := range s.instances {
 			if other != i {
 				s.loop.scheduleAfter(networkDelay, func() {
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -23,6 +23,7 @@
 // must be refused now.
 func (p *Pool) Schedule(now time.Duration) []Decision {
 	oldest := p.expirePeers(now)
+	p.expireGrants(now)
 	p.penalizeOverdue(now)
 	if len(p.queue) == 0 {
 		return nil
@@ -101,6 +102,9 @@
 		}
 	}
 	if len(p.sorted) == 0 {
+		if r.Delegated {
+			return Decision{Key: r.Key, Action: Decline}, true
+		}
 		return p.refuse(now, r, "the service has no upstream"), true
 	}
 	maxWait := time.Duration(float64(r.Deadline-r.Arrived) * p.tuning.MaxQueueFraction)
@@ -150,7 +154,14 @@
 		chosen.Reason = "past the latency target, capacity is available"
 	}
 	p.allocate(now, best)
-	best.requests = append(best.requests, runningRequest{key: r.Key, promptTokens: r.PromptTokens, placedAt: now, expectedFirstOutput: chosen.ExpectedFirstOutput})
+	if r.Delegated {
+		best.grants = append(best.grants, grant{key: r.Key, promptTokens: r.PromptTokens, placedAt: now})
+		if best.failedAttempts > 0 {
+			best.backoffUntil = now + probeInterval
+		}
+	} else {
+		best.requests = append(best.requests, runningRequest{key: r.Key, promptTokens: r.PromptTokens, placedAt: now, expectedFirstOutput: chosen.ExpectedFirstOutput})
+	}
 	return chosen, true
 }
 
@@ -199,7 +210,10 @@
 				continue
 			}
 			request.overdue = true
-			u.observeSpeed(u.estimatedSpeed() * overdueSpeedFactor)
+			u.observeOverdue()
+			if len(p.overdue) < maxOverdue {
+				p.overdue = append(p.overdue, u.info.ID)
+			}
 		}
 	}
 }
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -41,6 +41,8 @@
 	slotTimeMs float64
 	random     *rand.Rand
 	allocation allocation
+	// overdue lists the upstreams of requests that became overdue.
+	overdue []string
 }
 
 // PeerState is the load and the demand that a peer reports, for itself or as the
@@ -83,7 +85,7 @@
 	if u == nil || u.info.Incarnation != info.Incarnation || u.info.Address != info.Address {
 		u = &upstream{info: info}
 		for _, report := range p.peers {
-			u.peerLoad.add(report.loads[info.ID])
+			u.addPeerLoad(report, info.ID)
 		}
 		p.upstreams[info.ID] = u
 		p.sortUpstreams()
@@ -137,21 +139,29 @@
 	if report.loads == nil {
 		report.loads = map[string]Load{}
 	}
+	if report.remoteDomain != state.RemoteDomain && len(report.loads) > 0 {
+		p.dropPeer(peer)
+		report.loads = map[string]Load{}
+	}
 	report.reported, report.remoteDomain, report.demand = now, state.RemoteDomain, state.Demand
 	for id, load := range state.Loads {
-		if u := p.upstreams[id]; u != nil {
-			u.peerLoad.remove(report.loads[id])
-			u.peerLoad.add(load)
+		u := p.upstreams[id]
+		if u != nil {
+			u.removePeerLoad(report, id)
 		}
 		report.loads[id] = load
+		if u != nil {
+			u.addPeerLoad(report, id)
+		}
 	}
 	p.peers[peer] = report
 }
 
 func (p *Pool) dropPeer(peer string) {
-	for id, load := range p.peers[peer].loads {
+	report := p.peers[peer]
+	for id := range report.loads {
 		if u := p.upstreams[id]; u != nil {
-			u.peerLoad.remove(load)
+			u.removePeerLoad(report, id)
 		}
 	}
 	delete(p.peers, peer)
@@ -171,28 +181,54 @@
 	return oldest
 }
 
-// CollectLoads writes this instance's load at each upstream to dst. With
-// includePeers, the loads of the peers of its failure domain are added.
-func (p *Pool) CollectLoads(dst map[string]Load, includePeers bool) {
+// Scope selects the instances whose loads are summed up.
+type Scope int
+
+// Scopes.
+const (
+	// OwnLoad is the load of this instance.
+	OwnLoad Scope = iota
+	// DomainLoad adds the loads of the peers of its failure domain.
+	DomainLoad
+	// FleetLoad adds the loads of all peers.
+	FleetLoad
+)
+
+// CollectLoads writes the load of the instances in scope at each upstream to dst.
+func (p *Pool) CollectLoads(dst map[string]Load, scope Scope) {
 	for id, u := range p.upstreams {
-		sum := loadSum{}
-		sum.add(Load{InFlight: len(u.requests), PendingPrefillTokens: u.pendingPrefillTokens(), Speed: u.speed, Samples: u.samples})
-		for _, report := range p.peers {
-			if includePeers && !report.remoteDomain {
-				sum.add(report.loads[id])
-			}
-		}
-		if sum.inFlight == 0 && sum.samples == 0 {
-			continue
-		}
-		load := Load{InFlight: sum.inFlight, PendingPrefillTokens: sum.pendingPrefillTokens, Samples: sum.samples}
-		if sum.samples > 0 {
-			load.Speed = sum.speed / sum.samples
+		if load, found := u.loadOf(scope); found {
+			dst[id] = load
 		}
-		dst[id] = load
 	}
 }
 
+// loadOf returns the load of the instances in scope, and false if there is neither a
+// load nor an estimate of the speed.
+func (u *upstream) loadOf(scope Scope) (Load, bool) {
+	sum := loadSum{}
+	sum.add(Load{InFlight: len(u.requests), PendingPrefillTokens: u.pendingPrefillTokens(), Speed: u.speed, Samples: u.samples})
+	switch scope {
+	case OwnLoad:
+	case DomainLoad:
+		sum.merge(u.domainLoad)
+	case FleetLoad:
+		sum.merge(u.peerLoad)
+	}
+	if scope != OwnLoad {
+		granted, tokens := u.grantedLoad()
+		sum.inFlight, sum.pendingPrefillTokens = sum.inFlight+granted, sum.pendingPrefillTokens+tokens
+	}
+	if sum.inFlight == 0 && sum.samples == 0 {
+		return Load{}, false
+	}
+	load := Load{InFlight: sum.inFlight, PendingPrefillTokens: sum.pendingPrefillTokens, Samples: sum.samples}
+	if sum.samples > 0 {
+		load.Speed = sum.speed / sum.samples
+	}
+	return load, true
+}
+
 // Demand returns the capacity, in requests, that this instance needs within an
 // allocation interval. With includePeers, the demand of the peers of its failure
 // domain is added.
@@ -277,6 +313,12 @@
 		return
 	}
 	u.recordRelease(now)
+	p.observe(now, u, running, result)
+}
+
+// observe updates the estimates of an upstream by the result of a request. running is
+// the number of this instance's requests there, the finished one included.
+func (p *Pool) observe(now time.Duration, u *upstream, running int, result Result) {
 	switch result.Outcome {
 	case Answered:
 		u.failedAttempts = 0
@@ -290,6 +332,8 @@
 	case Unreachable, Broken:
 		u.observeFailure(now, true)
 		u.backOff(now)
+	case Overdue:
+		u.observeOverdue()
 	case Cancelled, NotSent:
 	}
 }
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -24,6 +24,8 @@
 	// Key identifies the request at this instance.
 	Key     uint64
 	Service string
+	// Delegated is true for a request of another instance, for which this one decides.
+	Delegated bool
 	// Tier is the priority class; 0 is the highest.
 	Tier         int
 	PromptTokens int
@@ -48,6 +50,9 @@
 	Place Action = iota
 	// Refuse means that the caller is told that the request was not run.
 	Refuse
+	// Decline means that this instance cannot decide on a delegated request, since it
+	// knows no upstream of the service; the instance that has the request decides.
+	Decline
 )
 
 // Decision tells what to do with one request that has left the queue: to send it to
@@ -74,6 +79,8 @@
 	InFlight int
 	// OldestReportAge is the age of the oldest peer report that has not expired.
 	OldestReportAge time.Duration
+	// DecidedBy is the instance that decided; empty for this one.
+	DecidedBy string
 }
 
 // Outcome is the result of an attempt at an upstream.
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -65,8 +65,12 @@
 	speed          float64
 	samples        float64
 	requests       []runningRequest
-	// peerLoad is the sum of the loads that the peers report.
-	peerLoad loadSum
+	// grants are the placements of other instances' requests that their reports do not
+	// include yet.
+	grants []grant
+	// peerLoad is the sum of the loads that the peers report, and domainLoad the part
+	// of it from peers of the instance's own failure domain.
+	peerLoad, domainLoad loadSum
 	// releases holds the times at which requests of this instance have ended.
 	releases []time.Duration
 	// After failures the upstream gets no request before backoffUntil.
@@ -92,6 +96,13 @@
 	s.samples += load.Samples
 }
 
+func (s *loadSum) merge(other loadSum) {
+	s.inFlight += other.inFlight
+	s.pendingPrefillTokens += other.pendingPrefillTokens
+	s.speed += other.speed
+	s.samples += other.samples
+}
+
 func (s *loadSum) remove(load Load) {
 	s.inFlight -= load.InFlight
 	s.pendingPrefillTokens -= load.PendingPrefillTokens
@@ -99,9 +110,24 @@
 	s.samples -= load.Samples
 }
 
+func (u *upstream) addPeerLoad(report peerRecord, id string) {
+	u.peerLoad.add(report.loads[id])
+	if !report.remoteDomain {
+		u.domainLoad.add(report.loads[id])
+	}
+}
+
+func (u *upstream) removePeerLoad(report peerRecord, id string) {
+	u.peerLoad.remove(report.loads[id])
+	if !report.remoteDomain {
+		u.domainLoad.remove(report.loads[id])
+	}
+}
+
 // load returns the load of this instance and all peers at the upstream.
 func (u *upstream) load() (inFlight, pendingPrefillTokens int) {
-	return len(u.requests) + u.peerLoad.inFlight, u.pendingPrefillTokens() + u.peerLoad.pendingPrefillTokens
+	granted, grantedTokens := u.grantedLoad()
+	return len(u.requests) + granted + u.peerLoad.inFlight, u.pendingPrefillTokens() + grantedTokens + u.peerLoad.pendingPrefillTokens
 }
 
 func (u *upstream) pendingPrefillTokens() int {
@@ -136,6 +162,9 @@
 	u.samples = math.Min(maxSamples, u.samples+1)
 }
 
+// observeOverdue lowers the speed estimate by a request whose first output is overdue.
+func (u *upstream) observeOverdue() { u.observeSpeed(u.estimatedSpeed() * overdueSpeedFactor) }
+
 func (u *upstream) currentFailureRate(now time.Duration) float64 {
 	return u.failureRate * math.Exp2(-float64(now-u.failureRateUpdated)/float64(failureHalfLife))
 }
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
+	"github.com/rosemarywing/rosemarywing/pkg/delegation"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 	"github.com/rosemarywing/rosemarywing/pkg/quota"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
@@ -47,9 +48,20 @@
 	// first configuration.
 	pendingReports map[string]pendingReport
 	reportSequence uint64
-	// localReports go to the instances of this failure domain, remoteReports to the
+	// localReports go to the instances of this failure domain, or, in a large one, to
+	// its relay and standbyReports to the relay's standbys. remoteReports go to the
 	// relays of the other failure domains.
-	localReports, remoteReports reportState
+	localReports, standbyReports, remoteReports reportState
+	// follower and relay are the two sides of the delegation of placements in a large
+	// failure domain.
+	follower *delegation.Follower
+	relay    *delegation.Relay
+	// reportedUsage holds this instance's quota usage as sent to the relay, by the
+	// sequence number of the report.
+	reportedUsage []reportedUsage
+	// viewSentAt is when the last view was sent to the followers, and loadViewSentAt
+	// that of the last one with loads.
+	viewSentAt, loadViewSentAt time.Duration
 	// remoteReportsFrom is the time from which this instance may send reports on
 	// behalf of its failure domain. A process that has just started does not know
 	// the other instances of its domain.
@@ -74,12 +86,19 @@
 		retryBudget: quota.NewRetryBudget(quota.RetryRules{
 			Window: seconds(bounds.RetryWindowSeconds), Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra,
 		}),
-		peers:         loadshare.NewPeers(g.settings.Instance.Name, g.settings.Instance.Domain, g.cpuPercent(), g.startedUnixNano),
+		peers:         newPeers(g),
 		strikes:       newStrikeTable(),
 		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{}, pendingReports: map[string]pendingReport{},
+		follower: delegation.NewFollower(), relay: delegation.NewRelay(func() uint64 { return g.lastRequestKey.Add(1) }),
 	}
 }
 
+func newPeers(g *Gateway) *loadshare.Peers {
+	peers := loadshare.NewPeers(g.settings.Instance.Name, g.settings.Instance.Domain, g.cpuPercent(), g.startedUnixNano)
+	peers.SetOwnAddress(g.socket.LocalAddress())
+	return peers
+}
+
 // peerExpiry is how long the quota share of an unreachable peer stays reserved,
 // since the peer may be partitioned and still serving.
 const peerExpiry = 30 * time.Second
@@ -122,17 +141,21 @@
 		c.g.log.Info("peer lost", "peer", name, "silent_ms", loadshare.UnreachableAfter.Milliseconds())
 		c.g.metrics.peersLost.Inc(1)
 	}
+	if c.g.stopping.Load() {
+		c.peers.SetLeaving()
+	}
+	if c.peers.SetOwnState(c.g.storeFailing(now), c.quotas.Restarted(now)) {
+		c.markReportsChanged()
+	}
+	c.updateDelegation(now)
 	for _, pool := range c.pools {
 		for _, decision := range pool.Schedule(now) {
 			c.markReportsChanged()
-			if reply := c.placementReplies[decision.Key]; reply != nil {
-				delete(c.placementReplies, decision.Key)
-				reply <- decision
+			if !c.relay.Decide(decision) {
+				c.deliver(decision)
 			}
 		}
-	}
-	if c.peers.SetOwnState(c.g.storeFailing(now), c.quotas.LacksUsageHistory(now)) {
-		c.markReportsChanged()
+		c.collectOverdue(pool)
 	}
 	c.g.instanceCount.Store(int64(c.peers.KnownCount()))
 	c.g.relayAddress.Store(c.peers.SyncSourceAddress())
@@ -140,10 +163,22 @@
 	c.g.isHighestRanked.Store(c.peers.IsHighestRanked())
 	c.writeUsage(now)
 	c.sendDueReports(now)
+	c.sendDueReplies(now)
+}
+
+// deliver passes a decision to the request that it is about.
+func (c *controlLoop) deliver(decision admission.Decision) {
+	if reply := c.placementReplies[decision.Key]; reply != nil {
+		delete(c.placementReplies, decision.Key)
+		reply <- decision
+	}
 }
 
 // nextUpdateIn returns the time until the next update if no message arrives.
 func (c *controlLoop) nextUpdateIn() time.Duration {
+	if c.follower.WaitingCount()+c.relay.Waiting() > 0 {
+		return queuePollInterval
+	}
 	for _, pool := range c.pools {
 		if pool.QueueLength() > 0 {
 			return queuePollInterval
@@ -187,6 +222,10 @@
 
 func (m submitMsg) apply(c *controlLoop) {
 	c.placementReplies[m.request.Key] = m.reply
+	if now := c.g.now(); c.follower.Ready(now) {
+		c.follower.Submit(now, m.request)
+		return
+	}
 	c.pool(m.request.Service).Submit(m.request)
 	c.markReportsChanged()
 }
@@ -201,6 +240,11 @@
 
 func (m dequeueMsg) apply(c *controlLoop) {
 	delete(c.placementReplies, m.key)
+	if c.follower.Cancel(m.key) {
+		c.markReportsChanged()
+		m.reply <- true
+		return
+	}
 	m.reply <- c.pool(m.service).Dequeue(m.key)
 }
 
@@ -224,6 +268,7 @@
 
 func (m finishMsg) apply(c *controlLoop) {
 	c.pool(m.service).Finish(c.g.now(), m.upstream, m.key, m.result)
+	c.reportResult(m.upstream, m.result)
 	c.markReportsChanged()
 }
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -35,10 +35,12 @@
 	reportsUnsent      metrics.Counter
 	reportBytes        metrics.Counter
 	reportsMalformed   metrics.Counter
-	configVersion      metrics.Gauge
-	waitMs             metrics.Histogram
-	firstOutputMs      metrics.Histogram
-	totalMs            metrics.Histogram
+	// placementsTakenBack counts the requests that the relay did not decide in time.
+	placementsTakenBack metrics.Counter
+	configVersion       metrics.Gauge
+	waitMs              metrics.Histogram
+	firstOutputMs       metrics.Histogram
+	totalMs             metrics.Histogram
 }
 
 func newInstanceMetrics(registry metrics.Registry) *instanceMetrics {
@@ -52,7 +54,7 @@
 		quotaRefused: counter("quota.refused"), upstreamRejections: counter("upstreams.rejected"),
 		answersUnsent: counter("answers.lost"), connectionsOpened: counter("connections.opened"),
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
-		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"),
+		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"),
 		configVersion: metrics.NewRegisteredGauge("config.version", registry),
 		waitMs:        histogram("wait.ms"), firstOutputMs: histogram("first_output.ms"), totalMs: histogram("total.ms"),
 	}
--- a/pkg/gateway/reports.go
+++ b/pkg/gateway/reports.go
@@ -28,6 +28,11 @@
 	// idleReportInterval is the time between two reports while nothing changes. A
 	// peer counts as unreachable only after several of them are missing.
 	idleReportInterval = loadshare.UnreachableAfter / 4
+	// relayReportInterval is the shortest time between two reports of a follower to its
+	// relay, unless a new request waits, and standbyReportInterval that to the standbys,
+	// which need the state only when they replace the relay.
+	relayReportInterval   = 5 * time.Millisecond
+	standbyReportInterval = 60 * time.Millisecond
 	// remoteReportDelay is how long an instance that has read the instance list
 	// waits for reports of its peers before it sends reports on behalf of its
 	// failure domain.
@@ -47,6 +52,17 @@
 	fullReportAt time.Duration
 	sentLoads    map[string]admission.Load
 	sentUsage    map[string]float64
+	// results holds the results of requests since the last report.
+	results []loadshare.UpstreamResult
+}
+
+// maxReportedResults bounds the results in a report.
+const maxReportedResults = 64
+
+func (s *reportState) addResult(result loadshare.UpstreamResult) {
+	if len(s.results) < maxReportedResults {
+		s.results = append(s.results, result)
+	}
 }
 
 // due reports whether a report should be sent now.
@@ -91,13 +107,22 @@
 // markReportsChanged makes the next reports due after minInterval instead of
 // idleReportInterval.
 func (c *controlLoop) markReportsChanged() {
-	c.localReports.changed, c.remoteReports.changed = true, true
+	c.localReports.changed, c.standbyReports.changed, c.remoteReports.changed = true, true, true
+}
+
+// requireFullReports makes the next reports due and complete, since a receiver has missed
+// earlier ones.
+func (c *controlLoop) requireFullReports() {
+	c.markReportsChanged()
+	c.localReports.fullReportAt, c.standbyReports.fullReportAt, c.remoteReports.fullReportAt = 0, 0, 0
 }
 
 // sendDueReports sends the reports that are due. Reports without changes serve as
 // heartbeats.
 func (c *controlLoop) sendDueReports(now time.Duration) {
-	if c.localReports.due(now) {
+	if c.peers.Large() {
+		c.sendObserverReports(now)
+	} else if c.localReports.due(now) {
 		targets := c.peers.LocalTargets(now)
 		bytes := c.sendReport(c.buildReport(now, &c.localReports, false), targets)
 		c.localReports.recordSent(now, localReportInterval, bytes)
@@ -140,20 +165,27 @@
 	report := loadshare.Report{
 		Instance: c.g.settings.Instance.Name, StartTime: c.g.startedUnixNano, OldestStartTime: c.g.startedUnixNano, Sequence: c.reportSequence, CPUPercent: c.g.cpuPercent(),
 		Address: c.g.socket.LocalAddress(), Domain: c.g.settings.Instance.Domain,
-		Leaving: c.g.stopping.Load(), StoreFailing: c.g.storeFailing(now), Strikes: c.strikes.local(now),
+		Leaving: c.g.stopping.Load(), StoreFailing: c.g.storeFailing(now), Strikes: c.strikes.sums(now, ownStrikes),
+		Results: state.results,
 	}
+	state.results = nil
 	used, withoutUsageHistory := c.quotas.OwnUsage(now), 0
 	if wholeDomain {
+		report.Strikes = c.strikes.sums(now, instanceStrikes)
 		used, withoutUsageHistory = c.quotas.DomainUsage(now)
 		report.CoveredInstances, report.OldestStartTime = clampTo[uint16](c.peers.ReachableCount()), c.peers.OldestStartTime(c.g.startedUnixNano)
 		report.ExpectedInstances = clampTo[uint16](c.peers.ExpectedCount(now, peerExpiry))
-	} else if c.quotas.LacksUsageHistory(now) {
+	} else if c.quotas.Restarted(now) {
 		withoutUsageHistory = 1
 	}
 	report.WithoutUsageHistory = clampTo[uint16](withoutUsageHistory)
 	loads := map[string]admission.Load{}
 	for service, pool := range c.pools {
-		pool.CollectLoads(loads, wholeDomain)
+		scope := admission.OwnLoad
+		if wholeDomain {
+			scope = admission.DomainLoad
+		}
+		pool.CollectLoads(loads, scope)
 		if demand := pool.Demand(wholeDomain); demand > 0 {
 			report.Demands = append(report.Demands, loadshare.Demand{Service: loadshare.ShortHash(service), Requests: clampTo[uint16](demand)})
 		}
@@ -186,6 +218,13 @@
 	return encoded
 }
 
+func decodeLoad(load loadshare.UpstreamLoad) admission.Load {
+	return admission.Load{
+		InFlight: int(load.InFlight), PendingPrefillTokens: int(load.PendingPrefillTokens),
+		Speed: float64(load.SpeedPercent) / percent, Samples: float64(load.Samples),
+	}
+}
+
 // unionOfTeams returns the teams that are in at least one of the maps.
 func unionOfTeams(used, total map[string]float64) map[string]struct{} {
 	teams := make(map[string]struct{}, len(used)+len(total))
@@ -212,6 +251,10 @@
 
 func (m peerReportMsg) apply(c *controlLoop) {
 	now := c.g.now()
+	if m.datagram.Reply != nil {
+		c.applyReply(now, m.datagram.Reply)
+		return
+	}
 	report := m.datagram.Report
 	current, recovered, err := c.peers.HandleReport(now, report)
 	if err != nil {
@@ -227,25 +270,28 @@
 	}
 	remoteDomain := report.CoveredInstances > 0
 	name, coveredInstances := report.Instance, 1
+	strikes := strikeSource{scope: instanceStrikes, name: report.Instance}
 	if remoteDomain {
 		name, coveredInstances = loadshare.DomainKey(report.Domain), int(report.CoveredInstances)
+		strikes = strikeSource{scope: domainStrikes, name: report.Domain}
 		if !c.peers.IsLocalPeer(m.datagram.From) {
-			c.sendEncoded(m.datagram.Content, c.peers.LocalTargets(now))
+			c.sendEncoded(m.datagram.Content, c.peers.ForwardTargets(now))
 		}
 	} else {
 		// The summary for the other failure domains has changed as well.
 		c.remoteReports.changed = true
 	}
 	if recovered {
-		// The peer has missed earlier reports and needs a full one.
-		c.markReportsChanged()
-		c.localReports.fullReportAt, c.remoteReports.fullReportAt = 0, 0
+		c.requireFullReports()
 		c.g.log.Info("peer heard", "peer", name, "sender", report.Instance, "address", report.Address, "boot", report.StartTime)
 	}
 	c.applyLoads(now, name, remoteDomain, report)
 	c.applyQuotaUsage(now, name, coveredInstances, report)
 	for _, strike := range report.Strikes {
-		c.strikes.merge(now, report.Instance, strike)
+		c.strikes.merge(now, strikes, strike)
+	}
+	if !remoteDomain && c.peers.Large() {
+		c.applyFollowerReport(now, report)
 	}
 }
 
@@ -256,6 +302,7 @@
 	for _, pool := range c.pools {
 		pool.SetPeer(now, peer, admission.PeerState{})
 	}
+	c.cancelDelegated(c.relay.Drop(peer))
 	c.remoteReports.changed = true
 	c.g.log.Info("peer stopped", "peer", peer)
 }
@@ -269,7 +316,7 @@
 	now := c.g.now()
 	report := c.buildReport(now, &c.localReports, false)
 	report.Stopped = true
-	c.sendReport(report, c.peers.LocalTargets(now))
+	c.sendReport(report, c.peers.ForwardTargets(now))
 }
 
 // applyLoads passes the loads and demands of a report to the pools. A full report
@@ -282,10 +329,13 @@
 		if loads[service] == nil {
 			loads[service] = map[string]admission.Load{}
 		}
-		loads[service][id] = admission.Load{
-			InFlight: int(upstreamLoad.InFlight), PendingPrefillTokens: int(upstreamLoad.PendingPrefillTokens),
-			Speed: float64(upstreamLoad.SpeedPercent) / percent, Samples: float64(upstreamLoad.Samples),
+		load := decodeLoad(upstreamLoad)
+		if !remoteDomain && c.peers.Large() {
+			// Observers estimate the speeds from the results in reports. The estimates of
+			// followers, each from few requests, would outweigh theirs for minutes.
+			load.Speed, load.Samples = 0, 0
 		}
+		loads[service][id] = load
 	}
 	demands := make(map[uint32]int, len(report.Demands))
 	for _, demand := range report.Demands {
--- a/pkg/gateway/request_log.go
+++ b/pkg/gateway/request_log.go
@@ -61,7 +61,7 @@
 }
 
 func placementLogValues(decision admission.Decision) []any {
-	return []any{"upstream", decision.Upstream.ID, "reason", decision.Reason,
+	return []any{"upstream", decision.Upstream.ID, "reason", decision.Reason, "decided_by", decision.DecidedBy,
 		"waited_ms", decision.Waited.Milliseconds(), "queue", decision.QueueLength, "free", decision.FreeCapacity, "in_flight", decision.InFlight,
 		"peer_age_ms", decision.OldestReportAge.Milliseconds(), "expected_ms", decision.ExpectedFirstOutput.Milliseconds()}
 }
--- a/pkg/gateway/strikes.go
+++ b/pkg/gateway/strikes.go
@@ -21,11 +21,31 @@
 	maxStrikeEntries = 1024
 )
 
-// strikeKey identifies the strikes that one instance has counted for requests with
-// one fingerprint. The instance is empty for strikes counted by this one.
+// strikeSource identifies who has counted strikes.
+type strikeSource struct {
+	scope strikeScope
+	// name is the instance or failure domain that reported the count.
+	name string
+}
+
+// strikeScope says which strikes a reported count covers.
+type strikeScope int
+
+const (
+	// ownStrikes are those of this instance, instanceStrikes those of another one of the
+	// failure domain, domainStrikes the sum of another failure domain, and fleetStrikes
+	// the sum over all instances in the view of the relay.
+	ownStrikes strikeScope = iota
+	instanceStrikes
+	domainStrikes
+	fleetStrikes
+)
+
+// strikeKey identifies the strikes that one source has counted for requests with one
+// fingerprint.
 type strikeKey struct {
 	fingerprint uint64
-	instance    string
+	source      strikeSource
 }
 
 type strikeEntry struct {
@@ -57,10 +77,10 @@
 	}
 }
 
-// merge applies a count that another instance has reported, if it is higher than the
-// count known from that instance.
-func (s *strikeTable) merge(now time.Duration, instance string, strike loadshare.Strike) {
-	key := strikeKey{fingerprint: strike.Fingerprint, instance: instance}
+// merge applies a count that a source has reported, if it is higher than the count known
+// from that source.
+func (s *strikeTable) merge(now time.Duration, source strikeSource, strike loadshare.Strike) {
+	key := strikeKey{fingerprint: strike.Fingerprint, source: source}
 	if s.entries[key].count < int(strike.Count) {
 		s.set(now, key, int(strike.Count))
 	}
@@ -73,24 +93,35 @@
 	}
 }
 
-// count returns the number of strikes that all instances counted for a fingerprint.
+// count returns the number of strikes that all instances counted for a fingerprint: the
+// sum of the counts known here, or that of the relay, whichever is higher.
 func (s *strikeTable) count(now time.Duration, fingerprint uint64) int {
-	sum := 0
+	sum, fleet := 0, 0
 	for key, entry := range s.entries {
-		if key.fingerprint == fingerprint && now-entry.updatedAt <= strikeTTL {
+		switch {
+		case key.fingerprint != fingerprint || now-entry.updatedAt > strikeTTL:
+		case key.source.scope == fleetStrikes:
+			fleet = max(fleet, entry.count)
+		default:
 			sum += entry.count
 		}
 	}
-	return sum
+	return max(sum, fleet)
 }
 
-// local returns the strikes that this instance has counted, for up to
-// maxReportedStrikes fingerprints.
-func (s *strikeTable) local(now time.Duration) []loadshare.Strike {
-	var strikes []loadshare.Strike
+// sums returns the strikes up to the given scope, for up to maxReportedStrikes
+// fingerprints.
+func (s *strikeTable) sums(now time.Duration, scope strikeScope) []loadshare.Strike {
+	counts := map[uint64]int{}
 	for key, entry := range s.entries {
-		if key.instance == "" && now-entry.updatedAt <= strikeTTL && len(strikes) < maxReportedStrikes {
-			strikes = append(strikes, loadshare.Strike{Fingerprint: key.fingerprint, Count: clampTo[uint8](entry.count)})
+		if key.source.scope <= scope && now-entry.updatedAt <= strikeTTL {
+			counts[key.fingerprint] += entry.count
+		}
+	}
+	var strikes []loadshare.Strike
+	for fingerprint, count := range counts {
+		if len(strikes) < maxReportedStrikes {
+			strikes = append(strikes, loadshare.Strike{Fingerprint: fingerprint, Count: clampTo[uint8](count)})
 		}
 	}
 	return strikes
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -2,16 +2,19 @@
 // holds the sender's load on each upstream and the quota usage of its teams.
 // Partial reports hold only changes; periodic full reports replace lost ones.
 //
-// Each instance reports to all others of its failure domain. One of them, the
-// relay, adds these reports up to a summary and sends it to the other failure
-// domains, where the receiver forwards it to the instances of its own domain. The
-// traffic thus grows with the square of the size of a failure domain and of the number of failure
-// domains, not of the total number of instances.
+// In a failure domain of up to maxDirectInstances instances, each reports to all
+// others. In a larger one, each reports only to the observers: the relay and its
+// standbys, which replace it when it is lost. The relay places the requests of the
+// other instances, its followers, and answers their reports with its decisions and its
+// view of the whole fleet. What an instance sends is thus bounded, and what the relay
+// sends grows with the size of its failure domain.
+//
+// The relay also adds the reports of its failure domain up to a summary and sends it to
+// the relays of the other failure domains, which forward it to their observers.
 package loadshare
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -62,6 +65,19 @@
 	Demands []Demand
 	Teams   []TeamUsage
 	Strikes []Strike
+	// Follows is the short hash of the name of the instance whose decisions the sender
+	// follows; 0 if it follows none. The fields below are for that instance, and
+	// Results for all observers.
+	Follows uint32
+	// DecisionSeen is the sequence number of the last decision that the sender has
+	// received from the process of that instance that started at DecisionsOf.
+	DecisionsOf  int64
+	DecisionSeen uint64
+	// Waiting lists all requests for which the sender waits for a decision.
+	Waiting []WaitingRequest
+	// Results lists the requests that have ended since the last report. They are not
+	// sent again if the report is lost.
+	Results []UpstreamResult
 }
 
 // UpstreamLoad is the sender's load on one upstream.
@@ -147,16 +163,18 @@
 // receiveErrorBackoff avoids a busy loop when the socket fails at once.
 const receiveErrorBackoff = 10 * time.Millisecond
 
-// Datagram is a received report, decoded and as sent.
+// Datagram is a received report or reply, decoded and as sent.
 type Datagram struct {
-	Report  Report
+	Report Report
+	// Reply is nil for a report.
+	Reply   *Reply
 	From    *net.UDPAddr
 	Content []byte
 }
 
-// Receive calls onReport for each report until the socket is closed. It calls
-// onError for receive errors and for datagrams that cannot be decoded.
-func (s *Socket) Receive(onReport func(Datagram), onError func(error)) {
+// Receive calls onDatagram for each report and reply until the socket is closed. It
+// calls onError for receive errors and for datagrams that cannot be decoded.
+func (s *Socket) Receive(onDatagram func(Datagram), onError func(error)) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, from, err := s.conn.ReadFromUDP(buffer)
@@ -168,13 +186,17 @@
 			time.Sleep(receiveErrorBackoff)
 			continue
 		}
-		content := bytes.Clone(buffer[:n])
-		report, err := Decode(content)
+		datagram := Datagram{From: from, Content: bytes.Clone(buffer[:n])}
+		if n > 0 && buffer[0] == replyPrefix {
+			datagram.Reply, err = decodeReply(datagram.Content)
+		} else {
+			datagram.Report, err = Decode(datagram.Content)
+		}
 		if err != nil {
-			onError(fmt.Errorf("report from %s: %w", from, err))
+			onError(fmt.Errorf("datagram from %s: %w", from, err))
 			continue
 		}
-		onReport(Datagram{Report: report, From: from, Content: content})
+		onDatagram(datagram)
 	}
 }
 
@@ -188,7 +210,7 @@
 		return report, err
 	}
 	if report.Instance == "" || report.Domain == "" {
-		return report, errors.New("the report lacks an instance or failure domain name")
+		return report, errNoSender
 	}
 	return report, nil
 }
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -38,6 +39,17 @@
 	storeFailing      bool
 	lacksUsageHistory bool
 	cpuPercent        uint16
+	// presumed is true while the peer counts as available although it was not heard
+	// from, until presumedUntil. silentAt is when this time has last passed in vain.
+	presumed                bool
+	presumedUntil, silentAt time.Duration
+	// replyStartTime and replySequence identify the peer's last reply.
+	replyStartTime int64
+	replySequence  uint64
+}
+
+func (e *peer) rank(name string, oldestStart int64) rank {
+	return newRank(name, e.cpuPercent, e.startTime, oldestStart, e.lacksUsageHistory, e.storeFailing)
 }
 
 // remoteDomain holds what this instance knows of another failure domain.
@@ -63,14 +75,42 @@
 	// lacksUsageHistory while it does not know the quota usage from before its start.
 	storeFailing      bool
 	lacksUsageHistory bool
-	localPeers        map[string]*peer
-	remoteDomains     map[string]*remoteDomain
+	// leaving is true while this instance shuts down.
+	leaving       bool
+	localPeers    map[string]*peer
+	remoteDomains map[string]*remoteDomain
+	// highest holds the names of the available instances of the highest rank, the relay
+	// first; valid unless relayStale is set.
+	highest    []string
+	relayStale bool
+	// ownAddress is the address that other instances send reports to.
+	ownAddress string
+	// viewed is true if a relay has sent a view of a large failure domain, last at
+	// viewedAt with these observers.
+	viewed    bool
+	viewedAt  time.Duration
+	observers []PeerRef
+	// discoveryUntil is the end of the time in which peers that were found in the
+	// instance list are presumed to be reachable.
+	discoveryUntil time.Duration
+}
+
+// SetLeaving states that this instance shuts down, so that another one becomes the relay.
+func (p *Peers) SetLeaving() { p.leaving, p.relayStale = true, true }
+
+// SetOwnAddress sets the address that other instances send reports to.
+func (p *Peers) SetOwnAddress(address string) { p.ownAddress = address }
+
+func (p *Peers) ownRank(oldestStart int64) rank {
+	r := newRank(p.own, p.ownCPUPercent, p.ownStartTime, oldestStart, p.lacksUsageHistory, p.storeFailing)
+	r.leaving = p.leaving
+	return r
 }
 
 // NewPeers returns an empty table for the instance named own, with its CPU limit in
 // percent of a core and the start time of its process in Unix nanoseconds.
 func NewPeers(own, ownDomain string, cpuPercent uint16, startTime int64) *Peers {
-	return &Peers{own: own, ownDomain: ownDomain, ownCPUPercent: cpuPercent, ownStartTime: startTime, localPeers: map[string]*peer{}, remoteDomains: map[string]*remoteDomain{}}
+	return &Peers{own: own, ownDomain: ownDomain, ownCPUPercent: cpuPercent, ownStartTime: startTime, localPeers: map[string]*peer{}, remoteDomains: map[string]*remoteDomain{}, relayStale: true}
 }
 
 // PeerInfo is the failure domain, address and CPU limit of an instance.
@@ -102,7 +142,11 @@
 		}
 		return false, nil
 	}
-	p.localPeers[name] = &peer{address: resolved, addedAt: now, unreachable: true, cpuPercent: info.CPUPercent}
+	if p.discoveryUntil == 0 {
+		p.discoveryUntil = now + discoveryTime
+	}
+	p.relayStale = true
+	p.localPeers[name] = &peer{address: resolved, addedAt: now, unreachable: true, cpuPercent: info.CPUPercent, presumed: now < p.discoveryUntil, presumedUntil: p.discoveryUntil}
 	return true, nil
 }
 
@@ -129,7 +173,23 @@
 		current, recovered = p.remoteDomain(report.Domain).update(now, report)
 		return current, recovered, nil
 	}
-	return p.localPeers[report.Instance].update(now, report)
+	entry := p.localPeers[report.Instance]
+	before := entry.standing()
+	current, recovered, err = entry.update(now, report)
+	p.relayStale = p.relayStale || entry.standing() != before
+	return current, recovered, err
+}
+
+// standing is what the choice of the relay depends on.
+type standing struct {
+	startTime                               int64
+	unreachable, leaving, stopped, presumed bool
+	storeFailing, lacksUsageHistory         bool
+	cpuPercent                              uint16
+}
+
+func (e *peer) standing() standing {
+	return standing{e.startTime, e.unreachable, e.leaving, e.stopped, e.presumed, e.storeFailing, e.lacksUsageHistory, e.cpuPercent}
 }
 
 func (d *remoteDomain) update(now time.Duration, report Report) (current, recovered bool) {
@@ -160,25 +220,40 @@
 	return report.StartTime < startTime || (report.StartTime == startTime && report.Sequence <= sequence)
 }
 
-// LocalTargets returns the addresses in the local failure domain to send a report
+// LocalTargets returns the addresses in the local failure domain to send a message
 // to now. Unreachable peers are probed less often. It removes peers that were not
 // heard from within peerExpiry.
 func (p *Peers) LocalTargets(now time.Duration) []*net.UDPAddr {
-	var targets []*net.UDPAddr
+	return slices.Collect(maps.Values(p.LocalTargetsByName(now)))
+}
+
+// LocalTargetsByName returns the same as LocalTargets, by the names of the instances.
+func (p *Peers) LocalTargetsByName(now time.Duration) map[string]*net.UDPAddr {
+	targets := make(map[string]*net.UDPAddr, len(p.localPeers))
 	for name, entry := range p.localPeers {
 		if now-max(entry.lastReceived, entry.addedAt) > peerExpiry {
 			delete(p.localPeers, name)
+			p.relayStale = true
 			continue
 		}
 		if entry.unreachable && entry.lastSent > 0 && now-entry.lastSent < probeInterval {
 			continue
 		}
 		entry.lastSent = now
-		targets = append(targets, entry.address)
+		targets[name] = entry.address
 	}
 	return targets
 }
 
+// Address returns the address of an instance of the local failure domain, or nil if it
+// is unknown.
+func (p *Peers) Address(name string) *net.UDPAddr {
+	if entry := p.localPeers[name]; entry != nil {
+		return entry.address
+	}
+	return nil
+}
+
 // IsLocalPeer reports whether an address belongs to a peer of the local failure domain.
 func (p *Peers) IsLocalPeer(address *net.UDPAddr) bool {
 	for _, entry := range p.localPeers {
@@ -194,6 +269,7 @@
 func (p *Peers) SetOwnState(storeFailing, lacksUsageHistory bool) bool {
 	changed := p.storeFailing != storeFailing || p.lacksUsageHistory != lacksUsageHistory
 	p.storeFailing, p.lacksUsageHistory = storeFailing, lacksUsageHistory
+	p.relayStale = p.relayStale || changed
 	return changed
 }
 
@@ -205,27 +281,33 @@
 // of higher rank, so that two instances can copy from each other only while they know
 // different peers.
 type rank struct {
-	// startSecond is the start time in seconds, plus 1, of an instance that lacks the
-	// quota usage from before its start; 0 for others. An older process knows the
-	// usage of a newer one, but not the other way round.
-	startSecond  int64
+	// leaving is set only for an instance itself; others leave out those that leave.
+	leaving bool
+	// startOrder is 0 for an instance that knows the quota usage of a whole window, and
+	// for others 1 plus the seconds by which they started after the oldest of them. An
+	// older process knows the usage of a newer one, but not the other way round.
+	startOrder   int64
 	storeFailing bool
 	cpuPercent   uint16
 	name         string
 }
 
-func newRank(name string, cpuPercent uint16, startTime int64, lacksUsageHistory, storeFailing bool) rank {
+// newRank returns the rank of an instance. oldestStart is the earliest start of those
+// that lack the usage history.
+func newRank(name string, cpuPercent uint16, startTime, oldestStart int64, lacksUsageHistory, storeFailing bool) rank {
 	r := rank{storeFailing: storeFailing, cpuPercent: cpuPercent, name: name}
 	if lacksUsageHistory {
-		r.startSecond = 1 + startTime/int64(time.Second)
+		r.startOrder = 1 + (startTime-oldestStart)/int64(time.Second)
 	}
 	return r
 }
 
 func (r rank) before(other rank) bool {
 	switch {
-	case r.startSecond != other.startSecond:
-		return r.startSecond < other.startSecond
+	case r.leaving != other.leaving:
+		return !r.leaving
+	case r.startOrder != other.startOrder:
+		return r.startOrder < other.startOrder
 	case r.storeFailing != other.storeFailing:
 		return !r.storeFailing
 	case r.cpuPercent != other.cpuPercent:
@@ -240,14 +322,10 @@
 // happen that none of them acts as relay, or two do; the summary of the failure
 // domain's load is then missing in the other failure domains, or sent to them twice.
 func (p *Peers) RelayAddress() string {
-	highest, address := newRank(p.own, p.ownCPUPercent, p.ownStartTime, p.lacksUsageHistory, p.storeFailing), ""
-	for name, entry := range p.localPeers {
-		r := newRank(name, entry.cpuPercent, entry.startTime, entry.lacksUsageHistory, entry.storeFailing)
-		if !entry.unreachable && !entry.leaving && r.before(highest) {
-			highest, address = r, entry.address.String()
-		}
+	if entry := p.localPeers[p.Relay()]; entry != nil {
+		return entry.address.String()
 	}
-	return address
+	return ""
 }
 
 // SyncSourceAddress returns the address of the instance from which this one
@@ -348,9 +426,16 @@
 // marked.
 func (p *Peers) MarkUnreachable(now time.Duration) []string {
 	var names []string
+	p.endPresumptions(now)
+	relay, all := p.Relay(), p.IsObserver()
 	for name, entry := range p.localPeers {
-		if !entry.unreachable && now-entry.lastReceived > UnreachableAfter {
-			entry.unreachable = true
+		if entry.unreachable || now-entry.lastReceived <= UnreachableAfter {
+			continue
+		}
+		entry.unreachable, p.relayStale = true, true
+		if all || name == relay {
+			// Followers receive messages of the relay only.
+			entry.silentAt, entry.presumed = now, false
 			names = append(names, name)
 		}
 	}
--- a/pkg/quota/teams.go
+++ b/pkg/quota/teams.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // Rules are the parameters of quota accounting over all instances.
 type Rules struct {
@@ -42,6 +45,15 @@
 	// recordedAt the time of that record.
 	recorded   map[string]float64
 	recordedAt time.Duration
+	// view is the last view of the relay, and viewTotals its usage over time.
+	view       fleetView
+	viewTotals *peerUsage
+	// observing is true while this instance receives the reports of all others of its
+	// failure domain, and observingFrom the time at which that began; 0 if it did
+	// from the start.
+	observing     bool
+	observingFrom time.Duration
+	startedAt     time.Duration
 }
 
 // expiringAmount is an amount that leaves the window at a known time.
@@ -53,7 +65,7 @@
 // NewTeamQuotas returns a quota state without usage. restarted is true if the instance
 // may have run before.
 func NewTeamQuotas(rules Rules, now time.Duration, restarted bool) *TeamQuotas {
-	t := &TeamQuotas{rules: rules, own: teamWindows{}, peers: map[string]*peerUsage{},
+	t := &TeamQuotas{rules: rules, own: teamWindows{}, peers: map[string]*peerUsage{}, observing: true, startedAt: now,
 		limits: map[string]Limit{}, totals: teamWindows{}, restored: map[string][]expiringAmount{}}
 	if restarted {
 		t.firstWindowEnd, t.restoring = now+rules.Window, true
@@ -61,8 +73,15 @@
 	return t
 }
 
-// LacksUsageHistory reports whether the window still includes time before a restart.
-func (t *TeamQuotas) LacksUsageHistory(now time.Duration) bool { return now < t.firstWindowEnd }
+// Restarted reports whether the window still includes time before a restart.
+func (t *TeamQuotas) Restarted(now time.Duration) bool { return now < t.firstWindowEnd }
+
+// LacksUsageHistory reports whether the window still includes time in which this
+// instance did not receive the reports of the others: before a restart, or before it
+// became an observer of its failure domain.
+func (t *TeamQuotas) LacksUsageHistory(now time.Duration) bool {
+	return t.Restarted(now) || (t.observingFrom > 0 && now < t.observingFrom+t.rules.Window)
+}
 
 // Limit is the quota of a team: a rate and a burst.
 type Limit struct {
@@ -118,6 +137,9 @@
 // partitioned and still serving. The latter keep their share of each limit. Peers
 // that are unreachable for longer than PeerExpiry are removed.
 func (t *TeamQuotas) countInstances(now time.Duration) (reachable, unreachable int) {
+	if t.viewIsFresh(now) {
+		return max(1, t.view.Reachable), t.view.Unreachable
+	}
 	reachable = 1
 	for name, peer := range t.peers {
 		switch age := now - peer.reported; {
@@ -130,15 +152,20 @@
 			unreachable += max(0, peer.expectedInstances-peer.latest.CoveredInstances)
 		}
 	}
-	return reachable, unreachable
+	// The instances that the relay counted may all be serving.
+	return reachable, max(unreachable, t.instancesOfView(now)-reachable)
 }
 
 // estimatedUsage returns the usage of all instances; total is their number.
 func (t *TeamQuotas) estimatedUsage(now time.Duration, team string, windowLimit, total float64) float64 {
+	if t.viewIsFresh(now) {
+		return t.usageByView(now, team, windowLimit)
+	}
 	sum := t.own.sum(now, team)
 	for _, peer := range t.peers {
 		sum += t.usageOfPeer(now, peer, team, windowLimit, total)
 	}
+	sum += t.usageByStaleView(now, team, windowLimit, total)
 	if !t.LacksUsageHistory(now) {
 		return sum
 	}
@@ -151,7 +178,7 @@
 // bestUsageSource returns the best source of the totals that peers have reported.
 func (t *TeamQuotas) bestUsageSource() UsageSource {
 	best := SourceUnknown
-	for _, peer := range t.peers {
+	for peer := range t.totalSources() {
 		if peer.usageSource == SourceObserved {
 			return SourceObserved
 		}
@@ -160,13 +187,28 @@
 	return best
 }
 
+// totalSources returns the peers that may have reported the usage of all instances, the
+// relay's views included.
+func (t *TeamQuotas) totalSources() iter.Seq[*peerUsage] {
+	return func(yield func(*peerUsage) bool) {
+		if t.viewTotals != nil && !yield(t.viewTotals) {
+			return
+		}
+		for _, peer := range t.peers {
+			if !yield(peer) {
+				return
+			}
+		}
+	}
+}
+
 // reportedTotal returns the usage of all instances according to the peers that know
 // it from the given source: the largest total that peers with recent reports sent or,
 // if there are no such peers, the largest that other peers sent. Usage observed
 // here since a report is added to its total.
 func (t *TeamQuotas) reportedTotal(now time.Duration, team string, source UsageSource) float64 {
 	largest, recent := 0.0, false
-	for _, peer := range t.peers {
+	for peer := range t.totalSources() {
 		if peer.usageSource != source {
 			continue
 		}
@@ -211,13 +253,16 @@
 // other.
 func (t *TeamQuotas) ReportableTotal(now time.Duration) (total map[string]float64, source UsageSource) {
 	switch {
+	case !t.observing:
+		// Restarted instances get the totals from an observer.
+		return nil, SourceUnknown
 	case !t.LacksUsageHistory(now):
 		return t.TotalUsage(now), SourceObserved
 	case t.bestUsageSource() != SourceObserved:
 		return nil, SourceUnknown
 	}
 	total = t.TotalUsage(now)
-	for _, peer := range t.peers {
+	for peer := range t.totalSources() {
 		for team := range peer.reportedTotals {
 			total[team] = max(total[team], t.reportedTotal(now, team, SourceObserved))
 		}
@@ -247,7 +292,7 @@
 // the usage from before their start.
 func (t *TeamQuotas) DomainUsage(now time.Duration) (used map[string]float64, withoutUsageHistory int) {
 	used = t.own.sums(now)
-	if t.LacksUsageHistory(now) {
+	if t.Restarted(now) {
 		withoutUsageHistory++
 	}
 	reachable, unreachable := t.countInstances(now)
