The retry budget is shared where requests fail

Cause: each of 295 instances had a fixed share of the budget, of one retry and a sixth of its own requests. Change: the counts of requests and retries are in the reports and in the relay's views; an instance may use what the fleet has left. Unreachable instances keep their share. Ruled out: a larger share of the budget (0.8) for each, which quiet instances could not use. TestRetryBudgetIsUsedWhereRequestsFail denied retries before; the bound holds on virtual time while all requests fail, with reports of 150 ms.

--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -84,7 +84,7 @@
 			ReportTimeout: loadshare.UnreachableAfter, PeerExpiry: peerExpiry,
 		}, now, !g.settings.Instance.FirstStart),
 		retryBudget: quota.NewRetryBudget(quota.RetryRules{
-			Window: seconds(bounds.RetryWindowSeconds), Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra,
+			Window: seconds(bounds.RetryWindowSeconds), Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, ReportTimeout: loadshare.UnreachableAfter,
 		}),
 		peers:         newPeers(g),
 		strikes:       newStrikeTable(),
@@ -306,6 +306,7 @@
 
 func (m takeRetryMsg) apply(c *controlLoop) {
 	m.reply <- c.retryBudget.Take(c.g.now(), m.service, c.peers.KnownCount())
+	c.markReportsChanged()
 }
 
 // strikeMsg counts a connection that broke while an upstream ran the request. If
--- a/pkg/gateway/delegation.go
+++ b/pkg/gateway/delegation.go
@@ -22,10 +22,12 @@
 	fleetPeer = "fleet"
 )
 
-// reportedUsage is the quota usage in one report to the relay.
+// reportedUsage is the quota usage, and the counts of the retry budget, at the time of one
+// report to the relay.
 type reportedUsage struct {
 	sequence uint64
 	used     map[string]float64
+	retries  map[string]quota.RetryCounts
 }
 
 // maxReportedUsage bounds the reports whose usage is kept until the relay confirms them.
@@ -45,6 +47,7 @@
 		c.requireFullReports()
 		if follows == "" {
 			c.quotas.EndView()
+			c.retryBudget.EndView()
 		}
 	}
 	c.quotas.SetObserving(now, c.peers.IsObserver())
@@ -116,7 +119,9 @@
 	if len(c.reportedUsage) >= maxReportedUsage {
 		c.reportedUsage = c.reportedUsage[1:]
 	}
-	c.reportedUsage = append(c.reportedUsage, reportedUsage{sequence: report.Sequence, used: c.quotas.OwnUsage(now)})
+	c.reportedUsage = append(c.reportedUsage, reportedUsage{
+		sequence: report.Sequence, used: c.quotas.OwnUsage(now), retries: c.retryBudget.Counts(now, quota.OwnRetries),
+	})
 }
 
 // toMs returns a duration in whole milliseconds, at least 0.
@@ -282,6 +287,7 @@
 		view.Teams = append(view.Teams, loadshare.TeamUsage{Team: loadshare.ShortHash(team), Total: ceilTokens(total)})
 	}
 	view.Strikes = c.strikes.sums(now, domainStrikes)
+	view.Retries = encodeRetries(c.retryBudget.Counts(now, quota.FleetRetries))
 	if now-c.loadViewSentAt >= loadViewInterval {
 		c.loadViewSentAt = now
 		loads := map[string]admission.Load{}
@@ -394,13 +400,15 @@
 		Totals: make(map[string]float64, len(view.Teams)), Reachable: int(view.ReachableInstances), Unreachable: int(view.UnreachableInstances),
 		UsageSource: quota.UsageSource(view.UsageSource),
 	}
+	retries := quota.RetryView{Totals: c.decodeRetries(view.Retries), Reachable: int(view.ReachableInstances)}
 	if len(c.reportedUsage) > 0 && c.reportedUsage[0].sequence <= reportSeen {
-		usage.OwnReported = c.reportedUsage[0].used
+		usage.OwnReported, retries.OwnReported = c.reportedUsage[0].used, c.reportedUsage[0].retries
 	}
 	for _, team := range view.Teams {
 		usage.Totals[c.teamNames[team.Team]] = float64(team.Total)
 	}
 	c.quotas.ApplyView(now, usage)
+	c.retryBudget.ApplyView(now, retries)
 }
 
 // applyLoadView passes the loads of all other instances to the pools, which place by
--- a/pkg/gateway/reports.go
+++ b/pkg/gateway/reports.go
@@ -52,6 +52,8 @@
 	fullReportAt time.Duration
 	sentLoads    map[string]admission.Load
 	sentUsage    map[string]float64
+	// sentRetries holds the number of retries by service as last sent.
+	sentRetries map[string]float64
 	// results holds the results of requests since the last report.
 	results []loadshare.UpstreamResult
 }
@@ -104,6 +106,39 @@
 	return newLoads, newUsed, true
 }
 
+// changedRetries returns the counts of the services whose number of retries differs from
+// that sent before, or all counts for a full report.
+func (s *reportState) changedRetries(counts map[string]quota.RetryCounts, partial bool) map[string]quota.RetryCounts {
+	changed := map[string]quota.RetryCounts{}
+	sent := make(map[string]float64, len(counts))
+	for service, count := range counts {
+		sent[service] = count.Retries
+		if !partial || s.sentRetries[service] != count.Retries {
+			changed[service] = count
+		}
+	}
+	s.sentRetries = sent
+	return changed
+}
+
+func encodeRetries(counts map[string]quota.RetryCounts) []loadshare.RetryCount {
+	encoded := make([]loadshare.RetryCount, 0, len(counts))
+	for service, count := range counts {
+		encoded = append(encoded, loadshare.RetryCount{
+			Service: loadshare.ShortHash(service), Requests: ceilTokens(count.Requests), Retries: ceilTokens(count.Retries),
+		})
+	}
+	return encoded
+}
+
+func (c *controlLoop) decodeRetries(encoded []loadshare.RetryCount) map[string]quota.RetryCounts {
+	counts := make(map[string]quota.RetryCounts, len(encoded))
+	for _, count := range encoded {
+		counts[c.serviceName(count.Service)] = quota.RetryCounts{Requests: float64(count.Requests), Retries: float64(count.Retries)}
+	}
+	return counts
+}
+
 // markReportsChanged makes the next reports due after minInterval instead of
 // idleReportInterval.
 func (c *controlLoop) markReportsChanged() {
@@ -170,7 +205,9 @@
 	}
 	state.results = nil
 	used, withoutUsageHistory := c.quotas.OwnUsage(now), 0
+	retryScope := quota.OwnRetries
 	if wholeDomain {
+		retryScope = quota.DomainRetries
 		report.Strikes = c.strikes.sums(now, instanceStrikes)
 		used, withoutUsageHistory = c.quotas.DomainUsage(now)
 		report.CoveredInstances, report.OldestStartTime = clampTo[uint16](c.peers.ReachableCount()), c.peers.OldestStartTime(c.g.startedUnixNano)
@@ -192,6 +229,7 @@
 	}
 	loads, used, report.Partial = state.delta(now, loads, used)
 	report.Upstreams = encodeLoads(loads)
+	report.Retries = encodeRetries(state.changedRetries(c.retryBudget.Counts(now, retryScope), report.Partial))
 	totals, source := c.quotas.ReportableTotal(now)
 	report.UsageSource = uint8(source)
 	if report.Partial {
@@ -287,6 +325,7 @@
 	}
 	c.applyLoads(now, name, remoteDomain, report)
 	c.applyQuotaUsage(now, name, coveredInstances, report)
+	c.retryBudget.ApplyPeer(now, name, remoteDomain, coveredInstances, c.decodeRetries(report.Retries))
 	for _, strike := range report.Strikes {
 		c.strikes.merge(now, strikes, strike)
 	}
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -78,6 +78,9 @@
 	// Results lists the requests that have ended since the last report. They are not
 	// sent again if the report is lost.
 	Results []UpstreamResult
+	// Retries are the counts of the retry budget whose number of retries has changed, or
+	// all counts in a full report.
+	Retries []RetryCount
 }
 
 // UpstreamLoad is the sender's load on one upstream.
@@ -113,6 +116,16 @@
 	Total    uint32
 }
 
+// RetryCount is the number of requests for a service and of their retries within the
+// window of the retry budget, at the instances that a report covers.
+type RetryCount struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	// Service is the short hash of the service's name.
+	Service  uint32
+	Requests uint32
+	Retries  uint32
+}
+
 // Strike counts how often the connection to an upstream broke while it ran a request
 // with this fingerprint, which is a hash of the request's content. A report, also a
 // summary, holds only strikes that the sender itself has counted.
--- a/pkg/loadshare/reply.go
+++ b/pkg/loadshare/reply.go
@@ -106,8 +106,9 @@
 	Teams       []TeamUsage
 	// Upstreams is the load of all instances; nil if the view does not contain it.
 	Upstreams []UpstreamLoad
-	// Strikes are the sums over all instances.
+	// Strikes and Retries are the sums over all instances.
 	Strikes []Strike
+	Retries []RetryCount
 }
 
 // PeerRef names an instance of the local failure domain.
