gateway: a body that does not arrive ends at the request's deadline

Cause: only heads had a time limit, so a caller that sent a byte now and then held a request for ever (TestSlowBodyEndsAtDeadline waited until its own limit before).

--- a/pkg/gateway/broken_answers_test.go
+++ b/pkg/gateway/broken_answers_test.go
@@ -199,3 +199,34 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// A caller sends its body a byte now and then. Guards against a request that is held for
+// longer than its deadline, and against a wrong statement that it may have run.
+func TestSlowBodyEndsAtDeadline(t *testing.T) {
+	cluster := newTestCluster(t, 1)
+	upstream := cluster.startUpstream("u1", answerWith("no"))
+	conn, err := net.Dial("tcp4", cluster.instances[0].callers)
+	cluster.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: slow\r\nDeadline-Ms: 700\r\nAuthorization: Token key-a\r\nContent-Length: 1000\r\n\r\n")
+	cluster.Expect(err).NotTo(HaveOccurred())
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				if _, err := io.WriteString(conn, "x"); err != nil {
+					return
+				}
+			}
+		}
+	}()
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	cluster.Expect(err).NotTo(HaveOccurred())
+	cluster.Expect(response.StatusCode).To(Equal(http.StatusTooManyRequests))
+	cluster.Expect(upstream.requests()).To(BeEmpty())
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -147,9 +148,11 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
+	body, err := x.readAll(maxBytes)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.Wrap(errkind.DeadlineUnmeetable, err, "the body did not arrive before the deadline")
 	case errors.As(err, &tooLarge):
 		return errkind.Wrap(errkind.BodyTooLarge, err, "the body exceeds %d bytes", maxBytes)
 	case err != nil && x.r.Context().Err() != nil:
@@ -162,6 +165,19 @@
 	return nil
 }
 
+// readAll reads the body until its end, the deadline of the request or the size limit.
+func (x *exchange) readAll(maxBytes int64) ([]byte, error) {
+	// Connections without deadlines occur in tests only.
+	controller := http.NewResponseController(x.w)
+	limited := controller.SetReadDeadline(time.Now().Add(x.deadline-x.g.now())) == nil
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
+	if limited && err == nil {
+		// The server goes on reading to notice that the caller disconnects.
+		err = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // contentHash returns the fingerprint of the request: a hash that is equal for
 // requests of one team with the same method, host, target and body.
 func (x *exchange) contentHash() uint64 {
