gateway: log the prompt parts of requests, and how far an answer had got when its connection broke

The logs of the incident could not show whether the requests that were running when upstreams crashed have something in common. Lines about a request now name the parts of its prompt, and a line for each connection that breaks while an upstream runs a request says how much of the answer had arrived. A counter, connections_broken, shows crashes without logs. No decision changes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -32,7 +32,9 @@
 	// longestInterval is the longest time between two of these events.
 	eventInterval   time.Duration
 	longestInterval time.Duration
-	connReused      bool
+	// outputBytes is the number of bytes of the body that were received.
+	outputBytes int
+	connReused  bool
 }
 
 // maxBufferedAnswerBytes bounds the part of an answer that is read before the
@@ -67,7 +69,9 @@
 	response, err := conn.RoundTrip(ctx, x.upstreamRequest(decision), x.g.headerCodec.RequestIDHeader(), x.requestInfo.RequestID)
 	if err != nil {
 		conn.Close()
-		return x.answerFailed(ctx, decision, err, reused)
+		result := x.answerFailed(ctx, decision, err, reused)
+		result.totalTime = x.g.now() - started
+		return result
 	}
 	result, complete := x.forwardAnswer(ctx, decision, response, started)
 	if result.notExecuted {
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -34,6 +34,8 @@
 	body    io.Reader
 	pending []byte
 	buffer  []byte
+	// received is the number of bytes read.
+	received int
 }
 
 // next waits for at least one complete event and returns all that have arrived.
@@ -42,6 +44,7 @@
 func (e *eventReader) next() ([]byte, error) {
 	for {
 		n, err := e.body.Read(e.buffer)
+		e.received += n
 		e.pending = append(e.pending, e.buffer[:n]...)
 		if err != nil {
 			return nil, err
@@ -80,7 +83,7 @@
 	for {
 		events, err := reader.next()
 		now := x.g.now()
-		result.eventInterval = baselineInterval(intervals)
+		result.eventInterval, result.outputBytes = baselineInterval(intervals), reader.received
 		switch {
 		case errors.Is(err, io.EOF):
 			if last == 0 {
@@ -138,7 +141,7 @@
 // is dropped, so that the stream can be resumed after the last complete one.
 func (x *exchange) eventsBroken(ctx context.Context, decision admission.Decision, cause error, result attemptResult) (attemptResult, bool) {
 	broken := x.answerFailed(ctx, decision, cause, false)
-	broken.timeToFirstOutput, broken.eventInterval = result.timeToFirstOutput, result.eventInterval
+	broken.timeToFirstOutput, broken.eventInterval, broken.outputBytes = result.timeToFirstOutput, result.eventInterval, result.outputBytes
 	if x.answerStarted && x.lastEventID == "" {
 		// A stream without event IDs cannot be resumed.
 		broken.final = true
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -433,6 +433,7 @@
 	}})
 	switch result.outcome {
 	case admission.Broken:
+		x.logBroken(decision, result)
 		x.g.enqueue(strikeMsg{fingerprint: x.fingerprint})
 	case admission.Answered:
 		x.g.enqueue(strikeMsg{fingerprint: x.fingerprint, answered: true})
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -30,11 +30,13 @@
 	upstreamRejections metrics.Counter
 	answersUnsent      metrics.Counter
 	connectionsOpened  metrics.Counter
-	peersLost          metrics.Counter
-	reportsSent        metrics.Counter
-	reportsUnsent      metrics.Counter
-	reportBytes        metrics.Counter
-	reportsMalformed   metrics.Counter
+	// connectionsBroken counts the connections that broke while an upstream ran a request.
+	connectionsBroken metrics.Counter
+	peersLost         metrics.Counter
+	reportsSent       metrics.Counter
+	reportsUnsent     metrics.Counter
+	reportBytes       metrics.Counter
+	reportsMalformed  metrics.Counter
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -54,7 +56,7 @@
 		registry: registry, requests: counter("requests.received"), answered: counter("requests.answered"),
 		retries: counter("requests.repeated"), retriesDenied: counter("retries.denied"),
 		quotaRefused: counter("quota.refused"), upstreamRejections: counter("upstreams.rejected"),
-		answersUnsent: counter("answers.lost"), connectionsOpened: counter("connections.opened"),
+		answersUnsent: counter("answers.lost"), connectionsOpened: counter("connections.opened"), connectionsBroken: counter("connections.broken"),
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
 		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"), panics: counter("panics.contained"),
 		configVersion: metrics.NewRegisteredGauge("config.version", registry),
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -20,6 +20,9 @@
 	MaxOutputTokens int
 	// ExpectedOutputTokens is the caller's estimate; 0 if the caller sent none.
 	ExpectedOutputTokens int
+	// PromptParts holds the IDs of the parts of the prompt in their order. Requests with
+	// the same ID share that part.
+	PromptParts []string
 }
 
 // ForwardInfo holds what the gateway adds to the headers of a forwarded request.
--- a/pkg/gateway/request_log.go
+++ b/pkg/gateway/request_log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"sync/atomic"
 
 	"github.com/go-logr/logr"
@@ -57,6 +58,9 @@
 	if x.route != nil {
 		values = append(values, "route", x.route.Name, "service", x.service, "team", x.teamName(), "tier", x.tier())
 	}
+	if len(x.requestInfo.PromptParts) > 0 {
+		values = append(values, "parts", strings.Join(x.requestInfo.PromptParts, ","))
+	}
 	return append(values, extra...)
 }
 
@@ -88,6 +92,20 @@
 	x.g.requestLog.write(x.g.requestLog.failed, "another upstream is tried", append(values, resultLogValues(result)...))
 }
 
+// logBroken logs what is needed to find the cause of crashes of upstreams: what the
+// request has in common with others, and how far its answer had got.
+func (x *exchange) logBroken(decision admission.Decision, result attemptResult) {
+	x.g.metrics.connectionsBroken.Inc(1)
+	afterFirstOutput := time.Duration(0)
+	if result.timeToFirstOutput > 0 {
+		afterFirstOutput = result.totalTime - result.timeToFirstOutput
+	}
+	x.g.requestLog.write(x.g.requestLog.failed, "connection broke while the upstream ran the request", x.requestLogValues(
+		"upstream", decision.Upstream.ID, "incarnation", decision.Upstream.Incarnation, "tokens", x.requestInfo.PromptTokens, "status", result.status, "first_ms", result.timeToFirstOutput.Milliseconds(),
+		"after_first_ms", afterFirstOutput.Milliseconds(), "output_bytes", result.outputBytes, "total_ms", result.totalTime.Milliseconds(),
+		"reused", result.connReused, "error", result.err.Error()))
+}
+
 func (x *exchange) logFailed(err *errkind.Error, retryAfter time.Duration) {
 	response := errkind.ResponseFor(err.Kind)
 	x.g.metrics.failedCounter(err.Kind).Inc(1)
