gateway: a failing test for prompt parts that crash upstreams

What callers saw: a quarter of the requests of classes that had no part in the cause were refused, since two to three of twelve engines were away. The test plays requests that share one part of the prompt only.

--- /dev/null
+++ b/pkg/gateway/poison_test.go
@@ -0,0 +1,110 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// crashInterval separates the crashes of a test, as arrivals do on a site where one
+	// request in twenty is poisonous.
+	crashInterval = 300 * time.Millisecond
+	// maxAfterDetection is the number of poisonous requests that may reach upstreams
+	// once five upstreams have crashed and the instances have exchanged reports.
+	maxAfterDetection = 3
+)
+
+// crashSite has upstreams that crash when they begin to answer a prompt with a poison
+// part. A crash ends all connections to the upstream and starts a new process of it.
+type crashSite struct {
+	*testCluster
+	crashes atomic.Int64
+	sent    int
+	mu      sync.Mutex
+	poison  map[string]bool
+}
+
+func newCrashSite(t *testing.T, instances, upstreams int, poison ...string) *crashSite {
+	s := &crashSite{testCluster: newTestCluster(t, instances), poison: map[string]bool{}}
+	for _, part := range poison {
+		s.poison[part] = true
+	}
+	for i := range upstreams {
+		id := fmt.Sprintf("u%d", i)
+		var self atomic.Pointer[fakeUpstream]
+		born := atomic.Int64{}
+		born.Store(1)
+		self.Store(s.startUpstream(id, func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			if !s.poisoned(r) {
+				answerStream(w)
+				return
+			}
+			s.crashes.Add(1)
+			upstream := self.Load()
+			go upstream.server.CloseClientConnections()
+			s.store.Put("servers", id, map[string]any{
+				"service": "desk", "address": strings.TrimPrefix(upstream.server.URL, "http://"), "zone": "north", "slots": 8, "state": "ready", "born": born.Add(1),
+			})
+			abortConnection(w, r)
+		}))
+	}
+	return s
+}
+
+func answerStream(w http.ResponseWriter) { _, _ = w.Write([]byte(eventText(1, 3))) }
+
+func (s *crashSite) poisoned(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for entry := range strings.SplitSeq(r.Header.Get("Prefix-Hash"), ",") {
+		if part, _, _ := strings.Cut(entry, ":"); s.poison[part] {
+			return true
+		}
+	}
+	return false
+}
+
+// prompt sends a streamed request that no other one equals: its last part and its path are
+// its own.
+func (s *crashSite) prompt(in *instance, parts ...string) answer {
+	s.sent++
+	return s.send(context.Background(), in, fmt.Sprintf("/stream/%d", s.sent), func(r *http.Request) {
+		r.Header.Set("Prefix-Hash", fmt.Sprintf("%s:400,own%d:20", strings.Join(parts, ":60,"), s.sent))
+	})
+}
+
+// Failure: requests that have nothing in common but one part of the prompt crash one
+// upstream after another, at any instance. Guards against a detection that knows only
+// copies of a request, and against refusing the requests that share the other parts.
+func TestPromptPartThatCrashesUpstreamsIsBlocked(t *testing.T) {
+	site := newCrashSite(t, 3, 6, "poison")
+	for i := 0; i < 5 && site.crashes.Load() < 5; i++ {
+		for _, in := range site.instances {
+			site.prompt(in, "first", "poison")
+			site.Expect(site.prompt(in, "first", "sound").status).To(Equal(http.StatusOK))
+		}
+		time.Sleep(crashInterval)
+	}
+	site.Expect(site.crashes.Load()).To(BeNumerically(">", 2), "the upstreams crash on the part")
+	before := site.crashes.Load()
+	for range 8 {
+		for _, in := range site.instances {
+			answered := site.prompt(in, "first", "poison")
+			site.Expect(site.prompt(in, "first", "sound").status).To(Equal(http.StatusOK), "requests with the other parts are served")
+			if answered.status == http.StatusTooManyRequests {
+				site.Expect(answered.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		}
+	}
+	site.Expect(site.crashes.Load() - before).To(BeNumerically("<=", maxAfterDetection))
+}
