tests, listen: addresses outside the range of outgoing connections, and a wait for an address in use

Cause: the address came from the range from which the kernel takes ports of outgoing connections and of listeners on port 0. Shown by a program of a few lines: of five such ports all were taken by other listeners before they were used, after 3,536 to 5,431 of them.

The product: both daemons wait up to 5 s for an address in use, with a log line, and then end with an error that names the setting and the address; they ended at once.

--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosemarywing/rosemarywing/internal/standin/objectstore"
+	"github.com/rosemarywing/rosemarywing/internal/testbed"
 	"github.com/rosemarywing/rosemarywing/pkg/boottime"
 	"github.com/rosemarywing/rosemarywing/pkg/gateway"
 	"github.com/rosemarywing/rosemarywing/platform"
@@ -103,14 +103,15 @@
 	c.store.Put("config", "main", c.config)
 }
 
-func freeAddress(t *testing.T) string {
+// reserveAddress reserves an address until the end of the test.
+func reserveAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	reserved, err := testbed.ReserveAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Cleanup(reserved.Release)
+	return reserved.Address
 }
 
 func (c *testCluster) log() logr.Logger {
@@ -137,29 +138,19 @@
 	return false
 }
 
-// startInstance starts an instance. It tries other addresses if another process has
-// taken an address that was free.
+// startInstance starts an instance and waits until it is ready.
 func (c *testCluster) startInstance(name string) *instance {
 	c.t.Helper()
-	for {
-		started, err := c.tryStartInstance(name)
-		if err == nil {
-			c.instances = append(c.instances, started)
-			return started
-		}
-		c.Expect(err).To(MatchError(syscall.EADDRINUSE), "the instance ended early")
-	}
+	return c.startInstanceOn(name, reserveAddress(c.t))
 }
 
-// tryStartInstance starts an instance and waits until it is ready. If the instance ends
-// before, it returns the error with which it ended.
-func (c *testCluster) tryStartInstance(name string) (*instance, error) {
+func (c *testCluster) startInstanceOn(name, callers string) *instance {
 	c.t.Helper()
-	started := &instance{callers: freeAddress(c.t), ready: freeAddress(c.t), done: make(chan error, 1)}
+	started := &instance{callers: callers, ready: reserveAddress(c.t), done: make(chan error, 1)}
 	g, err := gateway.New(gateway.Options{
 		Settings: gateway.Settings{
 			Instance: gateway.InstanceSettings{Name: name, Domain: "north", FirstStart: true},
-			Listen:   gateway.ListenSettings{Callers: started.callers, Ready: started.ready, Peers: freeAddress(c.t), Admin: freeAddress(c.t)},
+			Listen:   gateway.ListenSettings{Callers: started.callers, Ready: started.ready, Peers: reserveAddress(c.t), Admin: reserveAddress(c.t)},
 			Store:    gateway.StoreSettings{Address: c.storeAddress},
 			Limits:   gateway.LimitSettings{MemoryMiB: 256, Descriptors: 4096},
 			Bounds: gateway.BoundSettings{ConfigFreshMs: 5000, StopGraceSeconds: 8, LeaveNoticeSeconds: 0.2, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 50,
@@ -171,25 +162,20 @@
 		Log:         c.log(), Clock: clockwork.NewRealClock(),
 		Now: func() time.Duration { return boottime.Now() + time.Duration(c.clockOffset.Load()) },
 	})
-	if err != nil {
-		return nil, err
-	}
+	c.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	started.stop = cancel
 	go func() { started.done <- g.Run(ctx) }()
-	var ended error
-	c.Eventually(func() bool {
+	c.Eventually(func() int {
 		select {
-		case ended = <-started.done:
-			return true
+		case err := <-started.done:
+			c.t.Fatalf("%s ended early: %v", name, err)
 		default:
-			return c.readyStatus(started) == http.StatusOK
 		}
-	}, eventuallyTimeout).Should(BeTrue(), "%s is not ready", name)
-	if ended != nil {
-		cancel()
-	}
-	return started, ended
+		return c.readyStatus(started)
+	}, eventuallyTimeout).Should(Equal(http.StatusOK), "%s is not ready", name)
+	c.instances = append(c.instances, started)
+	return started
 }
 
 func (c *testCluster) readyStatus(in *instance) int {
@@ -299,3 +285,17 @@
 
 // abortConnection closes the connection without an answer.
 func abortConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// A predecessor still has the address of an instance that starts. Guards against an
+// instance that ends instead of waiting for it.
+func TestStartWaitsForAnAddressInUse(t *testing.T) {
+	cluster := newTestCluster(t, 0)
+	address := reserveAddress(t)
+	predecessor, err := net.Listen("tcp4", address)
+	cluster.Expect(err).NotTo(HaveOccurred())
+	go func() {
+		defer func() { _ = predecessor.Close() }()
+		NewWithT(t).Eventually(func() bool { return cluster.logged("address is in use", "[listen] callers", address) }, eventuallyTimeout).Should(BeTrue())
+	}()
+	cluster.startInstanceOn("edge-0", address)
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"github.com/rosemarywing/rosemarywing/pkg/boottime"
 	"github.com/rosemarywing/rosemarywing/pkg/connpool"
+	"github.com/rosemarywing/rosemarywing/pkg/listen"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 	"github.com/rosemarywing/rosemarywing/pkg/peer"
 	"github.com/rosemarywing/rosemarywing/pkg/poison"
@@ -112,7 +114,7 @@
 // New returns an instance that has its socket for peer reports open and serves
 // callers once Run is called.
 func New(opts Options) (*Gateway, error) {
-	socket, err := loadshare.Listen(opts.Settings.Listen.Peers)
+	socket, err := listen.Bind(context.Background(), listen.Binder{Log: opts.Log}, settingListenPeers, opts.Settings.Listen.Peers, loadshare.Listen)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/gateway/lifecycle.go
+++ b/pkg/gateway/lifecycle.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosemarywing/rosemarywing/pkg/listen"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
 )
@@ -59,15 +60,31 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// Settings of the listen addresses, for errors.
+const (
+	settingListenCallers = "[listen] callers"
+	settingListenReady   = "[listen] ready"
+	settingListenPeers   = "[listen] peers"
+	settingListenAdmin   = "[listen] admin"
+)
+
+// internalServer is a server for others than callers.
+type internalServer struct {
+	setting, address string
+	server           *http.Server
+}
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+
 // Run serves until the context ends. It then drains the requests in flight within
 // the grace time and returns. It returns earlier if a listener or server fails.
 func (g *Gateway) Run(ctx context.Context) error {
 	tasksCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	callerServer := &http.Server{Handler: g.Handler(), ConnContext: withCallerConn, ConnState: trackCallerConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	internalServers := map[string]*http.Server{
-		g.settings.Listen.Ready: {Handler: g.readyHandler(), ReadHeaderTimeout: readHeaderTimeout},
-		g.settings.Listen.Admin: {Handler: g.adminHandler(), ReadHeaderTimeout: readHeaderTimeout},
+	internalServers := []internalServer{
+		{settingListenReady, g.settings.Listen.Ready, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: readHeaderTimeout}},
+		{settingListenAdmin, g.settings.Listen.Admin, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}},
 	}
 	failures := make(chan error, len(internalServers)+2)
 	var tasks sync.WaitGroup
@@ -79,30 +96,29 @@
 			}
 		})
 	}
-	peerListener, err := net.Listen("tcp4", g.settings.Listen.Peers)
+	binder := listen.Binder{Log: g.log}
+	peerListener, err := listen.Bind(ctx, binder, settingListenPeers, g.settings.Listen.Peers, listenTCP)
 	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
+		return err
 	}
 	tasks.Go(func() {
 		if err := g.servePeers(tasksCtx, peerListener); err != nil && tasksCtx.Err() == nil {
 			failures <- err
 		}
 	})
-	callers, err := listenForCallers(g.settings.Listen.Callers)
+	callers, err := listen.Bind(ctx, binder, settingListenCallers, g.settings.Listen.Callers, listenForCallers)
 	if err == nil {
 		serveOn(callerServer, callers)
 	}
-	for address, server := range internalServers {
+	for _, internal := range internalServers {
 		var listener net.Listener
 		if err == nil {
-			if listener, err = net.Listen("tcp4", address); err == nil {
-				serveOn(server, listener)
+			if listener, err = listen.Bind(ctx, binder, internal.setting, internal.address, listenTCP); err == nil {
+				serveOn(internal.server, listener)
 			}
 		}
 	}
-	if err != nil {
-		err = fmt.Errorf("listen: %w", err)
-	} else {
+	if err == nil {
 		g.log.Info("started", "domain", g.settings.Instance.Domain,
 			"callers", g.settings.Listen.Callers, "store", g.settings.Store.Address, "capacity", g.capacity())
 		select {
@@ -114,8 +130,8 @@
 	g.announceStop(tasksCtx)
 	stop()
 	_ = callerServer.Close()
-	for _, server := range internalServers {
-		_ = server.Close()
+	for _, internal := range internalServers {
+		_ = internal.server.Close()
 	}
 	if closeErr := g.socket.Close(); closeErr != nil {
 		g.log.Error(closeErr, "close the peer socket")
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
 	"github.com/rosemarywing/rosemarywing/pkg/entry"
+	"github.com/rosemarywing/rosemarywing/pkg/listen"
 	"github.com/rosemarywing/rosemarywing/pkg/member"
 	"github.com/rosemarywing/rosemarywing/pkg/pool"
 	"github.com/rosemarywing/rosemarywing/pkg/settings"
@@ -119,18 +120,19 @@
 }
 
 func (i *Instance) listen() error {
+	bind := func(setting, address string) (net.Listener, error) {
+		return listen.Bind(context.Background(), listen.Binder{Log: i.log}, setting, address, func(address string) (net.Listener, error) { return net.Listen("tcp", address) })
+	}
 	var err error
-	if i.callerListener, err = net.Listen("tcp", i.settings.Listen.Callers); err != nil {
-		return fmt.Errorf("listening on the caller address: %w", err)
+	if i.callerListener, err = bind("[listen] callers", i.settings.Listen.Callers); err != nil {
+		return err
 	}
 	i.callerListener = netutil.LimitListener(i.callerListener, i.settings.Limits.Connections)
-	if i.adminListener, err = net.Listen("tcp", i.settings.Listen.Admin); err != nil {
-		return fmt.Errorf("listening on the admin address: %w", err)
-	}
-	if i.peerListener, err = net.Listen("tcp", i.settings.Listen.Peer); err != nil {
-		return fmt.Errorf("listening on the peer address: %w", err)
+	if i.adminListener, err = bind("[listen] admin", i.settings.Listen.Admin); err != nil {
+		return err
 	}
-	return nil
+	i.peerListener, err = bind("[listen] peer", i.settings.Listen.Peer)
+	return err
 }
 
 func (i *Instance) closeListeners() error {
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
@@ -141,3 +143,28 @@
 	_, err = instance.New(options)
 	g.Expect(err).To(MatchError(ContainSubstring("build failed")), "the address is still in use")
 }
+
+// A predecessor still has an address of the instance. Guards against an instance that
+// ends instead of waiting for it, and against an error that names no setting.
+func TestStartWaitsForAnAddressInUse(t *testing.T) {
+	g := NewWithT(t)
+	predecessor, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	s := testSettings()
+	s.Listen.Admin = predecessor.Addr().String()
+	waits := 0
+	log := funcr.New(func(_, line string) {
+		if strings.Contains(line, "[listen] admin") && strings.Contains(line, s.Listen.Admin) {
+			waits++
+			_ = predecessor.Close()
+		}
+	}, funcr.Options{})
+	_, err = instance.New(instance.Options{
+		Settings: s, Log: log, Clock: clockwork.NewRealClock(),
+		Build: func(instance.Env) (instance.Components, error) {
+			return instance.Components{}, errors.New("listeners are open")
+		},
+	})
+	g.Expect(err).To(MatchError(ContainSubstring("listeners are open")))
+	g.Expect(waits).To(BeNumerically(">", 0))
+}
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -231,17 +230,19 @@
 	d.slotsInUse[upstream]--
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+// reserveAddress reserves an address until the end of the test.
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	reserved, err := testbed.ReserveAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Cleanup(reserved.Release)
+	return reserved.Address
 }
 
 func (d *deployment) writeSettings(instance int) string {
-	callers := freeAddress(d.t)
+	callers := reserveAddress(d.t)
 	d.callerAddresses = append(d.callerAddresses, callers)
 	domain := []string{"north", "south"}[instance%2]
 	text := fmt.Sprintf(`[instance]
@@ -264,7 +265,7 @@
 quota_window_s = %g
 quota_overage = %g
 quota_slack = %d
-`, instance, domain, callers, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.storeLinks[instance].Address(),
+`, instance, domain, callers, reserveAddress(d.t), reserveAddress(d.t), reserveAddress(d.t), d.storeLinks[instance].Address(),
 		quotaWindow.Seconds(), quotaOverage, quotaSlack)
 	path := filepath.Join(d.t.TempDir(), fmt.Sprintf("edge-%d.ini", instance))
 	d.requireNoError(os.WriteFile(path, []byte(text), 0o600))
