sched: prompt prefixes that crash upstreams are refused

Change: the pool uses pkg/poison with the prefixes of the prompt as traits, by model.

Test: TestPromptPrefixThatCrashesUpstreamsIsRefused fails on the commit before with 6 crashes of 6 requests, and passes with 3.

--- a/pkg/sched/crash.go
+++ b/pkg/sched/crash.go
@@ -76,6 +76,10 @@
 	if reporter != nil {
 		byFingerprint[reporter.work.Fingerprint] = &crashStrike{confirmed: true}
 		p.strikes.add(now, reporter.work.Fingerprint, 1)
+		p.recordPrefixCrash(now, u, &reporter.work)
+	}
+	for _, g := range u.grants {
+		p.recordPrefixCrash(now, u, &g.work)
 	}
 	p.addCrashStrikes(now, u, byFingerprint, func(*grant) bool { return true })
 }
@@ -84,13 +88,17 @@
 // refuses those whose fingerprint has reached blockThreshold, and moves the
 // others to the groups to which they now belong, suspects to those of
 // classSuspect.
-func (p *Pool) reclassifyQueued(d *Decisions) {
+func (p *Pool) reclassifyQueued(now time.Time, d *Decisions) {
 	for _, w := range p.queuedInOrder() {
 		work := &w.request.Work
 		if p.strikes.isBlocked(work.Fingerprint) {
 			p.refuseWaiting(w, errkind.PoisonRequest, "requests with this content crashed upstreams", d)
 			continue
 		}
+		if p.prefixBlocked(now, work) {
+			p.refuseWaiting(w, errkind.PoisonRequest, prefixBlockedReason, d)
+			continue
+		}
 		if !w.outOfGroup {
 			p.updateGroup(w)
 		}
@@ -107,7 +115,7 @@
 	u.backoff = 0
 	u.crashedAt = time.Time{}
 	if p.addCrashStrikes(now, u, map[uint64]*crashStrike{}, func(g *grant) bool { return g.granted.Before(u.lastReport) }) {
-		p.reclassifyQueued(d)
+		p.reclassifyQueued(now, d)
 	}
 }
 
@@ -121,7 +129,7 @@
 		}
 	}
 	var d Decisions
-	p.reclassifyQueued(&d)
+	p.reclassifyQueued(now, &d)
 	p.pendingRefusals = append(p.pendingRefusals, d.Refusals...)
 }
 
--- a/pkg/sched/crash_test.go
+++ b/pkg/sched/crash_test.go
@@ -213,3 +213,42 @@
 	d := p.ReportLoad(later.Add(time.Second), "a", sched.Load{Incarnation: "1", ReportedAt: later})
 	g.Expect(d.Grants).To(HaveLen(1))
 }
+
+// Requests whose prompts share a prefix, but that are not copies, crash one upstream after
+// another. Guards against strikes that never add up, and against refusing requests that
+// share only the beginning of the prefix.
+func TestPromptPrefixThatCrashesUpstreamsIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	p := sched.New(sched.Config{})
+	var records []record.Upstream
+	for i := range 8 {
+		records = append(records, engine(fmt.Sprint("engine", i), 4, 0))
+	}
+	p.SetUpstreams(start, records)
+	sent := 0
+	acquire := func(at time.Time, prefixes ...uint64) (string, sched.Decisions) {
+		sent++
+		r := request(fmt.Sprint(sent), 1, 100)
+		r.Deadline = at.Add(time.Minute)
+		r.Work.Fingerprint = uint64(1000 + sent)
+		r.Work.PrefixHashes, r.Work.PrefixTokens = append(prefixes, uint64(5000+sent)), []int{20, 60, 90}[:len(prefixes)+1]
+		return r.ID, p.Acquire(at, r)
+	}
+	crashes := 0
+	for second := range 6 {
+		at := start.Add(time.Duration(second) * time.Second)
+		if id, poisonous := acquire(at, 1, 66); len(poisonous.Grants) == 1 {
+			crashes++
+			p.Release(at.Add(200*time.Millisecond), sched.Result{RequestID: id, Holder: "entry", Outcome: sched.UpstreamBroken})
+		} else {
+			g.Expect(poisonous.Refusals).To(HaveLen(1))
+			g.Expect(poisonous.Refusals[0].Kind).To(Equal(errkind.PoisonRequest))
+		}
+		for range 2 {
+			id, sound := acquire(at.Add(500*time.Millisecond), 1)
+			g.Expect(sound.Grants).To(HaveLen(1))
+			p.Release(at.Add(900*time.Millisecond), sched.Result{RequestID: id, Holder: "entry", Outcome: sched.Completed})
+		}
+	}
+	g.Expect(crashes).To(Equal(3))
+}
--- a/pkg/sched/grants.go
+++ b/pkg/sched/grants.go
@@ -80,7 +80,7 @@
 	p.removeHolderIfIdle(g.holder)
 	switch result.Outcome {
 	case Completed:
-		p.handleCompleted(g, result)
+		p.handleCompleted(now, g, result)
 	case NotDispatched, DialFailed:
 		p.handleNotDispatched(now, g, result.Outcome)
 	case UpstreamBroken:
@@ -94,7 +94,7 @@
 	p.removeIfUnused(u)
 }
 
-func (p *Pool) handleCompleted(g *grant, result Result) {
+func (p *Pool) handleCompleted(now time.Time, g *grant, result Result) {
 	u := g.upstream
 	u.backoff = 0
 	if !g.restored {
@@ -104,6 +104,7 @@
 	}
 	p.prefixes.applyResult(u.index, &g.work, result.CachedTokens, true)
 	p.strikes.clearSuspect(g.work.Fingerprint)
+	p.poison.RecordAnswer(sinceEpoch(now), modelHash(&g.work), prefixTraits(&g.work))
 }
 
 func (p *Pool) handleNotDispatched(now time.Time, g *grant, outcome Outcome) {
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/poison"
 )
 
 // Pool implements Scheduler for one pool of upstreams.
@@ -29,6 +30,9 @@
 	holders  map[string]*holder
 	prefixes prefixIndex
 	strikes  strikeTable
+	// poison finds prompt prefixes that crash upstreams, which strikes by content do not
+	// show if no two of the requests are copies.
+	poison *poison.Detector
 	// pendingPrefixes tracks prefixes whose prefill is expected to be in
 	// progress; deferred lists the requests that wait for one of them.
 	pendingPrefixes pendingPrefixes
@@ -76,6 +80,7 @@
 		prefixes:        newPrefixIndex(config.MaxPrefixesPerUpstream),
 		pendingPrefixes: pendingPrefixes{byHash: map[uint64]pendingPrefix{}},
 		strikes:         newStrikeTable(config.MaxStrikes, config.StrikeTTL),
+		poison:          newPrefixDetector(),
 	}
 }
 
@@ -130,6 +135,10 @@
 		d.refuse(request, errkind.PoisonRequest, "requests with this content crashed upstreams")
 		return
 	}
+	if p.prefixBlocked(now, &request.Work) {
+		d.refuse(request, errkind.PoisonRequest, prefixBlockedReason)
+		return
+	}
 	w := p.enqueue(now, key, request, m)
 	p.scheduleGroup(now, w.group, m.upstreams, d)
 	p.refuseExpired(now, d)
@@ -249,7 +258,7 @@
 	}
 	p.endGrant(now, g, result)
 	if result.Outcome == UpstreamBroken {
-		p.reclassifyQueued(&d)
+		p.reclassifyQueued(now, &d)
 	}
 	p.schedule(now, g.upstream, &d)
 	return d
