connpool: a late answer without a length ends the request at once

Reported by operators of similar systems: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that the server ran, or these ran at a second server.

It does not happen here: an answer with the ID of another request is skipped, one without an ID on a connection in use again breaks the request off (502, promising nothing), and three copies do, too.

Found beside it: a copy without a length was read until the deadline, 2 s in the test, before the caller got 504. Nothing can follow such an answer, so that the request now ends at once with 502.

--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -150,8 +150,12 @@
 		case echoed == "":
 			return nil, errNoID
 		}
+		if !response.Framed {
+			// Its body ends with the connection, so that no other response can follow.
+			return nil, errWrongRequest
+		}
 		// A late response to an earlier request; the expected one follows.
-		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil || n == maxSkippedBytes || !response.Framed {
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil || n == maxSkippedBytes {
 			return nil, fmt.Errorf("an answer to request %q was not complete: %w", echoed, errors.Join(err, errWrongRequest))
 		}
 	}
