gateway: an error instead of the rest of a stream is not forwarded, and half an event ends no stream

Reported by operators of similar systems: a stream had begun and broke off, the next server answered with an error, and callers found its text, or its whole head, in their stream, or a stream that ended as if it were complete.

It could happen here. An answer with status 2xx was taken for the rest of the stream whatever it was: a JSON or text error with 200, an empty 204, a second head after the first. And what was left after the last whole event was forwarded at the end of an answer, which then looked complete.

Change: only a 200 of type text/event-stream, or without a type, counts as events, and a rest must begin with an ID that continues the last one. Anything else is a failure of that upstream, not forwarded, and another one is tried if a retry is left. The rest of an event at the end of a stream means that it broke off. Streams with CRLF are split at their events; they were held back until their end. An answer of another type on a streaming route is forwarded whole, as others are.

Tests, failing before: TestErrorInsteadOfRestOfStreamIsNotForwarded (5 of 12 cases), TestStreamThatEndsWithinAnEventIsIncomplete (4 of 4). TestAnswersThatEndWithTheConnectionAreComplete held and stays.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -184,7 +184,7 @@
 	case success && (!reply.Signed || reply.Encoded):
 		cause := errors.New("the answer is not the upstream's own")
 		return x.answerFailed(ctx, decision, cause, false), false
-	case success && x.route.Kind.Streams():
+	case success && x.route.Kind.Streams() && isEventStream(response):
 		return x.forwardEvents(ctx, decision, response, started)
 	}
 	return x.forwardBody(ctx, decision, response, started)
@@ -228,8 +228,9 @@
 	if x.answerStarted {
 		// The headers of the resumed stream have been sent; its status cannot
 		// change.
-		return attemptResult{outcome: outcome, final: true, err: errkind.New(errkind.UpstreamRefused,
-			"upstream %s answered %d instead of the rest of the stream", decision.Upstream.ID, response.Status)}, len(body) < maxBufferedAnswerBytes
+		result := x.notTheRest(decision, response)
+		result.outcome, result.final = outcome, response.Status/100 != 2
+		return result, len(body) < maxBufferedAnswerBytes
 	}
 	x.copyHeader(response)
 	x.setContentLength(response, len(body))
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -5,13 +5,16 @@
 	"context"
 	"errors"
 	"io"
+	"iter"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
 	"github.com/rosemarywing/rosemarywing/pkg/connpool"
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 )
 
 const (
@@ -27,15 +30,71 @@
 	intervalQuantile = 0.25
 )
 
-var eventDelimiter = []byte("\n\n")
+// eventDelimiters end an event, in streams with either kind of line end.
+var eventDelimiters = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+
+// lengthOfEvents returns the length of the complete events at the beginning of text.
+func lengthOfEvents(text []byte) int {
+	length := 0
+	for _, delimiter := range eventDelimiters {
+		if end := bytes.LastIndex(text, delimiter); end >= 0 {
+			length = max(length, end+len(delimiter))
+		}
+	}
+	return length
+}
+
+// eventLines yields the lines that belong to events: not the empty ones between events, nor
+// comments.
+func eventLines(text []byte) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for line := range strings.Lines(string(text)) {
+			line = strings.TrimRight(line, "\r\n")
+			if line != "" && !strings.HasPrefix(line, ":") && !yield(line) {
+				return
+			}
+		}
+	}
+}
+
+// firstEventID returns the ID of the first event, empty if it has none, and false if there
+// is no event.
+func firstEventID(events []byte) (id string, found bool) {
+	for line := range strings.Lines(string(events)) {
+		line = strings.TrimRight(line, "\r\n")
+		switch {
+		case line == "" && found:
+			return id, true
+		case line == "" || strings.HasPrefix(line, ":"):
+			continue
+		}
+		found = true
+		if value, isID := strings.CutPrefix(line, "id:"); isID {
+			id = strings.TrimSpace(value)
+		}
+	}
+	return id, found
+}
+
+// continues reports whether an event with the ID id may follow one with the ID last. IDs
+// that are numbers grow.
+func continues(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	if err == nil && lastErr == nil {
+		return number > lastNumber
+	}
+	return id != "" && id != last
+}
 
 // eventReader splits a server-sent event stream at event boundaries.
 type eventReader struct {
 	body    io.Reader
 	pending []byte
 	buffer  []byte
-	// received is the number of bytes read.
+	// received is the number of bytes read, and err the error of the last read.
 	received int
+	err      error
 }
 
 // next waits for at least one complete event and returns all that have arrived.
@@ -43,28 +102,28 @@
 // pending.
 func (e *eventReader) next() ([]byte, error) {
 	for {
-		n, err := e.body.Read(e.buffer)
-		e.received += n
-		e.pending = append(e.pending, e.buffer[:n]...)
-		if err != nil {
-			return nil, err
-		}
-		if end := bytes.LastIndex(e.pending, eventDelimiter); end >= 0 {
-			complete := e.pending[:end+len(eventDelimiter)]
-			remainder := bytes.Clone(e.pending[end+len(eventDelimiter):])
-			e.pending = remainder
+		if length := lengthOfEvents(e.pending); length > 0 {
+			complete := e.pending[:length]
+			e.pending = bytes.Clone(e.pending[length:])
 			return complete, nil
 		}
-		if len(e.pending) > maxEventBytes {
+		switch {
+		case e.err != nil:
+			return nil, e.err
+		case len(e.pending) > maxEventBytes:
 			return nil, errors.New("an event exceeds the size limit")
 		}
+		var n int
+		n, e.err = e.body.Read(e.buffer)
+		e.received += n
+		e.pending = append(e.pending, e.buffer[:n]...)
 	}
 }
 
 // parseLastEventID returns the ID of the last event that has one.
 func parseLastEventID(events []byte) string {
 	id := ""
-	for line := range strings.Lines(string(events)) {
+	for line := range eventLines(events) {
 		if value, found := strings.CutPrefix(line, "id:"); found {
 			id = strings.TrimSpace(value)
 		}
@@ -72,27 +131,48 @@
 	return id
 }
 
+// errNotTheRest is the cause of the failure of an upstream that answers something other
+// than the rest of the stream.
+var errNotTheRest = errors.New("the answer is not the rest of the stream")
+
+// isEventStream reports whether a successful answer is a stream of events. Upstreams need
+// not state the type.
+func isEventStream(response *connpool.Response) bool {
+	contentType := response.Header.Get("Content-Type")
+	return response.Status == http.StatusOK && (contentType == "" || strings.HasPrefix(contentType, "text/event-stream"))
+}
+
 // forwardEvents forwards the events of a stream as they arrive. It never forwards
-// part of an event, except at the regular end of the stream.
+// part of an event.
 func (x *exchange) forwardEvents(ctx context.Context, decision admission.Decision, response *connpool.Response, started time.Duration) (attemptResult, bool) {
 	reader := &eventReader{body: response.Body, buffer: make([]byte, streamReadBytes)}
 	result := attemptResult{outcome: admission.Answered}
 	var intervals []time.Duration
 	last := time.Duration(0)
+	resumed := x.answerStarted
 	flusher := http.NewResponseController(x.w)
 	for {
 		events, err := reader.next()
 		now := x.g.now()
 		result.eventInterval, result.outputBytes = baselineInterval(intervals), reader.received
 		switch {
+		case errors.Is(err, io.EOF) && reader.incompleteEvent():
+			return x.eventsBroken(ctx, decision, io.ErrUnexpectedEOF, result)
 		case errors.Is(err, io.EOF):
 			if last == 0 {
 				result.timeToFirstOutput = now - started
 			}
-			return x.finishEvents(reader.pending, response, result)
+			x.writeHeaderOnce(response)
+			return result, true
 		case err != nil:
 			return x.eventsBroken(ctx, decision, err, result)
 		}
+		if id, found := firstEventID(events); resumed && found {
+			if !continues(id, x.lastEventID) {
+				return x.notTheRest(decision, response), false
+			}
+			resumed = false
+		}
 		if last == 0 {
 			result.timeToFirstOutput = now - started
 			x.g.enqueue(firstOutputMsg{service: x.service, upstream: decision.Upstream.ID, key: x.request.Key})
@@ -130,14 +210,19 @@
 	x.w.WriteHeader(response.Status)
 }
 
-func (x *exchange) finishEvents(rest []byte, response *connpool.Response, result attemptResult) (attemptResult, bool) {
-	x.writeHeaderOnce(response)
-	if len(rest) > 0 {
-		if _, err := x.w.Write(rest); err != nil {
-			return x.callerGone(err, admission.Answered, result.timeToFirstOutput), true
-		}
+// incompleteEvent reports whether the stream has ended within an event.
+func (e *eventReader) incompleteEvent() bool {
+	for range eventLines(e.pending) {
+		return true
 	}
-	return result, true
+	return false
+}
+
+// notTheRest returns the result of an attempt at the rest of a stream that got another
+// answer. Nothing of it may be forwarded, since the headers of the stream have been sent.
+func (x *exchange) notTheRest(decision admission.Decision, response *connpool.Response) attemptResult {
+	return attemptResult{outcome: admission.Failed, err: errkind.Wrap(errkind.UpstreamRefused, errNotTheRest,
+		"upstream %s answered %d", decision.Upstream.ID, response.Status)}
 }
 
 // eventsBroken returns the result of a stream that broke off. An incomplete event
