--- a/pkg/sched/crash_test.go
+++ b/pkg/sched/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -231,7 +232,8 @@
 		r := request(fmt.Sprint(sent), 1, 100)
 		r.Deadline = at.Add(time.Minute)
 		r.Work.Fingerprint = uint64(1000 + sent)
-		r.Work.PrefixHashes, r.Work.PrefixTokens = append(prefixes, uint64(5000+sent)), []int{20, 60, 90}[:len(prefixes)+1]
+		own := uint64(5000 + sent)
+		r.Work.PrefixHashes, r.Work.PrefixTokens = append(slices.Clone(prefixes), own), []int{20, 60, 90}[:len(prefixes)+1]
 		return r.ID, p.Acquire(at, r)
 	}
 	crashes := 0
