gateway: the test of poison prompt parts counts from the time that the rule names

Seen once beside a load average of 22: 5 requests reached upstreams, 3 may. The test counted at once after five requests, of which fewer than five may have crashed an upstream; the rule counts from 4 s after the fifth crash. The test now goes on to five crashes, or to the first block, waits until all instances have the block, 4 s at most, and counts then.

--- a/pkg/gateway/poison_test.go
+++ b/pkg/gateway/poison_test.go
@@ -17,9 +17,10 @@
 	// crashInterval separates the crashes of a test, as arrivals do on a site where one
 	// request in twenty is poisonous.
 	crashInterval = 300 * time.Millisecond
-	// maxAfterDetection is the number of poisonous requests that may reach upstreams
-	// once five upstreams have crashed and the instances have exchanged reports.
+	// maxAfterDetection is the number of poisonous requests that may reach upstreams later
+	// than contactTime after the fifth crash.
 	maxAfterDetection = 3
+	contactTime       = 4 * time.Second
 )
 
 // crashSite has upstreams that crash when they begin to answer a prompt with a poison
@@ -88,7 +89,15 @@
 // copies of a request, and against refusing the requests that share the other parts.
 func TestPromptPartThatCrashesUpstreamsIsBlocked(t *testing.T) {
 	site := newCrashSite(t, 3, 6, "poison")
-	for i := range 5 {
+	blockedEverywhere := func() bool {
+		for i := range site.instances {
+			if !site.logged("requests blocked", fmt.Sprintf(`"instance":"edge-%d"`, i)) {
+				return false
+			}
+		}
+		return true
+	}
+	for i := 0; site.crashes.Load() < 5 && !site.logged("requests blocked"); i++ {
 		site.prompt(site.instances[i%len(site.instances)], "first", "poison")
 		for _, in := range site.instances {
 			site.Expect(site.prompt(in, "first", "sound").status).To(Equal(http.StatusOK))
@@ -96,6 +105,9 @@
 		time.Sleep(crashInterval)
 	}
 	site.Expect(site.crashes.Load()).To(BeNumerically(">", 2), "the upstreams crash on the part")
+	for started := time.Now(); time.Since(started) < contactTime && !blockedEverywhere(); {
+		time.Sleep(crashInterval / 10)
+	}
 	before := site.crashes.Load()
 	for range 8 {
 		for _, in := range site.instances {
