gateway: an upstream that says that it leaves, or asks for quiet, gets no further requests

The users' new rules: all answers of a leaving upstream say so, and a 503 may carry a Retry-After. The gateway read neither: an upstream that left while the store was silent got requests until its end, and one that asked for quiet got a request of each instance every 40 ms.

The word of leaving is kept by process beside the record of the store and reported to the other instances; a quiet time holds at the instance that was told, ends with a small spread, and is followed by one request at a time. A follower tells its relay which upstreams it must not choose. If all want quiet, callers wait while they can be served in time, or are told when the first upstream accepts requests again.

The soak's stand-ins send both, are replaced by new processes, and check both rules; it also checks that no part of a prompt is blocked, since its upstreams end for other reasons.

--- a/pkg/admission/delegation.go
+++ b/pkg/admission/delegation.go
@@ -49,10 +49,11 @@
 }
 
 // Adopt counts a request of this instance that another instance has placed at an
-// upstream. It returns false if the upstream is unknown here or is leaving.
+// upstream. It returns false if the upstream is unknown here, is leaving, or wants no
+// request of this instance.
 func (p *Pool) Adopt(now time.Duration, upstreamID string, key uint64, promptTokens int, expectedFirstOutput time.Duration) (UpstreamInfo, bool) {
 	u := p.upstreams[upstreamID]
-	if u == nil || u.info.Leaving {
+	if u == nil || u.info.Leaving || u.leaving || now < u.quietUntil {
 		return UpstreamInfo{}, false
 	}
 	u.requests = append(u.requests, runningRequest{key: key, promptTokens: promptTokens, placedAt: now, expectedFirstOutput: expectedFirstOutput})
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -56,8 +56,9 @@
 // accept.
 func (p *Pool) freeCapacity(now time.Duration) int {
 	free := 0
+	delegated := slices.ContainsFunc(p.queue, func(r *Request) bool { return r.Delegated })
 	for _, u := range p.sorted {
-		if !u.usable(now) {
+		if !u.usable(now) || (now < u.quietUntil && !delegated) {
 			continue
 		}
 		inFlight, _ := u.load()
@@ -107,6 +108,9 @@
 		}
 		return p.refuse(now, r, "the service has no upstream"), true
 	}
+	if end, quiet := p.quietEnd(now); quiet && !r.Delegated {
+		return p.waitForQuiet(now, r, end)
+	}
 	maxWait := time.Duration(float64(r.Deadline-r.Arrived) * p.tuning.MaxQueueFraction)
 	if now-r.Arrived >= maxWait {
 		return p.refuse(now, r, p.noCapacityReason()), true
@@ -123,7 +127,7 @@
 	var chosen Decision
 	bestCost := 0.0
 	for _, u := range p.sorted {
-		if !u.usable(now) || slices.Contains(r.ExcludedUpstreams, u.info.ID) {
+		if !u.usable(now) || !u.accepts(now, r) || slices.Contains(r.ExcludedUpstreams, u.info.ID) {
 			continue
 		}
 		inFlight, pendingPrefillTokens := u.load()
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -290,6 +290,8 @@
 	EventInterval time.Duration
 	// TotalTime is the time to the complete answer; 0 if unknown.
 	TotalTime time.Duration
+	// QuietTime is the time for which the upstream wants no request of this instance.
+	QuietTime time.Duration
 }
 
 // Finish removes a request from its upstream and updates the estimates of the
@@ -314,6 +316,9 @@
 	}
 	u.recordRelease(now)
 	p.observe(now, u, running, result)
+	if result.QuietTime > 0 {
+		p.startQuiet(now, u, result.QuietTime)
+	}
 }
 
 // observe updates the estimates of an upstream by the result of a request. running is
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -18,6 +18,16 @@
 	Incarnation int64
 }
 
+// Process identifies a process of an upstream: its ID may start again, and its address may
+// be given to another upstream.
+type Process struct {
+	ID          string
+	Incarnation int64
+}
+
+// Process returns the process that the description is of.
+func (i UpstreamInfo) Process() Process { return Process{ID: i.ID, Incarnation: i.Incarnation} }
+
 // Request is a queued request. Its times are on the clock that callers of Pool pass as
 // now.
 type Request struct {
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -75,9 +75,13 @@
 	releases []time.Duration
 	// After failures the upstream gets no request before backoffUntil.
 	// failedAttempts counts the failures in a row.
-	backoffUntil       time.Duration
-	failedAttempts     int
-	fullUntil          time.Duration
+	backoffUntil   time.Duration
+	failedAttempts int
+	fullUntil      time.Duration
+	// leaving is true once the upstream itself has said that it leaves. quietUntil is the
+	// end of the time for which it wants no request of this instance.
+	leaving            bool
+	quietUntil         time.Duration
 	failureRate        float64
 	failureRateUpdated time.Duration
 }
@@ -187,7 +191,7 @@
 // requests are sent there one at a time until one is answered: an upstream that is
 // down looks idle and would otherwise attract all requests.
 func (u *upstream) usable(now time.Duration) bool {
-	if u.info.Leaving || now < u.backoffUntil || now < u.fullUntil {
+	if u.info.Leaving || u.leaving || now < u.backoffUntil || now < u.fullUntil {
 		return false
 	}
 	return u.failedAttempts == 0 || len(u.requests) == 0
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -36,6 +36,8 @@
 	outputBytes int
 	// connectionLost is true if the connection ended before the answer was complete.
 	connectionLost bool
+	// quietTime is the time for which the upstream wants no request of this instance.
+	quietTime time.Duration
 	// retryAfter is the time after which the caller of a refused request may retry; 0 for
 	// the default.
 	retryAfter time.Duration
@@ -90,7 +92,10 @@
 		result.totalTime = x.g.now() - started
 		return result
 	}
-	result, complete := x.forwardAnswer(ctx, decision, response, started)
+	reply := x.g.headerCodec.DecodeReply(response.Status, response.Header)
+	x.heedUpstream(decision.Upstream, reply)
+	result, complete := x.forwardAnswer(ctx, decision, response, reply, started)
+	result.quietTime = reply.QuietTime
 	if result.notExecuted {
 		x.mayHaveRun = mayHaveRunBefore
 		result.err = x.brokenIfMayHaveRun(result.err)
@@ -174,8 +179,7 @@
 
 // forwardAnswer forwards a valid answer to the caller. It reports whether the
 // answer was read to its end, so that the connection can be reused.
-func (x *exchange) forwardAnswer(ctx context.Context, decision admission.Decision, response *connpool.Response, started time.Duration) (attemptResult, bool) {
-	reply := x.g.headerCodec.DecodeReply(response.Status, response.Header)
+func (x *exchange) forwardAnswer(ctx context.Context, decision admission.Decision, response *connpool.Response, reply Reply, started time.Duration) (attemptResult, bool) {
 	success := response.Status/100 == 2
 	switch {
 	case reply.NotExecuted:
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -43,6 +43,7 @@
 	retryBudget      *quota.RetryBudget
 	peers            *loadshare.Peers
 	poison           *poison.Detector
+	leaving          *leavingUpstreams
 	// upstreamNames and teamNames map the short hashes in reports to names.
 	upstreamNames map[uint32]string
 	teamNames     map[uint32]string
@@ -66,6 +67,7 @@
 	viewSentAt, loadViewSentAt time.Duration
 	// viewSuspicions marks what the views contained of the suspicions about crashes.
 	viewSuspicions poison.Cursor
+	viewLeaving    uint64
 	// remoteReportsFrom is the time from which this instance may send reports on
 	// behalf of its failure domain. A process that has just started does not know
 	// the other instances of its domain.
@@ -92,6 +94,7 @@
 		}),
 		peers:         newPeers(g),
 		poison:        newPoisonDetector(g),
+		leaving:       newLeavingUpstreams(),
 		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{}, pendingReports: map[string]pendingReport{},
 		follower: delegation.NewFollower(), relay: delegation.NewRelay(func() uint64 { return g.lastRequestKey.Add(1) }),
 	}
@@ -229,7 +232,8 @@
 
 func (m submitMsg) apply(c *controlLoop) {
 	c.placementReplies[m.request.Key] = m.reply
-	if now := c.g.now(); c.follower.Ready(now) {
+	now := c.g.now()
+	if c.follower.Ready(now) && !c.pool(m.request.Service).AllQuiet(now) {
 		c.follower.Submit(now, m.request)
 		return
 	}
--- a/pkg/gateway/delegation.go
+++ b/pkg/gateway/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
@@ -105,13 +106,18 @@
 func (c *controlLoop) addDelegation(now time.Duration, report *loadshare.Report) {
 	report.Follows = loadshare.ShortHash(c.follower.Relay())
 	report.DecisionsOf, report.DecisionSeen = c.follower.Seen()
+	barred := map[string][]string{}
+	for service, pool := range c.pools {
+		barred[service] = pool.Barred(now)
+	}
 	for _, request := range c.follower.Waiting(now, report.Sequence) {
 		waiting := loadshare.WaitingRequest{
 			Key: request.Key, Service: loadshare.ShortHash(request.Service), Tier: int16(request.Tier),
 			PromptTokens: clampTo[uint32](request.PromptTokens), OutputTokens: clampTo[uint32](request.OutputTokens),
 			WaitedMs: toMs(now - request.Arrived), TargetInMs: int32((request.SoftDeadline - now).Milliseconds()), TimeoutInMs: toMs(request.Deadline - now),
 		}
-		for _, upstream := range request.ExcludedUpstreams {
+		// The relay does not know which upstreams want no request of this instance.
+		for _, upstream := range append(slices.Clone(request.ExcludedUpstreams), barred[request.Service]...) {
 			waiting.Excluded = append(waiting.Excluded, loadshare.ShortHash(upstream))
 		}
 		report.Waiting = append(report.Waiting, waiting)
@@ -289,6 +295,7 @@
 	view.Retries = encodeRetries(c.retryBudget.Counts(now, quota.FleetRetries))
 	withLoads := now-c.loadViewSentAt >= loadViewInterval
 	view.Suspicions = encodeSuspicions(c.poison.Export(now, &c.viewSuspicions, withLoads, false))
+	view.LeavingUpstreams = c.leaving.export(now, &c.viewLeaving, withLoads)
 	if withLoads {
 		c.loadViewSentAt = now
 		loads := map[string]admission.Load{}
@@ -383,6 +390,7 @@
 		return
 	}
 	c.mergeSuspicions(now, reply.Instance, view.Suspicions)
+	c.mergeLeaving(now, reply.Instance, view.LeavingUpstreams)
 	if c.g.table.Load() != nil {
 		c.applyUsageView(now, reply.ReportSeen, view)
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -41,6 +41,10 @@
 	// upstreams, and poisonBlocked the blocks of fingerprints.
 	poisonRefused metrics.Counter
 	poisonBlocked metrics.Counter
+	// upstreamsLeaving counts the processes of upstreams that have said that they leave, and
+	// quietTimes the answers that asked for no requests.
+	upstreamsLeaving metrics.Counter
+	quietTimes       metrics.Counter
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -66,6 +70,7 @@
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
 		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"), panics: counter("panics.contained"),
 		poisonRefused: counter("poison.refused"), poisonBlocked: counter("poison.blocked"),
+		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
 		poisonFingerprints: metrics.NewRegisteredGauge("poison.fingerprints", registry),
 		configVersion:      metrics.NewRegisteredGauge("config.version", registry),
 		waitMs:             histogram("wait.ms"), firstOutputMs: histogram("first_output.ms"), totalMs: histogram("total.ms"),
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -47,6 +47,11 @@
 	// Encoded is true if the body has a content encoding, which upstreams do not
 	// use: an intermediary has changed it.
 	Encoded bool
+	// Leaving is true if the upstream states that it is about to stop.
+	Leaving bool
+	// QuietTime is the time for which the upstream wants no further request of this
+	// instance; 0 if it did not ask for any.
+	QuietTime time.Duration
 }
 
 // HeaderCodec decodes and encodes the headers exchanged with callers and upstreams.
--- a/pkg/gateway/reports.go
+++ b/pkg/gateway/reports.go
@@ -57,6 +57,8 @@
 	sentRetries map[string]float64
 	// suspicions marks what was sent of the suspicions about crashes.
 	suspicions poison.Cursor
+	// leaving marks what was sent of the words of leaving upstreams.
+	leaving uint64
 	// results holds the results of requests since the last report.
 	results []loadshare.UpstreamResult
 }
@@ -232,6 +234,7 @@
 	loads, used, report.Partial = state.delta(now, loads, used)
 	report.Upstreams = encodeLoads(loads)
 	report.Suspicions = encodeSuspicions(c.poison.Export(now, &state.suspicions, !report.Partial, !wholeDomain))
+	report.LeavingUpstreams = c.leaving.export(now, &state.leaving, !report.Partial)
 	report.Retries = encodeRetries(state.changedRetries(c.retryBudget.Counts(now, retryScope), report.Partial))
 	totals, source := c.quotas.ReportableTotal(now)
 	report.UsageSource = uint8(source)
@@ -328,6 +331,7 @@
 	c.applyQuotaUsage(now, name, coveredInstances, report)
 	c.retryBudget.ApplyPeer(now, name, remoteDomain, coveredInstances, c.decodeRetries(report.Retries))
 	c.mergeSuspicions(now, name, report.Suspicions)
+	c.mergeLeaving(now, name, report.LeavingUpstreams)
 	if !remoteDomain && c.peers.Large() {
 		c.applyFollowerReport(now, report)
 	}
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -99,6 +99,7 @@
 	c.services[info.ID], c.upstreams[info.ID] = info.Service, info
 	c.upstreamNames[loadshare.ShortHash(info.ID)] = info.ID
 	c.pool(info.Service).SetUpstream(info)
+	c.applyLeaving(info)
 	c.g.log.Info("upstream entry", "upstream", info.ID, "service", info.Service, "address", info.Address,
 		"domain", info.Domain, "leaving", info.Leaving, "revision", object.Revision)
 }
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -67,6 +67,9 @@
 	// Suspicions tell which requests crash upstreams, as far as the sender knows: those
 	// that have changed, or the most important ones in a full report.
 	Suspicions []Suspicion
+	// LeavingUpstreams lists the upstreams that have themselves said that they leave: those
+	// that became known since the last report, or all in a full report.
+	LeavingUpstreams []LeavingUpstream
 	// Follows is the short hash of the name of the instance whose decisions the sender
 	// follows; 0 if it follows none. The fields below are for that instance, and
 	// Results for all observers.
@@ -142,6 +145,16 @@
 	BlockMs uint32
 }
 
+// LeavingUpstream is a process of an upstream that has said that it leaves.
+type LeavingUpstream struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	// Upstream is the short hash of the upstream's ID.
+	Upstream    uint32
+	Incarnation int64
+	// AgeMs is the time since it said so.
+	AgeMs uint32
+}
+
 // Crash is the crash of an upstream.
 type Crash struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
--- a/pkg/loadshare/reply.go
+++ b/pkg/loadshare/reply.go
@@ -108,6 +108,8 @@
 	Upstreams []UpstreamLoad
 	// Suspicions tell which requests crash upstreams, as in Report.
 	Suspicions []Suspicion
+	// LeavingUpstreams are as in Report.
+	LeavingUpstreams []LeavingUpstream
 	// Retries are the sums over all instances.
 	Retries []RetryCount
 }
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -74,11 +74,13 @@
 	keys          []string
 	// revokedAt holds the time at which each key was revoked.
 	revokedAt map[string]time.Time
+	words     upstreamWords
 }
 
 func newDeployment(t *testing.T, binary string) *deployment {
 	d := &deployment{t: t, store: objectstore.NewServer(), binary: binary, executions: map[string]*execution{}, slotsInUse: make([]int, upstreamCount),
-		keys: []string{"key-0"}, revokedAt: map[string]time.Time{}}
+		keys: []string{"key-0"}, revokedAt: map[string]time.Time{},
+		words: upstreamWords{sentTo: map[string]int{}, sentAt: map[string]time.Time{}}}
 	storeServer := httptest.NewServer(d.store)
 	t.Cleanup(storeServer.Close)
 	t.Cleanup(storeServer.CloseClientConnections)
@@ -132,9 +134,15 @@
 }
 
 func (d *deployment) registerUpstream(upstream int, state string) {
-	d.store.Put("servers", fmt.Sprintf("u%d", upstream), map[string]any{
-		"service": "desk", "address": d.upstreamLinks[upstream].Address(), "zone": "north", "slots": slotsPerUpstream, "state": state, "born": 1,
-	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.store.Put("servers", fmt.Sprintf("u%d", upstream), d.upstreamRecord(upstream, state))
+}
+
+func (d *deployment) upstreamRecord(upstream int, state string) map[string]any {
+	return map[string]any{
+		"service": "desk", "address": d.upstreamLinks[upstream].Address(), "zone": "north", "slots": slotsPerUpstream, "state": state, "born": 1 + d.words.born[upstream],
+	}
 }
 
 // rotateKey replaces the API key that the clients use by a new one, and records when
@@ -164,7 +172,7 @@
 		}
 		id := r.Header.Get("Request-Id")
 		rw.Header().Set("Request-Id", id)
-		if !d.beginExecution(upstream, id, string(body), r.Header.Get("Last-Event-Id")) {
+		if !d.arrive(upstream, id, rw.Header()) || !d.beginExecution(upstream, id, string(body), r.Header.Get("Last-Event-Id")) {
 			rw.Header().Set("Not-Executed", "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -89,7 +89,10 @@
 		defer d.mu.Unlock()
 		return len(d.executions)
 	}
+	var words sync.WaitGroup
+	words.Go(func() { d.speak(rand.New(rand.NewPCG(seed, 2)), time.Now().Add(*faultDuration)) })
 	d.injectFaults(rand.New(rand.NewPCG(seed, 1)))
+	words.Wait()
 	d.clearFaults()
 	// Requests must be served again after the faults.
 	before, deadline := executionCount(), time.Now().Add(20*time.Second)
@@ -100,7 +103,7 @@
 	cancel()
 	clients.Wait()
 	close(results)
-	failures := d.checkResults(results)
+	failures := append(d.checkResults(results), d.checkWords()...)
 	if !recovered {
 		failures = append(failures, "no requests are served within 20 s after the faults")
 	}
@@ -123,7 +126,9 @@
 		if client < overQuotaClients {
 			request.key = overQuotaKey
 		}
-		d.send(httpClient, d.callerAddresses[rng.IntN(instanceCount)], &request)
+		instance := rng.IntN(instanceCount)
+		d.recordSent(request.id, instance)
+		d.send(httpClient, d.callerAddresses[instance], &request)
 		results <- request
 		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
 	}
@@ -143,6 +148,7 @@
 	request.Header.Set("Request-Id", s.id)
 	request.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
 	request.Header.Set("Authorization", "Token "+s.key)
+	request.Header.Set("Prefix-Hash", fmt.Sprintf("all:60,%s:400,%s:20", s.route, s.id))
 	response, err := client.Do(request)
 	if err != nil {
 		s.err = err
@@ -191,6 +197,9 @@
 var processMu sync.Mutex
 
 func (d *deployment) injectFault(fault, instance, upstream int, duration time.Duration) {
+	// The excuse holds from the beginning of a fault until its end.
+	d.recordDisturbance(fault, instance, upstream)
+	defer d.recordDisturbance(fault, instance, upstream)
 	switch fault {
 	case faultKill, faultTerminate, faultSuspend:
 		processMu.Lock()
