--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -20,7 +20,7 @@
 // contentTrait is the name of the trait that only copies of a request share.
 const contentTrait = "content"
 
-// traits returns what the request has in common with others to the same service: its whole
+// traitsOf returns what the request has in common with others to the same service: its whole
 // content, and the parts of its prompt.
 func (x *exchange) traitsOf(contentHash uint64) []poison.Trait {
 	service := loadshare.ShortHash(x.service)
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -64,7 +64,7 @@
 	// hold all of them, too.
 	Demands []Demand
 	Teams   []TeamUsage
-	// Suspicions tell which requests crash upstreams, as far as the sender knows: those
+	// Suspicions state which requests crash upstreams, as far as the sender knows: those
 	// that have changed, or the most important ones in a full report.
 	Suspicions []Suspicion
 	// LeavingUpstreams lists the upstreams that have themselves said that they leave: those
--- a/pkg/loadshare/reply.go
+++ b/pkg/loadshare/reply.go
@@ -106,7 +106,7 @@
 	Teams       []TeamUsage
 	// Upstreams is the load of all instances; nil if the view does not contain it.
 	Upstreams []UpstreamLoad
-	// Suspicions tell which requests crash upstreams, as in Report.
+	// Suspicions state which requests crash upstreams, as in Report.
 	Suspicions []Suspicion
 	// LeavingUpstreams are as in Report.
 	LeavingUpstreams []LeavingUpstream
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -29,7 +29,7 @@
 	// that has crashed needs some seconds to start again.
 	restartTime = 3 * time.Second
 	// minOtherAnswers is the number of answers to requests without a shared fingerprint
-	// that must have begun since its first crash. If the service answers nobody, its
+	// that must have begun since its first crash. If the service answers no requests, its
 	// requests are not the cause.
 	minOtherAnswers = 3
 	// suspicionTTL is how long a suspicion lasts without a further crash. Callers repeat
@@ -257,7 +257,7 @@
 	s.trialAt = s.blockedUntil + trialDelay
 }
 
-// Verdict tells whether a request may be sent.
+// Verdict states whether a request may be sent.
 type Verdict struct {
 	// Blocked is true if the request must be refused. Name is then the trait for which it
 	// is, Crashes the number of crashes, up to the threshold, and RetryAfter the time until
