poison: crashes of an upstream that was restarted under its ID are distinct

A cause that fits: crashes of one upstream within 3 s counted as one, by its ID. The stand-ins are back at once under the same ID. A process that has just started is assumed to be of nominal speed, and beside load all others are known to be slower, so that it is chosen again and all crashes are its own.

Change: a crash is identified by ID and incarnation, as the word of leaving is. TestCrashesOfRestartedUpstreamAreDistinct plays it on the control loop.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -428,7 +428,7 @@
 	case admission.Broken:
 		x.logBroken(decision, result)
 		if result.connectionLost && result.timeAfterFirstOutput() < answerBeginning {
-			x.recordCrash(decision.Upstream.ID)
+			x.recordCrash(decision.Upstream.Process())
 		}
 	case admission.Answered:
 		if result.status/100 == 2 {
--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rosemarywing/rosemarywing/pkg/admission"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 	"github.com/rosemarywing/rosemarywing/pkg/poison"
@@ -65,8 +67,8 @@
 }
 
 // recordCrash records that the upstream crashed at the beginning of the answer.
-func (x *exchange) recordCrash(upstream string) {
-	x.g.enqueue(crashMsg{upstream: upstream, traits: x.traits})
+func (x *exchange) recordCrash(process admission.Process) {
+	x.g.enqueue(crashMsg{process: process, traits: x.traits})
 }
 
 // recordAnswer records once that an upstream answers the request.
@@ -87,12 +89,13 @@
 
 // crashMsg records a crash of an upstream.
 type crashMsg struct {
-	upstream string
-	traits   []poison.Trait
+	process admission.Process
+	traits  []poison.Trait
 }
 
 func (m crashMsg) apply(c *controlLoop) {
-	c.poison.RecordCrash(c.g.now(), loadshare.ShortHash(m.upstream), m.traits)
+	process := loadshare.ShortHash(m.process.ID + "/" + strconv.FormatInt(m.process.Incarnation, 10))
+	c.poison.RecordCrash(c.g.now(), process, m.traits)
 	c.markReportsChanged()
 }
 
@@ -143,7 +146,7 @@
 			AgeMs: toMs(s.Age), Blocks: clampTo[uint8](s.Blocks), BlockMs: toMs(s.BlockTime),
 		}
 		for _, crash := range s.Crashes {
-			e.Crashes = append(e.Crashes, loadshare.Crash{Upstream: crash.Upstream, AgeMs: toMs(crash.Age)})
+			e.Crashes = append(e.Crashes, loadshare.Crash{Process: crash.Process, AgeMs: toMs(crash.Age)})
 		}
 		encoded = append(encoded, e)
 	}
@@ -158,7 +161,7 @@
 			Age: fromMs(s.AgeMs), Blocks: int(s.Blocks), BlockTime: fromMs(s.BlockMs),
 		}
 		for _, crash := range s.Crashes {
-			decoded.Crashes = append(decoded.Crashes, poison.Crash{Upstream: crash.Upstream, Age: fromMs(crash.AgeMs)})
+			decoded.Crashes = append(decoded.Crashes, poison.Crash{Process: crash.Process, Age: fromMs(crash.AgeMs)})
 		}
 		if c.poison.Merge(now, source, decoded) {
 			// The summary for the other failure domains has changed as well.
--- a/pkg/gateway/reports_test.go
+++ b/pkg/gateway/reports_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
+	"github.com/rosemarywing/rosemarywing/pkg/poison"
 	"github.com/rosemarywing/rosemarywing/pkg/quota"
 	"github.com/rosemarywing/rosemarywing/pkg/traffic"
 )
@@ -96,3 +97,21 @@
 	c.sendDueReports(now)
 	g.Expect(c.remoteReports.sentAt).To(Equal(now))
 }
+
+// An upstream crashes, is back at once under the same ID, and crashes again, three times
+// within two seconds. Guards against counting that as one crash, because a process that has
+// just started has no load and is chosen again.
+func TestCrashesOfRestartedUpstreamAreDistinct(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	c := newTestControlLoop(t, &now, true)
+	part := poison.Trait{Fingerprint: poison.Fingerprint{Service: loadshare.ShortHash("desk"), Hash: 1, Shared: true}, Name: "part"}
+	for incarnation := range int64(3) {
+		crashMsg{process: admission.Process{ID: "u1", Incarnation: incarnation}, traits: []poison.Trait{part}}.apply(c)
+		answerMsg{service: "desk"}.apply(c)
+		now += 500 * time.Millisecond
+	}
+	reply := make(chan poison.Verdict, 1)
+	admitMsg{traits: []poison.Trait{part}, reply: reply}.apply(c)
+	g.Expect((<-reply).Blocked).To(BeTrue())
+}
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -155,12 +155,12 @@
 	AgeMs uint32
 }
 
-// Crash is the crash of an upstream.
+// Crash is the crash of a process of an upstream.
 type Crash struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
-	// Upstream is the short hash of the upstream's ID.
-	Upstream uint32
-	AgeMs    uint32
+	// Process is a hash of the upstream's ID and incarnation.
+	Process uint32
+	AgeMs   uint32
 }
 
 // ShortHash returns the hash that stands for the name of an upstream, a service or
--- a/pkg/poison/exchange.go
+++ b/pkg/poison/exchange.go
@@ -22,10 +22,10 @@
 	BlockTime time.Duration
 }
 
-// Crash is the crash of an upstream, given by the short hash of its ID.
+// Crash is the crash of a process of an upstream, given by its hash.
 type Crash struct {
-	Upstream uint32
-	Age      time.Duration
+	Process uint32
+	Age     time.Duration
 }
 
 // Cursor marks what a group of receivers was sent.
@@ -51,7 +51,7 @@
 		s := d.suspicions[fingerprint]
 		e := Suspicion{Fingerprint: fingerprint, Epoch: s.epoch, Age: now - s.changedAt, Blocks: s.blocks, BlockTime: max(0, s.blockedUntil-now)}
 		for _, c := range s.crashes {
-			e.Crashes = append(e.Crashes, Crash{Upstream: c.upstream, Age: now - c.at})
+			e.Crashes = append(e.Crashes, Crash{Process: c.process, Age: now - c.at})
 		}
 		exported = append(exported, e)
 	}
@@ -84,7 +84,7 @@
 	crashes := slices.Clone(reported.Crashes)
 	slices.SortFunc(crashes, func(a, b Crash) int { return int(b.Age - a.Age) })
 	for _, c := range crashes {
-		if s.add(crash{upstream: c.Upstream, at: now - c.Age}, reported.Fingerprint.Shared) {
+		if s.add(crash{process: c.Process, at: now - c.Age}, reported.Fingerprint.Shared) {
 			s.changedAt = max(s.changedAt, now-reported.Age)
 			changed = true
 		}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -24,9 +24,9 @@
 	// fingerprint. When a rack fails, all of its upstreams end within it, and a part that
 	// most requests share is a suspect at each.
 	minCrashInterval = 200 * time.Millisecond
-	// restartTime is the time within which the ends of connections to one upstream are
-	// from the same crash. Instances notice a crash at different times, and an upstream
-	// that has crashed needs some seconds to start again.
+	// restartTime is the time within which the ends of connections to one process of an
+	// upstream are from the same crash, which instances notice at different times. Later
+	// ones are from a process that has the same ID and whose start is not known yet.
 	restartTime = 3 * time.Second
 	// minOtherAnswers is the number of answers to requests without a shared fingerprint
 	// that must have begun since its first crash. If the service answers no requests, its
@@ -65,9 +65,9 @@
 
 // crash is the crash of an upstream.
 type crash struct {
-	// upstream is the short hash of the upstream's ID.
-	upstream uint32
-	at       time.Duration
+	// process is the hash of the process of the upstream.
+	process uint32
+	at      time.Duration
 }
 
 // suspicion is what is known about a fingerprint.
@@ -125,12 +125,12 @@
 }
 
 // RecordCrash records that an upstream crashed before its answer to a request with these
-// traits had begun. upstream is the short hash of the upstream's ID.
-func (d *Detector) RecordCrash(now time.Duration, upstream uint32, traits []Trait) {
+// traits had begun. process is a hash that identifies the process of the upstream.
+func (d *Detector) RecordCrash(now time.Duration, process uint32, traits []Trait) {
 	for _, trait := range traits {
 		s := d.suspicion(now, trait.Fingerprint)
 		s.name = trait.Name
-		added := s.add(crash{upstream: upstream, at: now}, trait.Shared)
+		added := s.add(crash{process: process, at: now}, trait.Shared)
 		if added {
 			s.changedAt = now
 			d.markChanged(s, true)
@@ -170,7 +170,7 @@
 	}
 	for _, known := range s.crashes {
 		apart := (added.at - known.at).Abs()
-		if (known.upstream == added.upstream && apart < restartTime) || (shared && apart < minCrashInterval) {
+		if (known.process == added.process && apart < restartTime) || (shared && apart < minCrashInterval) {
 			return false
 		}
 	}
