--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -204,6 +204,8 @@
 	case faultKill, faultTerminate, faultSuspend:
 		processMu.Lock()
 		defer processMu.Unlock()
+		// Another fault may have held the process until now.
+		d.recordDisturbance(fault, instance, upstream)
 		d.restartOrSuspend(fault, instance, duration)
 	case faultResetUpstream:
 		d.upstreamLinks[upstream].CloseConnections()
@@ -240,6 +242,7 @@
 	case faultKillAll:
 		processMu.Lock()
 		defer processMu.Unlock()
+		d.recordDisturbance(fault, instance, upstream)
 		for instance, process := range d.gateways {
 			process.Kill()
 			d.startGateway(instance)
