--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -178,8 +178,9 @@
 		return err
 	}
 	for i, zone := range of {
-		// Each machine has an address of its own.
-		ip := fmt.Sprintf("127.0.1.%d", 10+i)
+		// Each machine has an address of its own, also beside other runs.
+		pid := os.Getpid()
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, 10+i)
 		g := &gateway{name: fmt.Sprintf("edge-%s-%d", zone, i)}
 		var internal string
 		for _, address := range []*string{&g.callers, &g.ready, &internal} {
