--- a/review/standin/late_beat.go
+++ b/review/standin/late_beat.go
@@ -14,12 +14,11 @@
 // says that it leaves.
 func lateBeat(w *world, trouble bool) (bool, error) {
 	const (
-		cutAt, cutFor = 3.0, 3.5
+		cutAt, cutFor = 3.0, 3.0
 		// The server leaves between two requests, so that none is in progress there.
 		leaveAt = cutAt + cutFor + 0.15
-		// The held report is sent again when the retransmission timer ends: 6.2 s after it
-		// was first sent.
-		lateAt  = cutAt + 0.2 + 6.2
+		// The held report takes effect 5.8 s after it was sent.
+		lateAt  = cutAt + 0.2 + 5.8
 		serveTo = 14.0
 		drain   = 2.5
 		end     = 13.0
@@ -48,7 +47,7 @@
 	if err != nil {
 		return false, err
 	}
-	for _, id := range []string{"i-one", "i-two"} {
+	for _, id := range []string{"i-one", "i-two", "i-three", "i-four"} {
 		if _, err := w.startServer(serverSpec{id: id, service: "desk", zone: "nbo-industrial", slots: 6, run: answerPlain}); err != nil {
 			return false, err
 		}
