gateway: log the requests and connections that a planned stop aborts

The log of a stop named neither, so that the hypotheses of the incident could not be told apart: a connection that nobody reads, a request that was taken too late, and a slow caller. At the end of the grace time there is now a line for each request with its phase, and one for each open connection with its state and unread bytes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -84,6 +84,7 @@
 	x.attempts++
 	mayHaveRunBefore := x.mayHaveRun
 	x.mayHaveRun = true
+	x.phase.Store(phaseSent)
 	started := x.g.now()
 	response, err := conn.RoundTrip(ctx, x.upstreamRequest(decision), x.g.headerCodec.RequestIDHeader(), x.requestInfo.RequestID)
 	if err != nil {
@@ -94,6 +95,7 @@
 	}
 	reply := x.g.headerCodec.DecodeReply(response.Status, response.Header)
 	x.heedUpstream(decision.Upstream, reply)
+	x.phase.Store(phaseAnswer)
 	result, complete := x.forwardAnswer(ctx, decision, response, reply, started)
 	result.quietTime = reply.QuietTime
 	if result.notExecuted {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,8 +59,21 @@
 	onTrial bool
 	// answerRecorded is true once the answer was recorded as one to such requests.
 	answerRecorded bool
+	// phase is the current phase, for the log.
+	phase atomic.Value
 }
 
+// phase is a stage in the life of a request.
+type phase string
+
+// Phases.
+const (
+	phaseBody   phase = "reading the body"
+	phaseQueued phase = "queued"
+	phaseSent   phase = "sent to an upstream"
+	phaseAnswer phase = "forwarding the answer"
+)
+
 // Defaults for values that neither the caller nor the route sets.
 const (
 	defaultTimeout       = 30 * time.Second
@@ -77,6 +91,9 @@
 	inFlight := g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x.requestInfo = g.headerCodec.DecodeRequest(r.Header)
+	x.phase.Store(phaseBody)
+	g.exchanges.Store(x, struct{}{})
+	defer g.exchanges.Delete(x)
 	if g.stopping.Load() {
 		// The caller must open its next connection to another instance.
 		w.Header().Set("Connection", "close")
@@ -317,6 +334,7 @@
 
 // awaitPlacement queues the request and waits until an upstream has room for it.
 func (x *exchange) awaitPlacement(ctx context.Context) (admission.Decision, *errkind.Error) {
+	x.phase.Store(phaseQueued)
 	reply := make(chan admission.Decision, 1)
 	x.g.enqueue(submitMsg{request: x.request, reply: reply})
 	select {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -87,7 +87,9 @@
 	instanceCount  atomic.Int64
 	callerTimeouts callerTimeouts
 	// inFlight counts the requests being served, including queued ones.
-	inFlight       atomic.Int64
+	inFlight atomic.Int64
+	// exchanges holds the requests being served.
+	exchanges      sync.Map
 	lastRequestKey atomic.Uint64
 	// watchedFingerprints holds what poison.Detector.Watched returned last.
 	watchedFingerprints atomic.Pointer[map[poison.Fingerprint]struct{}]
--- a/pkg/gateway/lifecycle.go
+++ b/pkg/gateway/lifecycle.go
@@ -222,6 +222,8 @@
 	defer cancel()
 	if err := callers.shutDown(ctx, callerServer); err != nil {
 		g.log.Info("grace time over, requests in flight are aborted", "held", g.inFlight.Load(), "error", err.Error())
+		g.logHeld()
+		callers.logOpen(g.log)
 	}
 }
 
--- a/pkg/gateway/listener.go
+++ b/pkg/gateway/listener.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"golang.org/x/sys/unix"
 )
 
@@ -110,7 +111,7 @@
 func (l *callerListener) track(conn *net.TCPConn) *callerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	tracked := &callerConn{TCPConn: conn, listener: l}
+	tracked := &callerConn{TCPConn: conn, listener: l, stateSince: time.Now()}
 	l.open[tracked] = struct{}{}
 	return tracked
 }
@@ -160,6 +161,9 @@
 	idle, received bool
 	// kept is true after a Close that was ignored.
 	kept bool
+	// state is what http.Server reported last, at stateSince.
+	state      http.ConnState
+	stateSince time.Time
 }
 
 // silent reports whether no byte has arrived on a connection.
@@ -169,6 +173,50 @@
 	return !c.idle && !c.received && !hasUnreadBytes(c.TCPConn)
 }
 
+// maxOpenConnLines bounds the log lines about connections that are open at the end of a
+// shutdown.
+const maxOpenConnLines = 20
+
+// logOpen logs the open connections, which end with the process. unread_bytes of a
+// connection without a running request are a request that nobody serves.
+func (l *callerListener) logOpen(log logr.Logger) {
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, conn := range open[:min(len(open), maxOpenConnLines)] {
+		log.Info("connection open at the end of the grace time", conn.logValues()...)
+	}
+	if omitted := len(open) - maxOpenConnLines; omitted > 0 {
+		log.Info("further connections open at the end of the grace time", "count", omitted)
+	}
+}
+
+func (c *callerConn) logValues() []any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return []any{"caller", c.RemoteAddr().String(), "state", c.state.String(), "state_ms", time.Since(c.stateSince).Milliseconds(),
+		"received", c.received, "unread_bytes", unreadBytes(c.TCPConn), "close_ignored", c.kept}
+}
+
+// unreadBytes returns the number of bytes in the receive queue of a connection; -1 if it
+// is unknown.
+func unreadBytes(conn syscall.Conn) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	unread := -1
+	err = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	if err != nil {
+		return -1
+	}
+	return unread
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
@@ -188,6 +236,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.state, c.stateSince = state, time.Now()
 	c.idle = state == http.StateIdle
 	if c.idle {
 		c.received = false
--- a/pkg/gateway/request_log.go
+++ b/pkg/gateway/request_log.go
@@ -109,3 +109,18 @@
 		"error", err.Error(), "attempts", x.attempts, "upstream", x.lastUpstream, "may_have_run", x.mayHaveRun, "tokens", x.requestInfo.PromptTokens,
 		"retry_after_ms", retryAfter.Milliseconds()))
 }
+
+// maxHeldLines bounds the log lines about requests that are aborted at a stop.
+const maxHeldLines = 20
+
+// logHeld logs the requests that are being served when the grace time of a stop ends.
+func (g *Gateway) logHeld() {
+	lines := 0
+	g.exchanges.Range(func(key, _ any) bool {
+		x := key.(*exchange)
+		g.log.Info("request aborted at the end of the grace time", "request", x.requestInfo.RequestID,
+			"elapsed_ms", (g.now() - x.arrived).Milliseconds(), "phase", x.phase.Load())
+		lines++
+		return lines < maxHeldLines
+	})
+}
