gateway: failing tests for requests that planned stops lose

A request that follows a stream on a connection that outlasts the notice is never read: the caller waits until the process ends.

--- a/pkg/gateway/listener_test.go
+++ b/pkg/gateway/listener_test.go
@@ -82,6 +82,40 @@
 	}
 }
 
+// Planned stop during a stream whose caller sends its next request right at the stream's
+// end. Guards against keeping the connection open without reading that request.
+func TestRequestAfterStreamThatOutlastsTheNoticeIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	begun, end := make(chan struct{}), make(chan struct{})
+	listener, server := newCallerServer(g, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stream" {
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+			<-end
+		}
+	})
+	go func() { _ = server.Serve(listener) }()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	<-begun
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- listener.shutDown(ctx, server) }()
+	g.Eventually(listener.closed, "10s").Should(BeClosed())
+	_, err = io.WriteString(conn, rawRequest)
+	g.Expect(err).NotTo(HaveOccurred())
+	close(end)
+	g.Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	reader := bufio.NewReader(conn)
+	readAnswer(g, reader)
+	readAnswer(g, reader)
+	g.Expect(<-stopped).To(Succeed(), "no connection keeps the shutdown waiting")
+}
+
 // Planned stop at the moment at which a request arrives on an idle connection: the server
 // closes all idle connections. Guards against closing one whose next request is in its
 // receive queue, or was read but not parsed, and against keeping it for ever.
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -19,12 +21,24 @@
 	"github.com/rosemarywing/rosemarywing/internal/testbed"
 )
 
-// Size of the deployment.
+// layout is the size of a deployment, and the times of its planned stops in seconds.
+type layout struct {
+	instances, upstreams, slots int
+	leaveNotice, stopGrace      float64
+	routeTimeout                time.Duration
+}
+
+// defaultLayout is the deployment into which faults are injected.
+var defaultLayout = layout{instances: instanceCount, upstreams: upstreamCount, slots: 6, leaveNotice: 0.5, stopGrace: 4, routeTimeout: 5 * time.Second}
+
+// Size of the default deployment.
 const (
-	instanceCount    = 4
-	upstreamCount    = 4
-	slotsPerUpstream = 6
-	eventsPerStream  = 6
+	instanceCount   = 4
+	upstreamCount   = 4
+	eventsPerStream = 6
+	// maxInstances and maxUpstreams bound the sizes of all layouts.
+	maxInstances = 4
+	maxUpstreams = 18
 	// overQuotaKey is the key of a team that sends more than its quota of quotaRate
 	// requests per second, with a burst of the same number.
 	overQuotaKey = "key-of-the-busy-team"
@@ -46,15 +60,16 @@
 	firstEvents []int
 	// key is the API key that the caller used.
 	key string
-	// startedAt is when the first run began.
-	startedAt time.Time
+	// startedAt is when the first run began, and endedAt when the last one ended.
+	startedAt, endedAt time.Time
 }
 
 // deployment is a set of gateway processes, with the upstreams and the store in the
 // process of the test.
 type deployment struct {
-	t     *testing.T
-	store *objectstore.Server
+	t      *testing.T
+	layout layout
+	store  *objectstore.Server
 	// storeLinks has one link per instance, so that each can be cut off from the store
 	// separately.
 	storeLinks      []*testbed.Link
@@ -78,7 +93,11 @@
 }
 
 func newDeployment(t *testing.T, binary string) *deployment {
-	d := &deployment{t: t, store: objectstore.NewServer(), binary: binary, executions: map[string]*execution{}, slotsInUse: make([]int, upstreamCount),
+	return newDeploymentOf(t, binary, defaultLayout)
+}
+
+func newDeploymentOf(t *testing.T, binary string, size layout) *deployment {
+	d := &deployment{t: t, layout: size, store: objectstore.NewServer(), binary: binary, executions: map[string]*execution{}, slotsInUse: make([]int, size.upstreams),
 		keys: []string{"key-0"}, revokedAt: map[string]time.Time{},
 		words: upstreamWords{sentTo: map[string]int{}, sentAt: map[string]time.Time{}}}
 	storeServer := httptest.NewServer(d.store)
@@ -86,7 +105,7 @@
 	t.Cleanup(storeServer.CloseClientConnections)
 	t.Cleanup(func() { d.store.SetFaults(objectstore.Faults{}) })
 	d.publishConfig()
-	for i := range upstreamCount {
+	for i := range size.upstreams {
 		server := httptest.NewServer(d.upstreamHandler(i))
 		link, err := testbed.NewLink(strings.TrimPrefix(server.URL, "http://"))
 		d.requireNoError(err)
@@ -96,7 +115,7 @@
 		t.Cleanup(link.Close)
 		d.registerUpstream(i, "ready")
 	}
-	for i := range instanceCount {
+	for i := range size.instances {
 		link, err := testbed.NewLink(strings.TrimPrefix(storeServer.URL, "http://"))
 		d.requireNoError(err)
 		t.Cleanup(link.Close)
@@ -120,7 +139,7 @@
 	d.configVersion++
 	route := func(name, kind string, resumable bool, attempts int) map[string]any {
 		return map[string]any{"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "service": "desk",
-			"timeout_ms": 5000, "target_latency_ms": 500, "max_attempts": attempts, "priority": 1, "resumable": resumable}
+			"timeout_ms": d.layout.routeTimeout.Milliseconds(), "target_latency_ms": 500, "max_attempts": attempts, "priority": 1, "resumable": resumable}
 	}
 	d.store.Put("config", "main", map[string]any{
 		"version":  d.configVersion,
@@ -141,7 +160,7 @@
 
 func (d *deployment) upstreamRecord(upstream int, state string) map[string]any {
 	return map[string]any{
-		"service": "desk", "address": d.upstreamLinks[upstream].Address(), "zone": "north", "slots": slotsPerUpstream, "state": state, "born": 1 + d.words.born[upstream],
+		"service": "desk", "address": d.upstreamLinks[upstream].Address(), "zone": "north", "slots": d.layout.slots, "state": state, "born": 1 + d.words.born[upstream],
 	}
 }
 
@@ -162,8 +181,8 @@
 	return d.keys[0]
 }
 
-// upstreamHandler simulates an upstream that runs slotsPerUpstream requests at a time
-// and rejects others as not executed.
+// upstreamHandler simulates an upstream that runs as many requests at a time as it has
+// slots, and rejects others as not executed.
 func (d *deployment) upstreamHandler(upstream int) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
@@ -177,7 +196,7 @@
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		defer d.endExecution(upstream)
+		defer d.endExecution(upstream, id)
 		rw.Header().Set("Response-Signature", "s")
 		const work = 15 * time.Millisecond
 		time.Sleep(work)
@@ -189,7 +208,7 @@
 		if lastEventID := r.Header.Get("Last-Event-Id"); lastEventID != "" {
 			_, _ = fmt.Sscan(lastEventID, &from)
 		}
-		for event := from + 1; event <= eventsPerStream && r.Context().Err() == nil; event++ {
+		for event := from + 1; event <= eventsOf(r.URL) && r.Context().Err() == nil; event++ {
 			_, _ = io.WriteString(rw, eventText(id, event))
 			rw.(http.Flusher).Flush()
 			time.Sleep(work)
@@ -201,9 +220,17 @@
 
 func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
 
-func fullStream(id string) string {
+// eventsOf returns the number of events of a stream, which its caller may choose.
+func eventsOf(target *url.URL) int {
+	if n, err := strconv.Atoi(target.Query().Get("events")); err == nil {
+		return n
+	}
+	return eventsPerStream
+}
+
+func fullStream(id string, events int) string {
 	text := ""
-	for n := 1; n <= eventsPerStream; n++ {
+	for n := 1; n <= events; n++ {
 		text += eventText(id, n)
 	}
 	return text
@@ -214,7 +241,7 @@
 func (d *deployment) beginExecution(upstream int, id, key, lastEventID string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.slotsInUse[upstream] >= slotsPerUpstream {
+	if d.slotsInUse[upstream] >= d.layout.slots {
 		return false
 	}
 	d.slotsInUse[upstream]++
@@ -232,10 +259,11 @@
 	return true
 }
 
-func (d *deployment) endExecution(upstream int) {
+func (d *deployment) endExecution(upstream int, id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.slotsInUse[upstream]--
+	d.executions[id].endedAt = time.Now()
 }
 
 // reserveAddress reserves an address until the end of the test.
@@ -268,13 +296,13 @@
 [store]
 address = %s
 [bounds]
-leave_notice_s = 0.5
-stop_grace_s = 4
+leave_notice_s = %g
+stop_grace_s = %g
 quota_window_s = %g
 quota_overage = %g
 quota_slack = %d
 `, instance, domain, callers, reserveAddress(d.t), reserveAddress(d.t), reserveAddress(d.t), d.storeLinks[instance].Address(),
-		quotaWindow.Seconds(), quotaOverage, quotaSlack)
+		d.layout.leaveNotice, d.layout.stopGrace, quotaWindow.Seconds(), quotaOverage, quotaSlack)
 	path := filepath.Join(d.t.TempDir(), fmt.Sprintf("edge-%d.ini", instance))
 	d.requireNoError(os.WriteFile(path, []byte(text), 0o600))
 	return path
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -343,7 +343,7 @@
 
 func expectedBody(request clientRequest) string {
 	if request.route == "stream" || request.route == "resume" {
-		return fullStream(request.id)
+		return fullStream(request.id, eventsPerStream)
 	}
 	return answerBody(request.id)
 }
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -30,18 +30,18 @@
 // upstreamWords is what the upstreams say of themselves, and whom they have told. Its fields
 // are guarded by deployment.mu.
 type upstreamWords struct {
-	leaving   [upstreamCount]bool
-	shedding  [upstreamCount]time.Duration
-	born      [upstreamCount]int
-	toldLeave [upstreamCount][instanceCount]time.Time
-	toldQuiet [upstreamCount][instanceCount]*told
+	leaving   [maxUpstreams]bool
+	shedding  [maxUpstreams]time.Duration
+	born      [maxUpstreams]int
+	toldLeave [maxUpstreams][maxInstances]time.Time
+	toldQuiet [maxUpstreams][maxInstances]*told
 	// sentTo and sentAt say to which instance, and when, a client has sent a request.
 	sentTo map[string]int
 	sentAt map[string]time.Time
 	// disturbedInstance and disturbedUpstream hold the times at which a fault of a process,
 	// or of the link to an upstream, has last begun or ended.
-	disturbedInstance [instanceCount]time.Time
-	disturbedUpstream [upstreamCount]time.Time
+	disturbedInstance [maxInstances]time.Time
+	disturbedUpstream [maxUpstreams]time.Time
 	violations        []string
 }
 
@@ -77,7 +77,7 @@
 	w := &d.words
 	w.leaving[upstream] = false
 	w.born[upstream]++
-	w.toldLeave[upstream], w.toldQuiet[upstream] = [instanceCount]time.Time{}, [instanceCount]*told{}
+	w.toldLeave[upstream], w.toldQuiet[upstream] = [maxInstances]time.Time{}, [maxInstances]*told{}
 	d.store.Put("servers", fmt.Sprintf("u%d", upstream), d.upstreamRecord(upstream, "ready"))
 }
 
