drain: the server alone closes connections, so that none is left open and unread

What callers saw: a request that followed a stream, on a connection that outlasted the notice of a planned stop, got neither an answer nor a reset until the process ended.

Cause: to protect requests that had just arrived, callerConn.Close ignored the first attempt to close an idle connection with unread bytes. Two parts of http.Server call it: the switching off of keep-alives, after which the connection's own goroutine goes on reading, and that goroutine itself after the last answer, which ends with the call. The two cannot be told apart, and after the second one nobody reads. The class of fault: the end of a resource is vetoed after its only user has let it go.

Change: keep-alives stay on, and the listener no longer overrides Close. It ends the wait for a request on silent connections by an expired read deadline, which cannot lose bytes that were read, and takes it back if bytes arrive meanwhile. The code moves to pkg/drain, since the product's own interface needs it.

TestIdleConnectionWithRequestIsNotClosed checked that the first Close is ignored, which is the fault; it checks now that the connection is not ended with a request in its queue, read, or arriving right after the deadline has expired, and that it ends later.

--- a/pkg/gateway/listener_test.go
+++ b/pkg/drain/drain_test.go
@@ -1,4 +1,4 @@
-package gateway
+package drain
 
 import (
 	"bufio"
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -24,10 +25,12 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
-func newCallerServer(g *GomegaWithT, handler http.HandlerFunc) (*callerListener, *http.Server) {
-	listener, err := listenForCallers("127.0.0.1:0")
+func newCallerServer(g *GomegaWithT, handler http.HandlerFunc) (*Listener, *http.Server) {
+	listener, err := Listen("tcp4", "127.0.0.1:0", 0)
 	g.Expect(err).NotTo(HaveOccurred())
-	return listener, &http.Server{Handler: handler, ConnState: trackCallerConn, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	listener.Attach(server)
+	return listener, server
 }
 
 // Planned stop while connections wait in the queue of the listener. Guards against
@@ -47,7 +50,7 @@
 	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	g.Expect(listener.shutDown(ctx, server)).To(Succeed())
+	g.Expect(listener.Drain(ctx)).To(Succeed())
 	for _, conn := range conns {
 		readAnswer(g, bufio.NewReader(conn))
 	}
@@ -75,7 +78,7 @@
 		}()
 		<-written
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-		g.Expect(listener.shutDown(ctx, server)).To(Succeed())
+		g.Expect(listener.Drain(ctx)).To(Succeed())
 		cancel()
 		readAnswer(g, reader)
 		g.Expect(conn.Close()).To(Succeed())
@@ -104,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	stopped := make(chan error, 1)
-	go func() { stopped <- listener.shutDown(ctx, server) }()
+	go func() { stopped <- listener.Drain(ctx) }()
 	g.Eventually(listener.closed, "10s").Should(BeClosed())
 	_, err = io.WriteString(conn, rawRequest)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -116,11 +119,13 @@
 	g.Expect(<-stopped).To(Succeed(), "no connection keeps the shutdown waiting")
 }
 
-// Planned stop at the moment at which a request arrives on an idle connection: the server
-// closes all idle connections. Guards against closing one whose next request is in its
-// receive queue, or was read but not parsed, and against keeping it for ever.
+// Planned stop at the moment at which a request arrives on a connection that has been idle:
+// the server is told to close it. Guards against closing a connection whose next request is
+// in its receive queue, was read but not parsed, or arrives when the wait for it has just
+// been ended, and against keeping it for ever.
 func TestIdleConnectionWithRequestIsNotClosed(t *testing.T) {
-	for name, read := range map[string]bool{"in the receive queue": false, "read": true} {
+	const inQueue, read, afterTheEnd = "in the receive queue", "read", "arrives after the wait was ended"
+	for _, name := range []string{inQueue, read, afterTheEnd} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			listener, _ := newCallerServer(g, nil)
@@ -130,26 +135,65 @@
 			accepted, err := listener.Accept()
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(listener.Close()).To(Succeed())
-			conn := accepted.(*callerConn)
-			trackCallerConn(conn, http.StateIdle)
+			c := accepted.(*conn)
+			trackState(c, http.StateIdle)
+			c.since = c.since.Add(-2 * SilenceTime)
+			if name == afterTheEnd {
+				g.Expect(listener.closeSilent(time.Now())).To(Equal(1))
+				g.Expect(c.ending).To(BeTrue())
+			}
 			_, err = io.WriteString(client, rawRequest)
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Eventually(func() bool { return hasUnreadBytes(conn.TCPConn) }, "10s").Should(BeTrue())
-			if read {
-				_, err = conn.Read(make([]byte, len(rawRequest)))
+			g.Eventually(func() bool { return hasUnreadBytes(c.TCPConn) }, "10s").Should(BeTrue())
+			buffer := make([]byte, len(rawRequest))
+			if name != inQueue {
+				n, err := c.Read(buffer)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(buffer[:n])).To(Equal(rawRequest))
+			}
+			g.Expect(listener.closeSilent(time.Now())).To(Equal(1))
+			g.Expect(c.ending).To(BeFalse(), "the connection is not closed")
+			if name == inQueue {
+				n, err := c.Read(buffer)
 				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(buffer[:n])).To(Equal(rawRequest))
 			}
-			g.Expect(conn.Close()).To(Succeed())
-			_, err = io.WriteString(conn, "answer")
+			_, err = io.WriteString(c, "answer")
 			g.Expect(err).NotTo(HaveOccurred(), "the connection is still open")
-			g.Expect(conn.Close()).To(Succeed())
-			_, err = io.WriteString(conn, "answer")
+			trackState(c, http.StateIdle)
+			c.since = c.since.Add(-2 * SilenceTime)
+			g.Expect(listener.closeSilent(time.Now())).To(Equal(1))
+			_, err = c.Read(buffer)
+			g.Expect(err).To(MatchError(os.ErrDeadlineExceeded), "the server closes the silent connection")
+			g.Expect(c.Close()).To(Succeed())
+			_, err = io.WriteString(c, "answer")
 			g.Expect(err).To(MatchError(net.ErrClosed))
-			g.Expect(listener.closeSilent(false)).To(BeZero(), "no connection keeps the shutdown waiting")
+			g.Expect(listener.closeSilent(time.Now())).To(BeZero(), "no connection keeps the shutdown waiting")
 		})
 	}
 }
 
+// Guards against a limit on connections that counts closed ones.
+func TestClosedConnectionFreesItsSlot(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := Listen("tcp4", "127.0.0.1:0", 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	listener.Attach(server)
+	go func() { _ = server.Serve(listener) }()
+	for range 3 {
+		conn, err := net.Dial("tcp4", listener.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, rawRequest)
+		g.Expect(err).NotTo(HaveOccurred())
+		readAnswer(g, bufio.NewReader(conn))
+		g.Expect(conn.Close()).To(Succeed())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	g.Expect(listener.Drain(ctx)).To(Succeed())
+}
+
 // Guards against an idle connection that keeps a shutdown waiting.
 func TestIdleConnectionsAreClosedAtShutdown(t *testing.T) {
 	g := NewWithT(t)
@@ -164,7 +208,7 @@
 	readAnswer(g, reader)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	g.Expect(listener.shutDown(ctx, server)).To(Succeed())
+	g.Expect(listener.Drain(ctx)).To(Succeed())
 	_, err = reader.ReadByte()
 	g.Expect(err).To(MatchError(io.EOF))
 }
@@ -184,6 +228,6 @@
 	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	g.Expect(listener.shutDown(ctx, server)).To(Succeed())
+	g.Expect(listener.Drain(ctx)).To(Succeed())
 	readAnswer(g, bufio.NewReader(conn))
 }
--- a/pkg/gateway/lifecycle.go
+++ b/pkg/gateway/lifecycle.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosemarywing/rosemarywing/pkg/drain"
 	"github.com/rosemarywing/rosemarywing/pkg/listen"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
@@ -74,6 +75,10 @@
 	server           *http.Server
 }
 
+func listenForCallers(address string) (*drain.Listener, error) {
+	return drain.Listen("tcp4", address, 0)
+}
+
 func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
 
 // Run serves until the context ends. It then drains the requests in flight within
@@ -81,7 +86,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	tasksCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callerServer := &http.Server{Handler: g.Handler(), ConnContext: withCallerConn, ConnState: trackCallerConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callerServer := &http.Server{Handler: g.Handler(), ConnContext: withCallerConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	internalServers := []internalServer{
 		{settingListenReady, g.settings.Listen.Ready, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: readHeaderTimeout}},
 		{settingListenAdmin, g.settings.Listen.Admin, &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}},
@@ -108,6 +113,7 @@
 	})
 	callers, err := listen.Bind(ctx, binder, settingListenCallers, g.settings.Listen.Callers, listenForCallers)
 	if err == nil {
+		callers.Attach(callerServer)
 		serveOn(callerServer, callers)
 	}
 	for _, internal := range internalServers {
@@ -123,7 +129,7 @@
 			"callers", g.settings.Listen.Callers, "store", g.settings.Store.Address, "capacity", g.capacity())
 		select {
 		case <-ctx.Done():
-			g.drain(callers, callerServer)
+			g.drain(callers)
 		case err = <-failures:
 		}
 	}
@@ -212,7 +218,7 @@
 
 // drain reports not ready, accepts requests until the load balancer has had time
 // to notice, and then waits for the requests in flight.
-func (g *Gateway) drain(callers *callerListener, callerServer *http.Server) {
+func (g *Gateway) drain(callers *drain.Listener) {
 	started := g.now()
 	g.stopping.Store(true)
 	g.log.Info("stopping", "held", g.inFlight.Load(), "grace_ms", g.settings.Bounds.StopGrace().Milliseconds())
@@ -220,10 +226,10 @@
 	<-g.clock.After(min(seconds(g.settings.Bounds.LeaveNoticeSeconds), grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-(g.now()-started))
 	defer cancel()
-	if err := callers.shutDown(ctx, callerServer); err != nil {
+	if err := callers.Drain(ctx); err != nil {
 		g.log.Info("grace time over, requests in flight are aborted", "held", g.inFlight.Load(), "error", err.Error())
 		g.logHeld()
-		callers.logOpen(g.log)
+		callers.LogOpen(g.log)
 	}
 }
 
