instance: requests that arrive while the product's own interface shuts down are answered

The same cause as in the gateway was looked for elsewhere: pkg/instance ended its server with http.Server.Shutdown, which closes idle connections also when a request has arrived on them and was not read to its end, and resets the connections in the queue of the listener.

What callers saw: a connection that ended without an answer, although the request had arrived and had not run.

Change: pkg/instance uses pkg/drain, which also counts its connections, in place of netutil.LimitListener, whose connections hide the socket. From the start of a shutdown responses announce that their connection closes. Drain closes idle connections also while the queue waits for a free slot.

--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -16,6 +16,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,9 @@
 	slots  chan struct{}
 	closed chan struct{}
 
+	// announcing is true if responses announce that their connection closes.
+	announcing atomic.Bool
+
 	mu       sync.Mutex
 	draining bool
 	// open holds the connections that are not closed.
@@ -66,7 +70,7 @@
 func (l *Listener) Attach(server *http.Server) {
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if l.isDraining() {
+		if l.announcing.Load() {
 			// The caller must open its next connection to another instance.
 			w.Header().Set("Connection", "close")
 		}
@@ -75,6 +79,10 @@
 	server.ConnState = trackState
 }
 
+// Announce lets all further responses announce that their connection closes. The listener
+// still accepts connections.
+func (l *Listener) Announce() { l.announcing.Store(true) }
+
 // Addr implements net.Listener.
 func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
 
@@ -106,6 +114,7 @@
 
 // Close implements net.Listener. Accept continues until the queue is empty.
 func (l *Listener) Close() error {
+	l.Announce()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.draining {
@@ -115,19 +124,23 @@
 	return l.tcp.SetDeadline(time.Now().Add(queueDrainTime))
 }
 
+// Abort closes the listener at once. Connections in its queue are reset.
+func (l *Listener) Abort() error {
+	l.Announce()
+	if err := l.tcp.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
 // Drain stops accepting connections and waits until all requests that have arrived on open
 // ones are answered, or ctx ends.
 func (l *Listener) Drain(ctx context.Context) error {
 	if err := l.Close(); err != nil {
 		return err
 	}
-	select {
-	case <-l.closed:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
 	started := time.Now()
-	for l.closeSilent(started) > 0 {
+	for l.closeSilent(started) > 0 || !l.isClosed() {
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
@@ -137,6 +150,15 @@
 	return nil
 }
 
+func (l *Listener) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // closeSilent closes the connections without a request or a byte for SilenceTime, and
 // returns the number of open ones. A connection on which no request has ever arrived
 // counts as silent since the draining started at the earliest.
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -173,6 +173,31 @@
 	}
 }
 
+// All connections that the limit allows are idle, and one more waits in the queue. Guards
+// against a shutdown that waits for a free slot before it closes idle connections.
+func TestIdleConnectionsAtTheLimitAreClosedAtShutdown(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := Listen("tcp4", "127.0.0.1:0", 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	listener.Attach(server)
+	go func() { _ = server.Serve(listener) }()
+	var readers []*bufio.Reader
+	for range 2 {
+		conn, err := net.Dial("tcp4", listener.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, rawRequest)
+		g.Expect(err).NotTo(HaveOccurred())
+		readers = append(readers, bufio.NewReader(conn))
+	}
+	readAnswer(g, readers[0])
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	g.Expect(listener.Drain(ctx)).To(Succeed())
+	readAnswer(g, readers[1])
+}
+
 // Guards against a limit on connections that counts closed ones.
 func TestClosedConnectionFreesItsSlot(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -97,10 +97,6 @@
 	x.phase.Store(phaseBody)
 	g.exchanges.Store(x, struct{}{})
 	defer g.exchanges.Delete(x)
-	if g.stop.Load() != nil {
-		// The caller must open its next connection to another instance.
-		w.Header().Set("Connection", "close")
-	}
 	if inFlight > g.capacity() {
 		x.fail(errkind.New(errkind.Overloaded, "the instance is at capacity with %d requests in flight", inFlight), defaultRetryAfter)
 		return
--- a/pkg/gateway/lifecycle.go
+++ b/pkg/gateway/lifecycle.go
@@ -228,6 +228,7 @@
 	notice := min(seconds(g.settings.Bounds.LeaveNoticeSeconds), grace/2)
 	started := g.now()
 	g.stop.Store(&stopPlan{noticeEnd: started + notice, end: started + grace})
+	callers.Announce()
 	g.log.Info("stopping", "held", g.inFlight.Load(), "grace_ms", g.settings.Bounds.StopGrace().Milliseconds())
 	<-g.clock.After(notice)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-(g.now()-started))
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -13,10 +13,10 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/net/netutil"
 
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
+	"github.com/rosemarywing/rosemarywing/pkg/drain"
 	"github.com/rosemarywing/rosemarywing/pkg/entry"
 	"github.com/rosemarywing/rosemarywing/pkg/listen"
 	"github.com/rosemarywing/rosemarywing/pkg/member"
@@ -79,7 +79,7 @@
 	settings       settings.Settings
 	components     Components
 	entry          *entry.Entry
-	callerListener net.Listener
+	callerListener *drain.Listener
 	adminListener  net.Listener
 	peerListener   net.Listener
 }
@@ -120,14 +120,17 @@
 }
 
 func (i *Instance) listen() error {
+	binder := listen.Binder{Log: i.log}
 	bind := func(setting, address string) (net.Listener, error) {
-		return listen.Bind(context.Background(), listen.Binder{Log: i.log}, setting, address, func(address string) (net.Listener, error) { return net.Listen("tcp", address) })
+		return listen.Bind(context.Background(), binder, setting, address, func(address string) (net.Listener, error) { return net.Listen("tcp", address) })
 	}
 	var err error
-	if i.callerListener, err = bind("[listen] callers", i.settings.Listen.Callers); err != nil {
+	i.callerListener, err = listen.Bind(context.Background(), binder, "[listen] callers", i.settings.Listen.Callers, func(address string) (*drain.Listener, error) {
+		return drain.Listen("tcp", address, i.settings.Limits.Connections)
+	})
+	if err != nil {
 		return err
 	}
-	i.callerListener = netutil.LimitListener(i.callerListener, i.settings.Limits.Connections)
 	if i.adminListener, err = bind("[listen] admin", i.settings.Listen.Admin); err != nil {
 		return err
 	}
@@ -137,7 +140,10 @@
 
 func (i *Instance) closeListeners() error {
 	var errs error
-	for _, listener := range []net.Listener{i.callerListener, i.adminListener, i.peerListener} {
+	if i.callerListener != nil {
+		errs = i.callerListener.Abort()
+	}
+	for _, listener := range []net.Listener{i.adminListener, i.peerListener} {
 		if listener == nil {
 			continue
 		}
@@ -163,6 +169,7 @@
 	failed := make(chan error, 3)
 	var group sync.WaitGroup
 	callerServer := entry.NewServer(i.entry.Handler(), i.settings.Timeouts)
+	i.callerListener.Attach(callerServer)
 	adminServer := entry.NewServer(i.entry.AdminHandler(), i.settings.Timeouts)
 	group.Go(func() { failed <- serve(callerServer, i.callerListener) })
 	group.Go(func() { failed <- serve(adminServer, i.adminListener) })
@@ -178,7 +185,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		err = i.drain(callerServer)
+		err = i.drain()
 	case err = <-failed:
 		i.entry.Leave()
 	}
@@ -199,15 +206,17 @@
 // drain stops serving without aborting a request. The listener stays open while
 // requests run, so that a late request gets an error with run state not_run
 // instead of a refused connection.
-func (i *Instance) drain(callerServer *http.Server) error {
+func (i *Instance) drain() error {
 	i.log.Info("leaving", "instance", i.settings.Instance.ID)
 	i.entry.Leave()
+	i.callerListener.Announce()
 	if i.components.Leave != nil {
 		i.components.Leave(context.Background())
 	}
 	if err := i.entry.Drain(context.Background()); err != nil {
 		return err
 	}
-	// Responses of the last requests may still be in transmission.
-	return callerServer.Shutdown(context.Background())
+	// Responses of the last requests may still be in transmission, and requests that have
+	// arrived are still to be refused.
+	return i.callerListener.Drain(context.Background())
 }
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -1,6 +1,7 @@
 package instance_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -125,6 +126,60 @@
 	goleak.VerifyNone(t, ignore, goleak.IgnoreAnyFunction("github.com/zeromicro/go-zero/core/stat.init.0.func1"))
 }
 
+// Planned stop while a request arrives on a connection that was kept open. Guards against
+// closing that connection without an answer.
+func TestRequestThatArrivesDuringShutdownIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	f := fakeComponents{dispatched: make(chan struct{}), finish: make(chan struct{})}
+	i, err := instance.New(instance.Options{
+		Settings: testSettings(), Log: logr.Discard(), Clock: clockwork.NewRealClock(),
+		Build: func(instance.Env) (instance.Components, error) {
+			return instance.Components{Config: f, Claimer: f, Pool: f, Service: f}, nil
+		},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	callers, _, _ := i.Addresses()
+	ctx, shutDown := context.WithCancel(context.Background())
+	runResult := make(chan error, 1)
+	go func() { runResult <- i.Run(ctx) }()
+	conn, err := net.Dial("tcp", callers)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	readResponse := func() *http.Response {
+		for {
+			response, err := http.ReadResponse(reader, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			if response.StatusCode != http.StatusEarlyHints {
+				return response
+			}
+		}
+	}
+	_, err = io.WriteString(conn, "GET /services/s/x HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	<-f.dispatched
+	close(f.finish)
+	g.Expect(readResponse().StatusCode).To(Equal(http.StatusOK))
+	_, err = io.WriteString(conn, "GET /services/s/x HTTP/1.1\r\nHost")
+	g.Expect(err).NotTo(HaveOccurred())
+	shutDown()
+	g.Eventually(func() error {
+		probe, err := net.Dial("tcp", callers)
+		if err == nil {
+			_ = probe.Close()
+		}
+		return err
+	}, "10s").ShouldNot(Succeed(), "the listener is closed")
+	_, err = io.WriteString(conn, ": h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	response := readResponse()
+	g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(response.Close).To(BeTrue(), "the caller must go to another instance")
+	g.Expect(<-runResult).To(Succeed())
+}
+
 // Guards against listeners that stay open after a failed start.
 func TestFailedStartClosesListeners(t *testing.T) {
 	g := NewWithT(t)
