soak: rolling stops of real processes, and streams that are forwarded as streams

The streams of the soak had no content type, so that net/http marked them as text, and the gateway buffered each answer and forwarded it whole: no test with real processes had a stream that was in progress when its instance stopped. They are event streams now.

TestRollingStopsLoseNoRequest stops three gateways in turn, with SIGHUP and a second SIGTERM, under streams of up to 5.7 s, bodies that arrive slowly, and callers that send their next request at the last event.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -204,6 +204,7 @@
 			_, _ = io.WriteString(rw, answerBody(id))
 			return
 		}
+		rw.Header().Set("Content-Type", "text/event-stream")
 		from := 0
 		if lastEventID := r.Header.Get("Last-Event-Id"); lastEventID != "" {
 			_, _ = fmt.Sscan(lastEventID, &from)
--- a/test/soak/rolling_stop_test.go
+++ b/test/soak/rolling_stop_test.go
@@ -1,10 +1,12 @@
 package soak_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"path/filepath"
@@ -20,7 +22,9 @@
 var rollingLayout = layout{instances: 3, upstreams: 18, slots: 8, leaveNotice: 3, stopGrace: 8, routeTimeout: 15 * time.Second}
 
 const (
-	rollingClients = 120
+	rollingClients = 60
+	// eagerClients is the number of clients that reuse their connection at once.
+	eagerClients = 60
 	// rollingBodyBytes is the length of a request body.
 	rollingBodyBytes = 12_000
 	// longestBodyTime is the longest time in which a slow caller sends its body.
@@ -66,6 +70,9 @@
 	for client := range rollingClients {
 		clients.Go(func() { d.sendStreams(ctx, client, seed, results) })
 	}
+	for client := range eagerClients {
+		clients.Go(func() { d.sendEagerly(ctx, client, seed, results) })
+	}
 	stoppedAt := make([]time.Time, rollingLayout.instances)
 	for instance, process := range d.gateways {
 		time.Sleep(time.Second + time.Duration(rng.IntN(1000))*time.Millisecond)
@@ -87,7 +94,7 @@
 	cancel()
 	clients.Wait()
 	close(results)
-	refused, answered, cut := 0, 0, 0
+	refused, answered, cut, lateRefused := 0, 0, 0, 0
 	for request := range results {
 		switch {
 		case request.err != nil:
@@ -103,6 +110,9 @@
 			}
 		case request.status == http.StatusServiceUnavailable, request.status == http.StatusTooManyRequests:
 			refused++
+			if request.status == http.StatusServiceUnavailable {
+				lateRefused++
+			}
 			if d.executionOf(request.id).runs > 0 {
 				t.Errorf("%s was refused with status %d, but ran", request.id, request.status)
 			}
@@ -111,7 +121,7 @@
 			t.Errorf("%s ran %d times", request.id, runs)
 		}
 	}
-	t.Logf("%d answered, %d refused as not run, %d without an answer", answered, refused, cut)
+	t.Logf("%d answered, %d refused as not run, %d of them with 503, %d without an answer", answered, refused, lateRefused, cut)
 	if t.Failed() {
 		d.saveLogs(seed)
 	}
@@ -171,6 +181,92 @@
 	}
 }
 
+// sendEagerly sends streams on persistent connections until ctx ends, each as soon as the
+// last event of the one before has arrived, which is before the end of that answer.
+func (d *deployment) sendEagerly(ctx context.Context, client int, seed uint64, results chan<- rollingRequest) {
+	rng := rand.New(rand.NewPCG(seed, uint64(client)+1000))
+	instance := client % rollingLayout.instances
+	n := 0
+	next := func() *rollingRequest {
+		n++
+		return &rollingRequest{instance: instance, events: min(1+int(rng.ExpFloat64()*200), 380),
+			clientRequest: clientRequest{id: fmt.Sprintf("e%d-%d", client, n), route: "stream", key: d.currentKey()}}
+	}
+	for ctx.Err() == nil {
+		conn, err := net.Dial("tcp4", d.callerAddresses[instance])
+		if err != nil {
+			instance = (instance + 1) % rollingLayout.instances
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		reader := bufio.NewReader(conn)
+		for request := next(); request != nil; {
+			request = d.exchangeEagerly(ctx, conn, reader, request, next, results)
+		}
+		_ = conn.Close()
+	}
+}
+
+// exchangeEagerly sends a request unless it was sent already, and reads its answer. It
+// returns the request that it sent before the end of the answer, or nil if the connection
+// cannot be used any more.
+func (d *deployment) exchangeEagerly(ctx context.Context, conn net.Conn, reader *bufio.Reader, request *rollingRequest, next func() *rollingRequest, results chan<- rollingRequest) *rollingRequest {
+	defer func() {
+		request.endedAt = time.Now()
+		results <- *request
+	}()
+	if request.writtenAt.IsZero() && !d.writeEagerly(conn, request) {
+		return nil
+	}
+	if request.err = conn.SetReadDeadline(time.Now().Add(rollingLayout.routeTimeout)); request.err != nil {
+		return nil
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		request.err = err
+		return nil
+	}
+	request.status = response.StatusCode
+	var body strings.Builder
+	var following *rollingRequest
+	lines := bufio.NewReader(response.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		body.WriteString(line)
+		if err != nil {
+			if request.body = body.String(); err != io.EOF {
+				request.err = err
+			}
+			break
+		}
+		if last := fmt.Sprintf("id: %d\n", request.events); line == last && !response.Close && ctx.Err() == nil {
+			following = next()
+			d.writeEagerly(conn, following)
+		}
+	}
+	if following != nil && (following.writtenAt.IsZero() || request.err != nil) {
+		following.err, following.endedAt = io.ErrUnexpectedEOF, time.Now()
+		results <- *following
+		return nil
+	}
+	if following == nil && !response.Close && request.err == nil && ctx.Err() == nil {
+		return next()
+	}
+	return following
+}
+
+func (d *deployment) writeEagerly(conn net.Conn, request *rollingRequest) bool {
+	request.sentAt = time.Now()
+	_, err := fmt.Fprintf(conn, "POST /stream/x?events=%d HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n%s",
+		request.events, request.id, rollingLayout.routeTimeout.Milliseconds(), request.key, rollingBodyBytes, strings.Repeat("x", rollingBodyBytes))
+	if err != nil {
+		request.err = err
+		return false
+	}
+	request.writtenAt = time.Now()
+	return true
+}
+
 // slowBody yields a request body in ten parts over a time.
 type slowBody struct {
 	rest  io.Reader
