--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -40,6 +40,7 @@
 	"dependency lost": true, "dependency regained": true,
 	"peer lost": true, "peer heard": true, "peer stopped": true,
 	"started": true, "stopping": true, "stopped": true,
+	"grace time over, requests in flight are aborted": true,
 }
 
 // Timeline is the history of a request, reconstructed from logs.
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -60,6 +60,28 @@
 	}))
 }
 
+// Guards against a timeline of an aborted request that leaves out the planned stop.
+func TestTimelineOfRequestAbortedInPlannedStop(t *testing.T) {
+	g := NewWithT(t)
+	const log = `{"time":"2026-12-04T10:00:00Z","msg":"stopping","instance":"edge-1","held":4}
+{"time":"2026-12-04T10:00:07.5Z","msg":"grace time over, requests in flight are aborted","instance":"edge-1","held":1}
+{"time":"2026-12-04T10:00:07.5Z","msg":"request aborted at the end of the grace time","instance":"edge-1","request":"r1","elapsed_ms":4000,"phase":"sent to an upstream"}
+{"time":"2026-12-04T10:00:07.51Z","msg":"not answered","instance":"edge-1","request":"r1","elapsed_ms":4010,"config":7,"config_age_ms":1,"status":502,"error":"upstream_broken: the instance stopped","attempts":1,"may_have_run":true}`
+	var entries []explain.Entry
+	_, err := explain.Read(strings.NewReader(log), func(entry explain.Entry) { entries = append(entries, entry) })
+	g.Expect(err).NotTo(HaveOccurred())
+	timeline, found := explain.BuildTimeline("r1", entries)
+	g.Expect(found).To(BeTrue())
+	g.Expect(timeline.Lines()).To(Equal([]string{
+		"request r1 arrived at 2026-12-04T10:00:03.5Z, at instance edge-1",
+		"  +4.000 s request aborted at the end of the grace time elapsed_ms=4000 phase=sent to an upstream request=r1",
+		"  +4.010 s ended with status 502, upstream_broken: the instance stopped; it may have run, after 1 attempts; configuration 7 was 1 ms old",
+		"what its instances and upstreams went through around that time:",
+		"  -3.500 s edge-1: stopping held=4",
+		"  +4.000 s edge-1: grace time over, requests in flight are aborted held=1",
+	}))
+}
+
 func TestTimelineOfUnknownRequest(t *testing.T) {
 	g := NewWithT(t)
 	_, found := explain.BuildTimeline("r9", read(g))
