drain, gateway: findings of the review of planned stops

A reviewer who had not seen the work read trace and fix. The root cause holds.

By reading: connections are counted after the listener's end was seen; a body that ends together with the grace time is answered; without a stop no estimate is made; the notice of the policy ends 0.1 s early, since callers count from the sending of the signal.

--- a/pkg/drain/conn.go
+++ b/pkg/drain/conn.go
@@ -19,65 +19,76 @@
 	listener *Listener
 
 	mu sync.Mutex
-	// state is what the server reported last, at since.
+	// state is what the server reported last, and since is the time of that, or of the last
+	// byte that was read after it.
 	state http.ConnState
 	since time.Time
 	// received is true if bytes of the next request were read.
 	received bool
-	// ending is true while an expired read deadline tells the server to close the connection.
-	ending bool
+	// expired is true while an expired read deadline tells the server to close the
+	// connection.
+	expired bool
 }
 
-// closeIfSilent has the server close a connection that is silent. It doesn't close the
+// expireIfSilent has the server close a connection that is silent. It doesn't close the
 // connection itself, since the server may have read a request that is not reported yet: an
 // expired read deadline ends only a wait for bytes that have not arrived.
-func (c *conn) closeIfSilent(drainStarted time.Time) {
+func (c *conn) expireIfSilent(drainStarted time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	since := c.since
-	switch {
-	case c.state == http.StateNew && since.Before(drainStarted):
-		since = drainStarted
-	case c.state != http.StateNew && c.state != http.StateIdle:
+	if c.state != http.StateNew && c.state != http.StateIdle {
 		return
 	}
-	if c.received || time.Since(since) < SilenceTime || hasUnreadBytes(c.TCPConn) {
+	since, limit := c.since, SilenceTime
+	if c.state == http.StateNew && since.Before(drainStarted) {
+		since = drainStarted
+	}
+	if c.received {
+		limit = stallTime
+	}
+	if time.Since(since) < limit || hasUnreadBytes(c.TCPConn) {
 		return
 	}
 	// The server may set its own deadline right after this one, so that the next look has
 	// to repeat it.
-	c.ending = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) == nil
+	c.expired = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
-		if !c.continueReading(n, err) {
+		if !c.readAgain(n, err) {
 			return n, err
 		}
 	}
 }
 
-// continueReading notes the result of a read, and reports whether bytes arrived when the
-// server was told to close the connection.
-func (c *conn) continueReading(n int, err error) bool {
+// readAgain notes the result of a read, and reports whether it failed only by the expired
+// deadline although bytes have arrived since.
+func (c *conn) readAgain(n int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.received = true
-		return false
-	}
-	if !c.ending || !errors.Is(err, os.ErrDeadlineExceeded) || !hasUnreadBytes(c.TCPConn) {
+		c.received, c.since = true, time.Now()
+		c.clearExpired()
 		return false
 	}
-	return c.resume()
+	return errors.Is(err, os.ErrDeadlineExceeded) && hasUnreadBytes(c.TCPConn) && c.clearExpired()
 }
 
-// resume takes back that the server was told to close the connection.
-func (c *conn) resume() bool {
-	c.ending = false
-	return c.TCPConn.SetReadDeadline(time.Time{}) == nil
+// clearExpired replaces an expired deadline by the time in which a header must arrive. It
+// reports whether there was one.
+func (c *conn) clearExpired() bool {
+	if !c.expired {
+		return false
+	}
+	c.expired = false
+	var deadline time.Time
+	if timeout := c.listener.headerTimeout; timeout > 0 && c.state != http.StateActive {
+		deadline = time.Now().Add(timeout)
+	}
+	return c.TCPConn.SetReadDeadline(deadline) == nil
 }
 
 // trackState is a http.Server.ConnState.
@@ -91,12 +102,11 @@
 	c.state, c.since = state, time.Now()
 	switch state {
 	case http.StateIdle:
+		// Bytes of the next request that were read together with the last one are no
+		// longer known, but the server reports the request at once if it is whole.
 		c.received = false
 	case http.StateActive:
-		if c.ending {
-			// The request was read ahead, together with the one before it.
-			c.resume()
-		}
+		c.clearExpired()
 	}
 }
 
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -5,6 +5,10 @@
 // not announce the closing. Listener keeps such connections open until the request was
 // answered: the server's own goroutine reads each connection to its end, and Listener only
 // ends the wait for a request on connections that are silent.
+//
+// A server is prepared by Listen and Attach. Its shutdown begins with Announce, which may
+// come well before the end, and ends with Drain. http.Server calls Close; Abort is for a
+// server that never served.
 package drain
 
 import (
@@ -29,6 +33,8 @@
 	// SilenceTime is how long a connection must be without a byte before it is closed: the
 	// caller may be sending a request, since its last response did not announce the closing.
 	SilenceTime = 500 * time.Millisecond
+	// stallTime is the same limit for a connection with a part of a request's header.
+	stallTime = 2 * time.Second
 )
 
 // Listener accepts the connections of a http.Server and ends them without losing requests.
@@ -37,6 +43,8 @@
 	// slots holds a token for each open connection; nil without a limit.
 	slots  chan struct{}
 	closed chan struct{}
+	// headerTimeout is the server's ReadHeaderTimeout.
+	headerTimeout time.Duration
 
 	// announcing is true if responses announce that their connection closes.
 	announcing atomic.Bool
@@ -70,17 +78,16 @@
 func (l *Listener) Attach(server *http.Server) {
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if l.announcing.Load() {
-			// The caller must open its next connection to another instance.
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
+		announcing := &announcingWriter{ResponseWriter: w, listener: l}
+		handler.ServeHTTP(announcing, r)
+		announcing.finish()
 	})
+	l.headerTimeout = server.ReadHeaderTimeout
 	server.ConnState = trackState
 }
 
-// Announce lets all further responses announce that their connection closes. The listener
-// still accepts connections.
+// Announce lets all responses whose header is not written yet announce that their
+// connection closes. The listener still accepts connections.
 func (l *Listener) Announce() { l.announcing.Store(true) }
 
 // Addr implements net.Listener.
@@ -140,14 +147,19 @@
 		return err
 	}
 	started := time.Now()
-	for l.closeSilent(started) > 0 || !l.isClosed() {
+	for {
+		// A connection may be accepted until the listener is closed, so that the
+		// connections are counted after that.
+		closed := l.isClosed()
+		if l.expireSilent(started) == 0 && closed {
+			return nil
+		}
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
-	return nil
 }
 
 func (l *Listener) isClosed() bool {
@@ -159,13 +171,13 @@
 	}
 }
 
-// closeSilent closes the connections without a request or a byte for SilenceTime, and
-// returns the number of open ones. A connection on which no request has ever arrived
-// counts as silent since the draining started at the earliest.
-func (l *Listener) closeSilent(started time.Time) int {
+// expireSilent ends the wait for a request on connections that are silent, and returns the
+// number of open ones. A connection on which no request has ever arrived counts as silent
+// since the draining started at the earliest.
+func (l *Listener) expireSilent(started time.Time) int {
 	open := l.connections()
 	for _, c := range open {
-		c.closeIfSilent(started)
+		c.expireIfSilent(started)
 	}
 	return len(open)
 }
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -139,8 +139,8 @@
 			trackState(c, http.StateIdle)
 			c.since = c.since.Add(-2 * SilenceTime)
 			if name == afterTheEnd {
-				g.Expect(listener.closeSilent(time.Now())).To(Equal(1))
-				g.Expect(c.ending).To(BeTrue())
+				g.Expect(listener.expireSilent(time.Now())).To(Equal(1))
+				g.Expect(c.expired).To(BeTrue())
 			}
 			_, err = io.WriteString(client, rawRequest)
 			g.Expect(err).NotTo(HaveOccurred())
@@ -151,8 +151,8 @@
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(string(buffer[:n])).To(Equal(rawRequest))
 			}
-			g.Expect(listener.closeSilent(time.Now())).To(Equal(1))
-			g.Expect(c.ending).To(BeFalse(), "the connection is not closed")
+			g.Expect(listener.expireSilent(time.Now())).To(Equal(1))
+			g.Expect(c.expired).To(BeFalse(), "the connection is not closed")
 			if name == inQueue {
 				n, err := c.Read(buffer)
 				g.Expect(err).NotTo(HaveOccurred())
@@ -162,13 +162,13 @@
 			g.Expect(err).NotTo(HaveOccurred(), "the connection is still open")
 			trackState(c, http.StateIdle)
 			c.since = c.since.Add(-2 * SilenceTime)
-			g.Expect(listener.closeSilent(time.Now())).To(Equal(1))
+			g.Expect(listener.expireSilent(time.Now())).To(Equal(1))
 			_, err = c.Read(buffer)
 			g.Expect(err).To(MatchError(os.ErrDeadlineExceeded), "the server closes the silent connection")
 			g.Expect(c.Close()).To(Succeed())
 			_, err = io.WriteString(c, "answer")
 			g.Expect(err).To(MatchError(net.ErrClosed))
-			g.Expect(listener.closeSilent(time.Now())).To(BeZero(), "no connection keeps the shutdown waiting")
+			g.Expect(listener.expireSilent(time.Now())).To(BeZero(), "no connection keeps the shutdown waiting")
 		})
 	}
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -76,7 +76,7 @@
 	}
 	if err := x.refuseLate(); err != nil {
 		conn.Close()
-		return attemptResult{outcome: admission.NotSent, err: x.brokenIfMayHaveRun(err), final: true, retryAfter: jitter(stopRetryAfter)}
+		return attemptResult{outcome: admission.NotSent, err: err, final: true, retryAfter: jitter(stopRetryAfter)}
 	}
 	if err, retryAfter := x.refusePoison(ctx); err != nil {
 		conn.Close()
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -121,16 +121,23 @@
 }
 
 // refuseLate returns an error if the instance stops and the request is not expected to end
-// before.
+// before. It is called when the request has arrived, and again before it is sent, since
+// the body and the queue take time.
 func (x *exchange) refuseLate() *errkind.Error {
 	plan := x.g.stop.Load()
-	now, usual := x.g.now(), x.g.routeDurations.usual(x.route.Name)
-	if plan == nil || plan.admits(now, x.deadline, usual) {
+	if plan == nil || x.mayHaveRun {
+		// A request that may have run cannot be refused any more: a retry or the rest of
+		// its stream serves the caller better than an error.
+		return nil
+	}
+	now := x.g.now()
+	usual := func() time.Duration { return x.g.routeDurations.usual(x.route.Name) }
+	if plan.admits(x.arrived, now, x.deadline, usual) {
 		return nil
 	}
 	x.g.metrics.lateRefused.Inc(1)
 	return errkind.New(errkind.ShuttingDown, "the instance ends its requests in %d ms; the deadline of this one is in %d ms, and such requests usually take %d ms",
-		(plan.end - now).Milliseconds(), (x.deadline - now).Milliseconds(), usual.Milliseconds())
+		(plan.end - now).Milliseconds(), (x.deadline - now).Milliseconds(), usual().Milliseconds())
 }
 
 // jitter returns a random duration between half of d and one and a half times d.
@@ -213,8 +220,11 @@
 	controller := http.NewResponseController(x.w)
 	limited := controller.SetReadDeadline(time.Now().Add(x.deadline-x.g.now())) == nil
 	detach := context.AfterFunc(x.g.graceOver, func() { _ = controller.SetReadDeadline(time.Now()) })
-	defer detach()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
+	if !detach() {
+		// The read deadline may have expired, or is about to.
+		return nil, os.ErrDeadlineExceeded
+	}
 	if limited && err == nil {
 		// The server goes on reading to notice that the caller disconnects.
 		err = controller.SetReadDeadline(time.Time{})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -63,7 +63,8 @@
 	configCurrentAt atomic.Int64
 	// stop is the plan of the stop in progress; nil while there is none.
 	stop atomic.Pointer[stopPlan]
-	// graceOver ends when the requests in progress of a stop are aborted.
+	// graceOver is cancelled, by endGrace, when the requests in progress of a stop are
+	// aborted.
 	graceOver      context.Context
 	endGrace       context.CancelFunc
 	routeDurations routeDurations
--- a/pkg/gateway/lifecycle.go
+++ b/pkg/gateway/lifecycle.go
@@ -227,7 +227,7 @@
 	grace := g.settings.Bounds.StopGrace() - killMargin
 	notice := min(seconds(g.settings.Bounds.LeaveNoticeSeconds), grace/2)
 	started := g.now()
-	g.stop.Store(&stopPlan{noticeEnd: started + notice, end: started + grace})
+	g.stop.Store(&stopPlan{noticeEnd: started + notice - signalDelay, end: started + grace})
 	callers.Announce()
 	g.log.Info("stopping", "held", g.inFlight.Load(), "grace_ms", g.settings.Bounds.StopGrace().Milliseconds())
 	<-g.clock.After(notice)
@@ -237,7 +237,9 @@
 	if err == nil {
 		return
 	}
-	g.log.Info("grace time over, requests in flight are aborted", "held", g.inFlight.Load(), "error", err.Error())
+	if held := g.inFlight.Load(); held > 0 {
+		g.log.Info("grace time over, requests in flight are aborted", "held", held, "error", err.Error())
+	}
 	g.logHeld()
 	callers.LogOpen(g.log)
 	g.endGrace()
--- a/pkg/gateway/stop_policy.go
+++ b/pkg/gateway/stop_policy.go
@@ -15,23 +15,23 @@
 	end time.Duration
 }
 
-// admits reports whether a request may be passed on to an upstream during the stop. A
-// request that is cut off may have run and cannot always be repeated, whereas one that is
-// refused can be sent to another instance at once. After the notice only requests are
-// admitted whose deadline is before the end. Until then callers cannot avoid the instance,
-// and those are admitted too that usually end in time. usual is the time that requests of
-// the route usually take; 0 if it is unknown.
+// admits reports whether a request that arrived at a time may be passed on to an upstream
+// now. A request that is cut off may have run and cannot always be repeated, whereas one
+// that is refused can be sent to another instance at once. Of the requests that arrive
+// after the notice only those are admitted whose deadline is before the end. Until then
+// callers cannot avoid the instance, and those are admitted too that usually end in time.
+// usual returns the time that such requests usually take; 0 if it is unknown.
 //
 // It answers the load of a rolling stop: streams on kept connections, of which some last
 // longer than what is left of the grace time.
-func (p stopPlan) admits(now, deadline, usual time.Duration) bool {
-	if deadline <= p.end {
-		return true
-	}
-	return now < p.noticeEnd && now+usual <= p.end
+func (p stopPlan) admits(arrived, now, deadline time.Duration, usual func() time.Duration) bool {
+	return deadline <= p.end || (arrived < p.noticeEnd && now+usual() <= p.end)
 }
 
 const (
+	// signalDelay is the time by which the signal to stop may reach the process late. Load
+	// balancers and callers count the notice from its sending.
+	signalDelay = 100 * time.Millisecond
 	// usualQuantile is the quantile of the durations of a route's requests that counts as
 	// usual: at most one in twenty admitted requests is expected to be cut off.
 	usualQuantile = 0.95
