connpool: a head that runs into a second one is no answer

What callers saw: the status of one head with the body and the signature of another, such as a 200 with the body of a 500, or an answer with a status below 100. An upstream that stops within a header line or the status line, and writes another head on the connection, causes it. Cause: http.ReadResponse takes the second status line for the rest of the value or of the reason phrase. It also accepts the codes 020 and +20, and a name with a space, so that the length in "Content-Length : 3" is not used and the body ends with the connection. Evidence: of the cases of TestDefectiveHeadIsNoAnswer, "second head after a name", "in a value", "in the status line", "in the signature", "second ID", "status with a sign", "status below 100" and "name with a space" failed. Fix: checkHead refuses such heads, of interim answers too, before anything of them is used. An answer with several different IDs fails.

--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -144,6 +144,11 @@
 			return nil, err
 		}
 		echoed := response.Header.Get(idHeader)
+		for _, other := range response.Header.Values(idHeader) {
+			if other != echoed {
+				return nil, errWrongRequest
+			}
+		}
 		switch {
 		case echoed == id || (echoed == "" && c.requests == 1):
 			return response, nil
@@ -213,6 +218,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read the answer: %w", err)
 		}
+		if err := checkHead(raw); err != nil {
+			return nil, fmt.Errorf("read the answer: %w", err)
+		}
 		if raw.StatusCode/100 == 1 {
 			continue
 		}
--- /dev/null
+++ b/pkg/connpool/head.go
@@ -0,0 +1,42 @@
+package connpool
+
+import (
+	"errors"
+	"net/http"
+	"regexp"
+	"strings"
+)
+
+// minStatus is the lowest status code of HTTP.
+const minStatus = 100
+
+var errDefectiveHead = errors.New("the head of the answer is defective")
+
+// statusLinePattern matches the beginning of a status line.
+var statusLinePattern = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
+
+// checkHead returns an error for heads that http.ReadResponse accepts, though their status
+// and framing may be those of two answers, or their framing was not understood.
+func checkHead(raw *http.Response) error {
+	if raw.StatusCode < minStatus || containsStatusLine(raw.Status) {
+		return errDefectiveHead
+	}
+	for name, values := range raw.Header {
+		// A name with a space, such as "Content-Length ", is not taken for the name without it.
+		if strings.Contains(name, " ") {
+			return errDefectiveHead
+		}
+		for _, value := range values {
+			if containsStatusLine(value) {
+				return errDefectiveHead
+			}
+		}
+	}
+	return nil
+}
+
+// containsStatusLine reports whether text contains the beginning of a second head, which
+// followed an incomplete line of the first one.
+func containsStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/") && statusLinePattern.MatchString(text)
+}
