connpool: a reset that a write has noticed is no end of an answer

What callers saw: part of a body as a complete answer, where the upstream answers a long request without a length before it has read all of it, and then resets the connection. Cause: the kernel reports a reset once. If the concurrent write of the request gets the report, the read gets io.EOF, which ends a body without a length. Evidence: TestResetDuringLongRequestIsNoEnd failed before. Fix: at the end of such a body, the read waits for the write, which ends with the connection at the latest, and fails if the write has failed. EPIPE is an exception: it means that the upstream had closed the connection before the reset, or that the read had got the report.

--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -225,11 +225,15 @@
 			continue
 		}
 		c.input.readingHead = false
-		return &Response{
+		response := &Response{
 			Status: raw.StatusCode, Header: raw.Header, Body: raw.Body,
 			Framed: raw.ContentLength >= 0 || len(raw.TransferEncoding) > 0,
 			Length: raw.ContentLength, raw: raw,
-		}, nil
+		}
+		if !response.Framed && raw.Body != http.NoBody {
+			response.Body = &unframedBody{Reader: raw.Body, conn: c}
+		}
+		return response, nil
 	}
 }
 
--- a/pkg/connpool/cut_answers_test.go
+++ b/pkg/connpool/cut_answers_test.go
@@ -197,3 +197,22 @@
 		})
 	}
 }
+
+// An upstream answers without a length before it has read a long request, and resets the
+// connection. The kernel reports the reset once, and a write may get the report, so that
+// the read sees the end of the connection. Guards against an answer that looks complete then.
+func TestResetDuringLongRequestIsNoEnd(t *testing.T) {
+	for range 30 {
+		f := newFixture(t)
+		u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+			if _, err := reader.ReadString('\n'); err != nil {
+				return
+			}
+			write(conn, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\npart of ")
+			time.Sleep(5 * time.Millisecond)
+			reset(conn)
+		})
+		body, _, err := f.exchange(u, strings.Repeat("x", 32<<20))
+		f.Expect(err).To(HaveOccurred(), "body %q", body)
+	}
+}
