upstream: a stream that ends within an event is incomplete

What callers saw: a service's stream that lost its last event, ended as a complete one. Engines' streams were not affected, since they end with a marker. Cause: SSEReader dropped an event without an empty line after it and returned io.EOF, which the entry takes for the end of the stream, when a stream without a length ends with its connection. Evidence: TestStreamThatEndsWithinEventIsIncomplete failed before. TestCutAnswerIsAnError, which cuts the answers to a dispatch, a fetch and a resume at each position by FIN and by reset, passed before. Fix: SSEReader returns an error of the kind AnswerIncomplete if the source ends after part of an event. Comments are no part of an event.

--- a/pkg/upstream/event.go
+++ b/pkg/upstream/event.go
@@ -161,6 +161,8 @@
 	Name    string
 	Data    []byte
 	hasData bool
+	// hasField is true once a line other than a comment was read.
+	hasField bool
 }
 
 // SSEReader reads server-sent events and does not interpret their IDs, which
@@ -180,14 +182,17 @@
 }
 
 // Next returns the next event that has data, and io.EOF at the end of the
-// source. An event that is not followed by an empty line is truncated and is not
-// returned. Other errors are those of the source, or have the kind
-// AnswerIncomplete if an event exceeds maxBytes.
+// source. Other errors are those of the source, or have the kind AnswerIncomplete if an
+// event exceeds maxBytes, or the source ends within an event, which is one that no empty
+// line follows.
 func (r *SSEReader) Next() (SSEEvent, error) {
 	var event SSEEvent
 	size := 0
 	for {
 		line, err := r.readLine(r.maxBytes - size)
+		if errors.Is(err, io.EOF) && (event.hasField || isField(line)) {
+			err = errkind.New(errkind.AnswerIncomplete, "the stream ended within an event")
+		}
 		if err != nil {
 			return SSEEvent{}, err
 		}
@@ -206,6 +211,7 @@
 
 // addField adds the field of one line. Comments and unknown fields are ignored.
 func (e *SSEEvent) addField(line []byte) {
+	e.hasField = e.hasField || isField(line)
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -222,7 +228,11 @@
 	}
 }
 
-// readLine returns one line of at most limit bytes without its line ending.
+// isField reports whether a line is neither empty nor a comment.
+func isField(line []byte) bool { return len(bytes.TrimRight(line, "\r")) > 0 && line[0] != ':' }
+
+// readLine returns one line of at most limit bytes without its line ending. With an error
+// of the source, it returns the part of the line that was read.
 func (r *SSEReader) readLine(limit int) ([]byte, error) {
 	var line []byte
 	for {
@@ -237,6 +247,6 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		return nil, err
+		return line, err
 	}
 }
