--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -144,6 +144,11 @@
 			return nil, err
 		}
 		echoed := response.Header.Get(idHeader)
+		for _, other := range response.Header.Values(idHeader) {
+			if other != echoed {
+				return nil, errWrongRequest
+			}
+		}
 		switch {
 		case echoed == id || (echoed == "" && c.requests == 1):
 			return response, nil
@@ -213,15 +218,22 @@
 		if err != nil {
 			return nil, fmt.Errorf("read the answer: %w", err)
 		}
+		if err := checkHead(raw); err != nil {
+			return nil, fmt.Errorf("read the answer: %w", err)
+		}
 		if raw.StatusCode/100 == 1 {
 			continue
 		}
 		c.input.readingHead = false
-		return &Response{
+		response := &Response{
 			Status: raw.StatusCode, Header: raw.Header, Body: raw.Body,
 			Framed: raw.ContentLength >= 0 || len(raw.TransferEncoding) > 0,
 			Length: raw.ContentLength, raw: raw,
-		}, nil
+		}
+		if !response.Framed && raw.Body != http.NoBody {
+			response.Body = &unframedBody{Reader: raw.Body, conn: c}
+		}
+		return response, nil
 	}
 }
 
