connpool: heads without an end cost little memory, and bytes that are no response fail at once

Callers of an instance could lose their requests when a faulty upstream sent heads without an end: of each, 64 KiB were parsed, and a line of six bytes takes about 100 bytes in parsed form. An upstream that sent a few bytes that are no response, without a line end, and then nothing held its request until the deadline.

Bytes that do not begin with "HTTP/" fail as soon as five are there. Responses with heads of 16 to 64 KiB now fail.

--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -32,8 +33,14 @@
 }
 
 const (
-	// maxHeadBytes bounds the head of a response.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes bounds the head of a response, together with the 1xx responses before
+	// it. Parsed, it takes up to twice as much memory, for each request in flight.
+	maxHeadBytes = 16 << 10
+	// headLineCost is added to the length of each line of a head, since the parsed form of
+	// a line of a few bytes takes about 100 bytes.
+	headLineCost = 100
+	// headReadBytes bounds what is read of a head before the cost of its lines is known.
+	headReadBytes = 1 << 10
 	// maxSkippedResponses bounds the number of skipped responses to other requests,
 	// and maxSkippedBytes the body of each.
 	maxSkippedResponses = 2
@@ -67,8 +74,9 @@
 	onClose       func()
 }
 
-// headLimitReader bounds the number of bytes read until the head of a response is
-// complete.
+// headLimitReader bounds the cost of what is read until the head of a response is
+// complete: its bytes, and headLineCost for each line. Bytes of the body that arrive with
+// the end of the head are counted too, but nothing more is read for the head then.
 type headLimitReader struct {
 	source      io.Reader
 	remaining   int
@@ -77,6 +85,11 @@
 
 var errHeadTooLong = errors.New("the head of the answer is too long")
 
+// responsePrefix is what each response begins with.
+const responsePrefix = "HTTP/"
+
+var errNoResponse = errors.New("the bytes are not an HTTP response")
+
 func (l *headLimitReader) Read(p []byte) (int, error) {
 	if !l.readingHead {
 		return l.source.Read(p)
@@ -84,8 +97,8 @@
 	if l.remaining <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := l.source.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
+	n, err := l.source.Read(p[:min(len(p), l.remaining, headReadBytes)])
+	l.remaining -= n + headLineCost*bytes.Count(p[:n], []byte("\n"))
 	return n, err
 }
 
@@ -209,6 +222,10 @@
 func (c *Conn) readHead(method string) (*Response, error) {
 	c.input.readingHead, c.input.remaining = true, maxHeadBytes
 	for {
+		// Without this check, bytes that are no response are read until the end of a line.
+		if start, err := c.reader.Peek(len(responsePrefix)); err == nil && string(start) != responsePrefix {
+			return nil, errNoResponse
+		}
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, fmt.Errorf("read the answer: %w", err)
