entry: the answers that all requests hold share limits.answer_memory_bytes

What callers saw: an upstream that sent answers without an end could take an instance of the product's own interface over its memory. Each of 4,096 requests may hold 64 MiB of a body, or 4 MiB of an event in several copies; nothing bounded the sum.

A request that needs more than is left ends as answer_incomplete, like one whose answer is too large: its run state is unknown, and no crash of the upstream is counted. These answers are checked before any byte of them is forwarded, so they cannot be forwarded as they arrive. upstream.SSEReader takes three times what it has read of an event, since the lines, the data and the bytes written to the caller exist at once. The gateway's buffer is built on the same membudget.Share.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/membudget"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 	"github.com/rosemarywing/rosemarywing/pkg/upstream"
 )
@@ -177,15 +177,37 @@
 
 var errAnswerTooLarge = errors.New("the answer is larger than the limit")
 
-// readAnswerBody reads the whole body, up to the limit, and closes it.
-func (e *Entry) readAnswerBody(answer *upstream.Answer) ([]byte, error) {
+var errAnswerMemory = errors.New("the answers of all requests need more memory than the limit")
+
+// firstAnswerBytes is what is held of each answer even if the answers to other requests
+// use up Entry.answerMemory.
+const firstAnswerBytes = 16 << 10
+
+// readAnswerBody reads the whole body, up to the limit, and closes it. The body is held
+// until the request ends or another one is read for it.
+func (e *Entry) readAnswerBody(req *request, answer *upstream.Answer) ([]byte, error) {
 	defer func() { _ = answer.Body.Close() }()
-	limit := e.Settings.Limits.AnswerBytes
-	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
+	req.releaseAnswer()
+	// One byte more than the limit, by which a body that is too large is recognized.
+	req.answerBuffer = membudget.NewBuffer(e.answerMemory, firstAnswerBytes, int(e.Settings.Limits.AnswerBytes)+1)
+	complete, err := req.answerBuffer.ReadAll(answer.Body)
+	switch {
+	case err != nil || complete:
+		return req.answerBuffer.Bytes(), err
+	case req.answerBuffer.Full():
 		err = errAnswerTooLarge
+	default:
+		err = errAnswerMemory
+	}
+	req.releaseAnswer()
+	return nil, err
+}
+
+// releaseAnswer releases the memory of the answer's body.
+func (req *request) releaseAnswer() {
+	if req.answerBuffer != nil {
+		req.answerBuffer.Release()
 	}
-	return body, err
 }
 
 // recoverAnswer handles a connection that broke after the dispatch. An engine
@@ -210,9 +232,9 @@
 
 // deliverBuffered validates an answer that is not streamed before sending any
 // of it. If an engine's answer cannot be read whole, or has status 200 and is not
-// valid JSON, it is fetched again, unless it is too large.
+// valid JSON, it is fetched again, unless it needs too much memory.
 func (e *Entry) deliverBuffered(w http.ResponseWriter, req *request, answer *upstream.Answer) {
-	body, err := e.readAnswerBody(answer)
+	body, err := e.readAnswerBody(req, answer)
 	if err == nil && req.target.isEngine() && answer.Status == http.StatusOK && !json.Valid(body) {
 		err = errkind.New(errkind.AnswerIncomplete, "the engine's answer is not valid JSON")
 	}
@@ -220,6 +242,8 @@
 	switch {
 	case errors.Is(err, errAnswerTooLarge):
 		failure = errkind.New(errkind.AnswerIncomplete, "the answer is larger than %d bytes", e.Settings.Limits.AnswerBytes)
+	case errors.Is(err, errAnswerMemory):
+		failure = errkind.Wrap(errkind.AnswerIncomplete, err, "the answer was not read to its end")
 	case err != nil && req.target.isEngine():
 		answer, body, failure = e.refetchAnswer(req, err)
 	case err != nil:
@@ -271,7 +295,7 @@
 			broken = errkind.Wrap(errkind.UpstreamBroken, err, "the engine is unreachable")
 			continue
 		}
-		body, err := e.readAnswerBody(answer)
+		body, err := e.readAnswerBody(req, answer)
 		if answer.Status == http.StatusNotFound {
 			return nil, nil, errkind.New(errkind.UpstreamBroken, "the engine no longer knows the request")
 		}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
 	"github.com/rosemarywing/rosemarywing/pkg/member"
+	"github.com/rosemarywing/rosemarywing/pkg/membudget"
 	"github.com/rosemarywing/rosemarywing/pkg/pool"
 	"github.com/rosemarywing/rosemarywing/pkg/route"
 	"github.com/rosemarywing/rosemarywing/pkg/settings"
@@ -82,6 +83,8 @@
 	handler           http.Handler
 	outputAverages    outputAverages
 	crossRegionBudget *route.Budget
+	// answerMemory is the memory for what is held of upstreams' answers.
+	answerMemory *membudget.Budget
 
 	mu sync.Mutex
 	// inFlight holds the requests being served.
@@ -122,6 +125,7 @@
 		instanceMachine: instanceChart.NewMachine(),
 		inFlight:        map[*request]struct{}{},
 		requestsByKey:   map[string]*request{},
+		answerMemory:    membudget.New(options.Settings.Limits.AnswerMemoryBytes),
 	}
 	e.crossRegionBudget = route.NewBudget(options.Clock, e.linkSharerCount)
 	e.instanceMachine.Fire(eventConfigured)
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/claim"
 	"github.com/rosemarywing/rosemarywing/pkg/conf"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/membudget"
 	"github.com/rosemarywing/rosemarywing/pkg/record"
 	"github.com/rosemarywing/rosemarywing/pkg/sched"
 )
@@ -73,6 +74,8 @@
 	team       *record.Team
 	tier       *record.Tier
 	target     target
+	// answerBuffer holds the body of an answer that is not streamed; nil before.
+	answerBuffer *membudget.Buffer
 	// idempotent is false if the request must not be cancelled while it runs.
 	idempotent bool
 	method     string
@@ -345,6 +348,7 @@
 // the oldest above the limit.
 func (e *Entry) retire(req *request) {
 	req.cancel(nil)
+	req.releaseAnswer()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	req.body, req.header = nil, nil
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -73,6 +73,8 @@
 		return errkind.New(errkind.CrossedAnswer, "the engine answered another request")
 	}
 	reader := upstream.NewEngineEventReader(answer.Body, req.id, *lastSequence+1, int(e.Settings.Limits.EventBytes))
+	reader.ShareMemory(e.answerMemory)
+	defer reader.Release()
 	for {
 		event, err := reader.Next()
 		if err != nil {
@@ -169,6 +171,8 @@
 	defer func() { _ = answer.Body.Close() }()
 	writer := &eventWriter{w: w, req: req}
 	reader := upstream.NewSSEReader(answer.Body, int(e.Settings.Limits.EventBytes))
+	reader.ShareMemory(e.answerMemory)
+	defer reader.Release()
 	for {
 		event, err := reader.Next()
 		switch {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -223,31 +223,12 @@
 	return result
 }
 
-// readBeginning reads a body until its end or until the buffer takes no more. It reports
-// whether it has read all of it.
-func readBeginning(body io.Reader, buffer *membudget.Buffer) (complete bool, err error) {
-	for {
-		space := buffer.Space()
-		if space == nil {
-			return false, nil
-		}
-		n, err := body.Read(space)
-		buffer.Extend(n)
-		switch {
-		case errors.Is(err, io.EOF):
-			return true, nil
-		case err != nil:
-			return false, err
-		}
-	}
-}
-
 // forwardBody forwards an answer that is not an event stream. An answer of less
 // than maxBufferedAnswerBytes is read completely before it is forwarded.
 func (x *exchange) forwardBody(ctx context.Context, decision admission.Decision, response *connpool.Response, started time.Duration) (attemptResult, bool) {
 	beginning := membudget.NewBuffer(x.g.answerMemory, firstAnswerBytes, maxBufferedAnswerBytes)
 	defer beginning.Release()
-	complete, err := readBeginning(response.Body, beginning)
+	complete, err := beginning.ReadAll(response.Body)
 	if err != nil {
 		return x.answerFailed(ctx, decision, err, false), false
 	}
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -2,7 +2,11 @@
 // hold bytes that another party has sent.
 package membudget
 
-import "sync/atomic"
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+)
 
 // Budget is an amount of memory that holders share. It is safe for concurrent use.
 type Budget struct {
@@ -20,29 +24,59 @@
 // FreeBytes returns the number of bytes that no holder has taken.
 func (b *Budget) FreeBytes() int64 { return b.freeBytes.Load() }
 
-// take takes bytes from the budget and reports whether it had as many.
+// take takes bytes from the budget, or returns them if negative, and reports whether the
+// budget had as many.
 func (b *Budget) take(bytes int64) bool {
-	if b.freeBytes.Add(-bytes) >= 0 {
+	if b.freeBytes.Add(-bytes) >= 0 || bytes <= 0 {
 		return true
 	}
 	b.freeBytes.Add(bytes)
 	return false
 }
 
+// Share is what one holder has taken of a budget. Its user must call Release. It is not
+// safe for concurrent use.
+type Share struct {
+	budget *Budget
+	// freeBytes may be held without being taken from the budget.
+	freeBytes int64
+	heldBytes int64
+}
+
+// NewShare returns a share that holds nothing. freeBytes of what it holds are not taken
+// from the budget, so that little can be held even when others have used it up. A nil
+// budget has no limit.
+func NewShare(budget *Budget, freeBytes int) *Share {
+	return &Share{budget: budget, freeBytes: int64(freeBytes)}
+}
+
+// Resize changes the number of bytes that the share holds. It reports false, and changes
+// nothing, if the budget does not have as many.
+func (s *Share) Resize(bytes int) bool {
+	needed := max(0, int64(bytes)-s.freeBytes) - max(0, s.heldBytes-s.freeBytes)
+	if s.budget != nil && !s.budget.take(needed) {
+		return false
+	}
+	s.heldBytes = int64(bytes)
+	return true
+}
+
+// Release returns all to the budget.
+func (s *Share) Release() { s.Resize(0) }
+
 // Buffer is a byte buffer whose memory beyond its first size is taken from a budget. Its
 // user must call Release. It is not safe for concurrent use.
 type Buffer struct {
-	budget    *Budget
+	share     *Share
 	bytes     []byte
 	firstSize int
 	maxSize   int
 }
 
-// NewBuffer returns a buffer of firstSize bytes that grows to maxSize bytes as the budget
-// allows. The first size is not taken from the budget, so that small contents are held
-// even when others have used it up.
+// NewBuffer returns a buffer of firstSize bytes, which are not taken from the budget, that
+// grows to maxSize bytes as the budget allows.
 func NewBuffer(budget *Budget, firstSize, maxSize int) *Buffer {
-	return &Buffer{budget: budget, firstSize: firstSize, maxSize: maxSize}
+	return &Buffer{share: NewShare(budget, firstSize), firstSize: firstSize, maxSize: maxSize}
 }
 
 // Bytes returns the contents. They are valid until the next call of another method.
@@ -63,7 +97,7 @@
 
 func (b *Buffer) grow() bool {
 	size := min(max(2*cap(b.bytes), b.firstSize), b.maxSize)
-	if size <= cap(b.bytes) || !b.budget.take(int64(size-max(cap(b.bytes), b.firstSize))) {
+	if size <= cap(b.bytes) || !b.share.Resize(size) {
 		return false
 	}
 	grown := make([]byte, len(b.bytes), size)
@@ -89,8 +123,27 @@
 	b.bytes = kept
 }
 
+// ReadAll reads until the end of the source or until there is no space. It reports
+// whether it has read all of the source.
+func (b *Buffer) ReadAll(source io.Reader) (complete bool, err error) {
+	for {
+		space := b.Space()
+		if space == nil {
+			return false, nil
+		}
+		n, err := source.Read(space)
+		b.Extend(n)
+		switch {
+		case errors.Is(err, io.EOF):
+			return true, nil
+		case err != nil:
+			return false, err
+		}
+	}
+}
+
 // Release drops the contents and returns the memory to the budget.
 func (b *Buffer) Release() {
-	b.budget.freeBytes.Add(int64(max(0, cap(b.bytes)-b.firstSize)))
+	b.share.Release()
 	b.bytes = nil
 }
--- a/pkg/membudget/membudget_test.go
+++ b/pkg/membudget/membudget_test.go
@@ -53,3 +53,21 @@
 	buffer.Release()
 	g.Expect(budget.FreeBytes()).To(BeEquivalentTo(100))
 }
+
+// Guards against a share that changes although it does not get what it needs, and against
+// a reader without a budget that is limited.
+func TestShares(t *testing.T) {
+	g := NewWithT(t)
+	budget := membudget.New(100)
+	share := membudget.NewShare(budget, 10)
+	g.Expect(share.Resize(10)).To(BeTrue())
+	g.Expect(budget.FreeBytes()).To(BeEquivalentTo(100))
+	g.Expect(share.Resize(110)).To(BeTrue())
+	g.Expect(budget.FreeBytes()).To(BeZero())
+	g.Expect(share.Resize(111)).To(BeFalse())
+	g.Expect(share.Resize(60)).To(BeTrue())
+	g.Expect(budget.FreeBytes()).To(BeEquivalentTo(50))
+	share.Release()
+	g.Expect(budget.FreeBytes()).To(BeEquivalentTo(100))
+	g.Expect(membudget.NewShare(nil, 0).Resize(1 << 40)).To(BeTrue())
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -80,10 +80,12 @@
 	RequestBytes int64
 	AnswerBytes  int64
 	EventBytes   int64
-	Requests     int
-	Connections  int
-	ResumeTries  int
-	KeptRequests int
+	// AnswerMemoryBytes is shared by all requests.
+	AnswerMemoryBytes int64
+	Requests          int
+	Connections       int
+	ResumeTries       int
+	KeptRequests      int
 }
 
 // Timeouts hold time limits, and the deadline of requests whose tier sets none.
--- a/pkg/upstream/event.go
+++ b/pkg/upstream/event.go
@@ -10,12 +10,16 @@
 	"strings"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/membudget"
 )
 
 const (
 	// DefaultMaxEventBytes bounds one event, including its field names.
 	DefaultMaxEventBytes = 1 << 20
 	readBufferBytes      = 16 << 10
+	// eventCopies is how many times an event is held at once: as lines, as data, and
+	// as what is written to the caller.
+	eventCopies = 3
 )
 
 // endMarker is the data of the event that ends a stream.
@@ -83,6 +87,12 @@
 // interrupted stream is resumed.
 func (r *EventReader) Expected() uint64 { return r.expected }
 
+// ShareMemory is like SSEReader.ShareMemory.
+func (r *EventReader) ShareMemory(budget *membudget.Budget) { r.events.ShareMemory(budget) }
+
+// Release is like SSEReader.Release.
+func (r *EventReader) Release() { r.events.Release() }
+
 // Next returns the next event, and io.EOF after the last one. Other errors have
 // the kind AnswerIncomplete, after which the stream may be resumed at Expected,
 // or CrossedAnswer. Once Next has failed, it always returns the same error.
@@ -168,6 +178,7 @@
 type SSEReader struct {
 	source   *bufio.Reader
 	maxBytes int
+	memory   *membudget.Share
 }
 
 // NewSSEReader returns a reader of events of at most maxBytes; zero means
@@ -176,18 +187,29 @@
 	if maxBytes == 0 {
 		maxBytes = DefaultMaxEventBytes
 	}
-	return &SSEReader{source: bufio.NewReaderSize(source, readBufferBytes), maxBytes: maxBytes}
+	return &SSEReader{source: bufio.NewReaderSize(source, readBufferBytes), maxBytes: maxBytes, memory: membudget.NewShare(nil, 0)}
+}
+
+// ShareMemory makes the reader take the memory of its current event from a budget, except
+// for 16 KiB. It must be called before Next, and Release after the last use of an event.
+func (r *SSEReader) ShareMemory(budget *membudget.Budget) {
+	r.memory = membudget.NewShare(budget, readBufferBytes)
 }
 
+// Release returns the memory of the current event to the budget.
+func (r *SSEReader) Release() { r.memory.Release() }
+
 // Next returns the next event that has data, and io.EOF at the end of the
 // source. An event that is not followed by an empty line is truncated and is not
 // returned. Other errors are those of the source, or have the kind
-// AnswerIncomplete if an event exceeds maxBytes.
+// AnswerIncomplete if an event exceeds maxBytes or the budget of ShareMemory. The event
+// counts against that budget until the next call.
 func (r *SSEReader) Next() (SSEEvent, error) {
+	r.memory.Release()
 	var event SSEEvent
 	size := 0
 	for {
-		line, err := r.readLine(r.maxBytes - size)
+		line, err := r.readLine(size)
 		if err != nil {
 			return SSEEvent{}, err
 		}
@@ -222,13 +244,17 @@
 	}
 }
 
-// readLine returns one line of at most limit bytes without its line ending.
-func (r *SSEReader) readLine(limit int) ([]byte, error) {
+// readLine returns one line without its line ending, of an event of which size bytes were
+// read before.
+func (r *SSEReader) readLine(size int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.source.ReadSlice('\n')
+		if !r.memory.Resize((size + len(line) + len(part)) * eventCopies) {
+			return nil, errkind.New(errkind.AnswerIncomplete, "the memory for answers is used up by %d bytes of an event and by other answers", size+len(line))
+		}
 		line = append(line, part...)
-		if len(bytes.TrimRight(line, "\r\n")) > limit {
+		if size+len(bytes.TrimRight(line, "\r\n")) > r.maxBytes {
 			return nil, errkind.New(errkind.AnswerIncomplete, "an event of more than %d bytes", r.maxBytes)
 		}
 		if err == nil {
