upstream: heads of answers are bounded to 16 KiB

What callers saw: as with bodies, an instance could run out of memory by heads without an end. net/http read up to 256 KiB of each, and in parsed form a head of short lines takes about 15 times as much: 200 such heads took 781 MiB. The bound is now 16 KiB; heads of 16 to 256 KiB fail as upstream_broken. A head of short lines that fits still takes 265 KiB, since net/http has no bound on the number of lines.

--- a/pkg/upstream/dispatch.go
+++ b/pkg/upstream/dispatch.go
@@ -23,8 +23,9 @@
 const (
 	contentTypeEvents = "text/event-stream"
 	userAgent         = "rosemarywing"
-	// maxHeaderBytes bounds the header of an answer.
-	maxHeaderBytes = 256 << 10
+	// maxHeaderBytes bounds the header of an answer. In parsed form, a header of the
+	// shortest lines takes about 15 times as much memory, for each request in flight.
+	maxHeaderBytes = 16 << 10
 )
 
 // errSecondConnection is returned when the transport of a dispatch asks for a
