connpool, upstream: tests of cut answers without a data race of their own

The race detector reported a race in TestCutAnswerIsAnError between the test and its scripted server. The position of the cut is now atomic in both tests that have one.

--- a/pkg/connpool/cut_answers_test.go
+++ b/pkg/connpool/cut_answers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,14 +72,14 @@
 		t.Run(name, func(t *testing.T) {
 			for _, how := range []struct{ reset, reused bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
 				f := newFixture(t)
-				cut := 0
+				var sentBytes atomic.Int64
 				u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
 					id, _ := readRequest(reader)
 					if how.reused {
 						write(conn, formatResponse(id, "first"))
 						id, _ = readRequest(reader)
 					}
-					write(conn, strings.Replace(complete.text, "ID", id, 1)[:cut+len(id)-len("ID")])
+					write(conn, strings.Replace(complete.text, "ID", id, 1)[:int(sentBytes.Load())+len(id)-len("ID")])
 					if how.reset {
 						// The bytes arrive before the reset discards them.
 						time.Sleep(200 * time.Microsecond)
@@ -87,7 +88,8 @@
 				})
 				go drainAccepted(t, u)
 				bodyStart := len(complete.text) - len(complete.body)
-				for cut = strings.Index(complete.text, "ID") + len("ID"); cut <= len(complete.text); cut++ {
+				for cut := strings.Index(complete.text, "ID") + len("ID"); cut <= len(complete.text); cut++ {
+					sentBytes.Store(int64(cut))
 					if how.reused {
 						_, _, err := f.exchange(u, "x")
 						f.Expect(err).NotTo(HaveOccurred())
--- a/pkg/upstream/cut_heads_test.go
+++ b/pkg/upstream/cut_heads_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,10 +34,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			cut, isReset := 0, false
+			var sentBytes atomic.Int64
+			var resets atomic.Bool
 			server := newScriptedServer(t, func(conn net.Conn, _ int) bool {
-				_, _ = io.WriteString(conn, test.text[:cut])
-				if isReset {
+				_, _ = io.WriteString(conn, test.text[:sentBytes.Load()])
+				if resets.Load() {
 					time.Sleep(200 * time.Microsecond)
 					_ = conn.(*net.TCPConn).SetLinger(0)
 				}
@@ -57,8 +59,10 @@
 			if test.events {
 				end -= len("\r\n0\r\n\r\n")
 			}
-			for cut = range end {
-				for _, isReset = range []bool{false, true} {
+			for cut := range end {
+				for _, isReset := range []bool{false, true} {
+					sentBytes.Store(int64(cut))
+					resets.Store(isReset)
 					for callName, call := range calls {
 						answer, err := call()
 						if err != nil {
