gateway: test answers that trickle without end

A head, a body and an event whose bytes come one at a time end at the deadline of the request with answer_timeout. The cases pass on the code before too; none covered them.

--- a/pkg/gateway/broken_answers_test.go
+++ b/pkg/gateway/broken_answers_test.go
@@ -106,6 +106,14 @@
 			}
 		}
 	}
+	trickle := func(conn net.Conn) {
+		for {
+			if _, err := io.WriteString(conn, "x"); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
 	for name, test := range map[string]struct {
 		path  string
 		write func(conn net.Conn, id string)
@@ -125,6 +133,18 @@
 			_, _ = fmt.Fprintf(conn, signedHead+"\r\n", id)
 			endless(conn, strings.Repeat("x", 4<<10))
 		}, 0},
+		"head that trickles": {"/short/", func(conn net.Conn, _ string) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Pad: ")
+			trickle(conn)
+		}, http.StatusGatewayTimeout},
+		"body that trickles": {"/short/", func(conn net.Conn, id string) {
+			_, _ = fmt.Fprintf(conn, signedHead+"Content-Length: 1000000\r\n\r\n", id)
+			trickle(conn)
+		}, http.StatusGatewayTimeout},
+		"event that trickles": {"/stream/", func(conn net.Conn, id string) {
+			_, _ = fmt.Fprintf(conn, signedHead+"\r\ndata: ", id)
+			trickle(conn)
+		}, http.StatusGatewayTimeout},
 		"event": {"/stream/", func(conn net.Conn, id string) {
 			_, _ = fmt.Fprintf(conn, signedHead+"\r\nid: 1\ndata: a\n\nid: 2\ndata: ", id)
 			endless(conn, strings.Repeat("x", 4<<10))
