--- a/pkg/drain/conn.go
+++ b/pkg/drain/conn.go
@@ -51,7 +51,7 @@
 	}
 	// The server may set its own deadline right after this one, so that the next look has
 	// to repeat it.
-	c.expired = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) == nil
+	c.expired = c.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
 // Read implements net.Conn.
@@ -88,7 +88,7 @@
 	if timeout := c.listener.headerTimeout; timeout > 0 && c.state != http.StateActive {
 		deadline = time.Now().Add(timeout)
 	}
-	return c.TCPConn.SetReadDeadline(deadline) == nil
+	return c.SetReadDeadline(deadline) == nil
 }
 
 // trackState is a http.Server.ConnState.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -3,17 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/poison"
@@ -82,9 +77,6 @@
 	// defaultRetryAfter is the Retry-After of an instance that cannot serve now.
 	// The platform takes two seconds to route callers to other instances.
 	defaultRetryAfter = time.Second
-	// stopRetryAfter is the mean Retry-After of an instance that stops. A caller's next
-	// connection leads to another instance.
-	stopRetryAfter = 200 * time.Millisecond
 )
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
@@ -120,26 +112,6 @@
 	x.dispatch()
 }
 
-// refuseLate returns an error if the instance stops and the request is not expected to end
-// before. It is called when the request has arrived, and again before it is sent, since
-// the body and the queue take time.
-func (x *exchange) refuseLate() *errkind.Error {
-	plan := x.g.stop.Load()
-	if plan == nil || x.mayHaveRun {
-		// A request that may have run cannot be refused any more: a retry or the rest of
-		// its stream serves the caller better than an error.
-		return nil
-	}
-	now := x.g.now()
-	usual := func() time.Duration { return x.g.routeDurations.usual(x.route.Name) }
-	if plan.admits(x.arrived, now, x.deadline, usual) {
-		return nil
-	}
-	x.g.metrics.lateRefused.Inc(1)
-	return errkind.New(errkind.ShuttingDown, "the instance ends its requests in %d ms; the deadline of this one is in %d ms, and such requests usually take %d ms",
-		(plan.end - now).Milliseconds(), (x.deadline - now).Milliseconds(), usual().Milliseconds())
-}
-
 // jitter returns a random duration between half of d and one and a half times d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
@@ -189,61 +161,6 @@
 	return nil
 }
 
-// readBody reads the whole body, since a retry sends it again.
-func (x *exchange) readBody() *errkind.Error {
-	maxBytes := x.table.Limits().BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultBodyBytes
-	}
-	body, err := x.readAll(maxBytes)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) && x.g.graceOver.Err() != nil:
-		return errkind.Wrap(errkind.ShuttingDown, err, "the body did not arrive before the instance stopped")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errkind.Wrap(errkind.DeadlineUnmeetable, err, "the body did not arrive before the deadline")
-	case errors.As(err, &tooLarge):
-		return errkind.Wrap(errkind.BodyTooLarge, err, "the body exceeds %d bytes", maxBytes)
-	case err != nil && x.r.Context().Err() != nil:
-		return errkind.Wrap(errkind.CallerGone, err, "the caller disconnected while its request was read")
-	case err != nil:
-		return errkind.Wrap(errkind.BadRequest, err, "the body cannot be read")
-	}
-	x.body = body
-	x.traits = x.traitsOf(x.contentHash())
-	return nil
-}
-
-// readAll reads the body until its end, the deadline of the request or the size limit.
-func (x *exchange) readAll(maxBytes int64) ([]byte, error) {
-	// Connections without deadlines occur in tests only.
-	controller := http.NewResponseController(x.w)
-	limited := controller.SetReadDeadline(time.Now().Add(x.deadline-x.g.now())) == nil
-	detach := context.AfterFunc(x.g.graceOver, func() { _ = controller.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
-	if !detach() {
-		// The read deadline may have expired, or is about to.
-		return nil, os.ErrDeadlineExceeded
-	}
-	if limited && err == nil {
-		// The server goes on reading to notice that the caller disconnects.
-		err = controller.SetReadDeadline(time.Time{})
-	}
-	return body, err
-}
-
-// contentHash returns a hash that is equal for
-// requests of one team with the same method, host, target and body.
-func (x *exchange) contentHash() uint64 {
-	var digest xxhash.Digest
-	for _, part := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.teamName()} {
-		// Writes to a digest do not fail.
-		_, _ = digest.WriteString(part + "\x00")
-	}
-	_, _ = digest.Write(x.body)
-	return digest.Sum64()
-}
-
 func (x *exchange) teamName() string {
 	if x.team == nil {
 		return ""
--- a/pkg/gateway/stop_policy.go
+++ b/pkg/gateway/stop_policy.go
@@ -5,6 +5,8 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 )
 
 // stopPlan holds the times of a planned stop, on the clock Options.Now.
@@ -32,6 +34,9 @@
 	// signalDelay is the time by which the signal to stop may reach the process late. Load
 	// balancers and callers count the notice from its sending.
 	signalDelay = 100 * time.Millisecond
+	// stopRetryAfter is the mean Retry-After of an instance that stops. A caller's next
+	// connection leads to another instance.
+	stopRetryAfter = 200 * time.Millisecond
 	// usualQuantile is the quantile of the durations of a route's requests that counts as
 	// usual: at most one in twenty admitted requests is expected to be cut off.
 	usualQuantile = 0.95
@@ -40,6 +45,26 @@
 	durationSamples = 64
 )
 
+// refuseLate returns an error if the instance stops and the request is not expected to end
+// before. It is called when the request has arrived, and again before it is sent, since
+// the body and the queue take time.
+func (x *exchange) refuseLate() *errkind.Error {
+	plan := x.g.stop.Load()
+	if plan == nil || x.mayHaveRun {
+		// A request that may have run cannot be refused any more: a retry or the rest of
+		// its stream serves the caller better than an error.
+		return nil
+	}
+	now := x.g.now()
+	usual := func() time.Duration { return x.g.routeDurations.usual(x.route.Name) }
+	if plan.admits(x.arrived, now, x.deadline, usual) {
+		return nil
+	}
+	x.g.metrics.lateRefused.Inc(1)
+	return errkind.New(errkind.ShuttingDown, "the instance ends its requests in %d ms; the deadline of this one is in %d ms, and such requests usually take %d ms",
+		(plan.end - now).Milliseconds(), (x.deadline - now).Milliseconds(), usual().Milliseconds())
+}
+
 // routeDurations samples the durations of answered requests by route. It is safe for
 // concurrent use.
 type routeDurations struct {
