soak: a fault of a link excuses an instance as long as it lasts

The log of edge-1 shows that the check was wrong: all eight requests that it sent to u0 from 52.43 s to 53.18 s broke together at 53.622 s without an answer, so the link held u0's answers back (faultHoldResponses), and the instance heard the word from a peer only at 53.650 s. The upstream's word counts from when the instance passes on an answer with it. The soak counted it from when the upstream wrote it, and excused faults that began or ended after that, not one that had begun before and was in progress.

The check is narrowed for that time only, and just for the link to that upstream.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,6 +34,7 @@
 	{601, "quotas: reports were read before the configuration named their teams; the process that started last reported for its failure domain; recent use without a record was assumed to leave the window evenly"},
 	{604, "quotas: same cause as 601"},
 	{3003, "quotas: after a restart of all, an instance that was cut off from the store stopped waiting for the usage records and assumed less than had been used"},
+	{8031, "soak: a link that held answers back did not excuse an instance that had not received an upstream's word"},
 	{607, "quotas: the relay, which reports the usage of its failure domain to other domains, stopped, and its successor had just started and reported less"},
 }
 
@@ -210,11 +211,15 @@
 	case faultResetUpstream:
 		d.upstreamLinks[upstream].CloseConnections()
 	case faultHoldResponses:
+		d.countLinkFault(upstream, 1)
+		defer d.countLinkFault(upstream, -1)
 		d.upstreamLinks[upstream].SetCut(testbed.CutToClient)
 		time.Sleep(duration)
 		d.upstreamLinks[upstream].CloseConnections()
 		d.upstreamLinks[upstream].SetCut(testbed.CutNone)
 	case faultDelayUpstream:
+		d.countLinkFault(upstream, 1)
+		defer d.countLinkFault(upstream, -1)
 		d.upstreamLinks[upstream].SetDelay(duration / 10)
 		time.Sleep(duration)
 		d.upstreamLinks[upstream].SetDelay(0)
