--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -33,6 +33,18 @@
 	return listener, server
 }
 
+// acceptedConn returns both ends of a connection that a listener has accepted before it was
+// closed.
+func acceptedConn(g *GomegaWithT, listener *Listener) (client net.Conn, accepted *conn) {
+	g.THelper()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	raw, err := listener.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listener.Close()).To(Succeed())
+	return client, raw.(*conn)
+}
+
 // Planned stop while connections wait in the queue of the listener. Guards against
 // resetting them although their requests have arrived.
 func TestConnectionsInQueueAreServedAtShutdown(t *testing.T) {
@@ -129,20 +141,15 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			listener, _ := newCallerServer(g, nil)
-			client, err := net.Dial("tcp4", listener.Addr().String())
-			g.Expect(err).NotTo(HaveOccurred())
+			client, c := acceptedConn(g, listener)
 			defer func() { _ = client.Close() }()
-			accepted, err := listener.Accept()
-			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(listener.Close()).To(Succeed())
-			c := accepted.(*conn)
 			trackState(c, http.StateIdle)
 			c.since = c.since.Add(-2 * SilenceTime)
 			if name == afterTheEnd {
 				g.Expect(listener.expireSilent(time.Now())).To(Equal(1))
 				g.Expect(c.expired).To(BeTrue())
 			}
-			_, err = io.WriteString(client, rawRequest)
+			_, err := io.WriteString(client, rawRequest)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Eventually(func() bool { return hasUnreadBytes(c.TCPConn) }, "10s").Should(BeTrue())
 			buffer := make([]byte, len(rawRequest))
--- a/pkg/drain/shutdown_test.go
+++ b/pkg/drain/shutdown_test.go
@@ -18,15 +18,10 @@
 func TestRestOfRequestIsReadWhenItsBeginningArrivesAtTheEndOfTheWait(t *testing.T) {
 	g := NewWithT(t)
 	listener, _ := newCallerServer(g, nil)
-	client, err := net.Dial("tcp4", listener.Addr().String())
-	g.Expect(err).NotTo(HaveOccurred())
+	client, c := acceptedConn(g, listener)
 	defer func() { _ = client.Close() }()
-	accepted, err := listener.Accept()
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(listener.Close()).To(Succeed())
-	c := accepted.(*conn)
 	c.since = c.since.Add(-2 * SilenceTime)
-	_, err = io.WriteString(client, rawRequest[:10])
+	_, err := io.WriteString(client, rawRequest[:10])
 	g.Expect(err).NotTo(HaveOccurred())
 	// Read as in conn.Read, but another goroutine looks between its two steps.
 	buffer := make([]byte, len(rawRequest))
