--- a/pkg/gateway/broken_answers_test.go
+++ b/pkg/gateway/broken_answers_test.go
@@ -203,6 +203,8 @@
 		senders.Go(func() {
 			cluster.send(context.Background(), cluster.instances[0], "/stream/", func(r *http.Request) { r.Header.Set("Request-Id", fmt.Sprint("r", n)) })
 		})
+		// Dials of more than 400 ms fail, as they are when all are made at once on a busy machine.
+		cluster.Eventually(held.Load, eventuallyTimeout).Should(BeNumerically(">=", n-callers/10))
 	}
 	cluster.Eventually(held.Load, eventuallyTimeout).Should(BeNumerically(">=", callers*9/10))
 	grown := heapBytes() - before
