--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -14,8 +14,11 @@
 	Slots   int
 	// Leaving upstreams get no new requests.
 	Leaving bool
-	// Incarnation changes each time the upstream's process is restarted.
+	// Incarnation is the start time of the upstream's process in Unix milliseconds; 0 if
+	// unknown.
 	Incarnation int64
+	// Sequence grows with each report of the process; 0 if unknown.
+	Sequence uint64
 }
 
 // Process identifies a process of an upstream: its ID may start again, and its address may
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -101,7 +101,7 @@
 	c.pool(info.Service).SetUpstream(info)
 	c.applyLeaving(info)
 	c.g.log.Info("upstream entry", "upstream", info.ID, "service", info.Service, "address", info.Address,
-		"domain", info.Domain, "leaving", info.Leaving, "revision", object.Revision)
+		"domain", info.Domain, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence, "revision", object.Revision)
 }
 
 func (c *controlLoop) removeUpstream(name, reason string) {
