admission, gateway: a late report does not bring a leaving upstream back

Cause: the store orders writes, and an upstream orders its reports; the gateway took the first order for the second. A call without a response may be executed seconds later, so the record that was written last may hold an earlier report. The record of any write replaced what was known, whatever process and report it was of, and what was known was forgotten with a record that was removed or malformed.

Fix: admission.ReportOrder orders the reports of an upstream by incarnation and sequence and keeps the last one beyond its record. An instance that reads an earlier report of a process that leaves passes that on, since an instance that starts now reads nothing else. It works whichever way the record takes (watch, list, relay), since it is asked where records are applied. A record that looks earlier and stays for 30 s is used after all, unless its process is known to leave: its upstream was started again with a clock that was set back, and would be out of use otherwise.

Weighed and not taken: treating leaving as final for a process (says nothing about an earlier incarnation, nor about other fields of a late report); dropping records with a lower revision (the late one has the higher revision); asking the health check of an upstream that returns (a call for each return, at each instance).

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -34,7 +34,7 @@
 // what it knows about its configuration, upstreams, dependencies and peers.
 var stateChangeMessages = map[string]bool{
 	"configuration in force": true, "configuration cannot be read; the last one stays in force": true,
-	"upstream entry": true, "upstream removed": true,
+	"upstream entry": true, "upstream removed": true, "earlier upstream report ignored": true,
 	"upstream leaves by its own word": true, "upstream asked for no requests": true,
 	"requests blocked": true, "requests released": true,
 	"dependency lost": true, "dependency regained": true,
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -37,6 +37,8 @@
 	// services maps the ID of each upstream to its service, and upstreams to its record.
 	services  map[string]string
 	upstreams map[string]admission.UpstreamInfo
+	// reportOrder decides which records of upstreams are used.
+	reportOrder *admission.ReportOrder
 	// placementReplies holds, by request key, the channels of queued requests.
 	placementReplies map[uint64]chan admission.Decision
 	quotas           *quota.TeamQuotas
@@ -84,6 +86,7 @@
 	return &controlLoop{
 		g: g, inbox: make(chan message, inboxCapacity), remoteReportsFrom: now + instanceListWait + remoteReportDelay,
 		pools: map[string]*admission.Pool{}, services: map[string]string{}, upstreams: map[string]admission.UpstreamInfo{},
+		reportOrder:      admission.NewReportOrder(),
 		placementReplies: map[uint64]chan admission.Decision{},
 		quotas: quota.NewTeamQuotas(quota.Rules{
 			Window: seconds(bounds.QuotaWindowSeconds), Overage: bounds.QuotaOverage, Slack: bounds.QuotaSlack,
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -45,6 +45,9 @@
 	// quietTimes the answers that asked for no requests.
 	upstreamsLeaving metrics.Counter
 	quietTimes       metrics.Counter
+	// earlierReports counts the entries of upstreams that were not used, since the upstream
+	// has made a later report.
+	earlierReports metrics.Counter
 	// lateRefused counts the requests that were refused since the instance stops before they
 	// can be expected to end.
 	lateRefused metrics.Counter
@@ -75,6 +78,7 @@
 		poisonRefused: counter("poison.refused"), poisonBlocked: counter("poison.blocked"),
 		lateRefused:      counter("stops.refused"),
 		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
+		earlierReports:     counter("upstreams.earlier_reports"),
 		poisonFingerprints: metrics.NewRegisteredGauge("poison.fingerprints", registry),
 		configVersion:      metrics.NewRegisteredGauge("config.version", registry),
 		waitMs:             histogram("wait.ms"), firstOutputMs: histogram("first_output.ms"), totalMs: histogram("total.ms"),
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -69,8 +69,13 @@
 		c.setUpstream(object)
 	}
 	for _, name := range update.Deleted {
+		c.reportOrder.Remove(c.g.now(), name)
 		c.removeUpstream(name, "its entry was removed")
 	}
+	for _, info := range c.reportOrder.Confirm(c.g.now(), update.AsOf) {
+		c.g.log.Info("earlier upstream report is used, since no later one has replaced it", "upstream", info.ID, "incarnation", info.Incarnation, "sequence", info.Sequence)
+		c.useUpstream(info, 0)
+	}
 }
 
 // decodeSpec decodes a store object. An object whose decoding panics counts as
@@ -80,8 +85,8 @@
 	return errors.Join(g.contain("store object", func() string { return string(object.Spec) }, func() { err = decode(object.Spec) }), err)
 }
 
-// setUpstream adds or replaces an upstream. If its record is malformed, the upstream
-// is removed.
+// setUpstream adds or replaces an upstream by its record. If the record is malformed, the
+// upstream is removed; if the upstream has made a later report, the record changes nothing.
 func (c *controlLoop) setUpstream(object storesync.Object) {
 	var info admission.UpstreamInfo
 	err := decodeSpec(c.g, object, func(spec []byte) (err error) {
@@ -90,9 +95,32 @@
 	})
 	if err != nil {
 		c.g.log.Info("upstream entry ignored", "upstream", object.Name, "revision", object.Revision, "error", err.Error())
+		c.reportOrder.Remove(c.g.now(), object.Name)
 		c.removeUpstream(object.Name, "its entry is malformed")
 		return
 	}
+	if !c.reportOrder.Accept(c.g.now(), info) {
+		c.ignoreEarlierReport(info, object.Revision)
+		return
+	}
+	c.useUpstream(info, object.Revision)
+}
+
+// ignoreEarlierReport records that the entry of an upstream was overwritten by an earlier
+// report. If the process is known to leave, the other instances are told, since an instance
+// that starts now reads nothing else.
+func (c *controlLoop) ignoreEarlierReport(info admission.UpstreamInfo, revision uint64) {
+	latest := c.reportOrder.Latest(info.ID)
+	c.g.metrics.earlierReports.Inc(1)
+	c.g.log.Info("earlier upstream report ignored", "upstream", info.ID, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence,
+		"revision", revision, "latest_leaving", latest.Leaving, "latest_incarnation", latest.Incarnation, "latest_sequence", latest.Sequence)
+	if since, leaves := c.reportOrder.LeavingSince(info.Process()); leaves {
+		c.recordLeaving(c.g.now(), since, info.Process(), "")
+	}
+}
+
+// useUpstream adds or replaces an upstream by its latest report.
+func (c *controlLoop) useUpstream(info admission.UpstreamInfo, revision uint64) {
 	if oldService, known := c.services[info.ID]; known && oldService != info.Service {
 		c.removeUpstream(info.ID, "it now belongs to another service")
 	}
@@ -101,7 +129,7 @@
 	c.pool(info.Service).SetUpstream(info)
 	c.applyLeaving(info)
 	c.g.log.Info("upstream entry", "upstream", info.ID, "service", info.Service, "address", info.Address,
-		"domain", info.Domain, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence, "revision", object.Revision)
+		"domain", info.Domain, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence, "revision", revision)
 }
 
 func (c *controlLoop) removeUpstream(name, reason string) {
--- /dev/null
+++ b/pkg/gateway/upstream_records_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/admission"
+	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+)
+
+// infoDecoder decodes upstream records that are written in the type of the gateway.
+type infoDecoder struct{ RecordDecoder }
+
+func (infoDecoder) Upstream(_ string, spec []byte) (info admission.UpstreamInfo, err error) {
+	err = json.Unmarshal(spec, &info)
+	return info, err
+}
+
+// applyRecord applies an update of the store at the time asOf, with one record or none.
+func applyRecord(c *controlLoop, asOf time.Duration, info *admission.UpstreamInfo) {
+	update := storesync.Update{Kind: c.g.objectKinds.Upstreams, AsOf: asOf}
+	if info != nil {
+		spec, err := json.Marshal(info)
+		if err != nil {
+			panic(err)
+		}
+		update.Changed = []storesync.Object{{Name: info.ID, Spec: spec}}
+	}
+	c.applyUpstreamUpdate(update)
+}
+
+// The clock of an upstream was set back between two starts, so that its records look older
+// than those of its predecessor. Guards against never using it again.
+func TestUpstreamWhoseClockWasSetBackIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	c := newTestControlLoop(t, &now, true)
+	c.g.recordDecoder = infoDecoder{}
+	first := admission.UpstreamInfo{ID: "u", Service: "desk", Address: "10.0.0.1:1", Incarnation: 9000, Sequence: 40}
+	next := admission.UpstreamInfo{ID: "u", Service: "desk", Address: "10.0.0.2:1", Incarnation: 5000, Sequence: 1}
+	applyRecord(c, now, &first)
+	now += time.Second
+	applyRecord(c, now, &next)
+	g.Expect(c.upstreams["u"]).To(Equal(first))
+	g.Expect(c.g.metrics.earlierReports.Count()).To(BeEquivalentTo(1))
+	for end := now + 35*time.Second; now < end; now += 700 * time.Millisecond {
+		applyRecord(c, now, nil)
+	}
+	g.Expect(c.upstreams["u"]).To(Equal(next))
+	decided := make(chan admission.Decision, 1)
+	submitMsg{request: &admission.Request{Key: 1, Service: "desk", Arrived: now, SoftDeadline: now + time.Second, Deadline: now + time.Second}, reply: decided}.apply(c)
+	c.update()
+	var decision admission.Decision
+	g.Eventually(decided).Should(Receive(&decision))
+	g.Expect(decision.Upstream).To(Equal(next))
+}
