storesync: deliver each write of an object, not only the last one

A watch answers with all events since the last one. If it held the report by which an upstream leaves and a late write of an earlier report, the instance read the late one only, as if the upstream had never left, and sent requests to it. In the same way an instance never had a configuration in force whose event was followed by a late write of an earlier one: the key that it took away was served on.

A watch kept the last event of each object, which is right only if the last write has the newest content.

Evidence: TestLateReportInTheSameAnswerIsIgnored (200 instead of 429), TestLateConfigurationInTheSameAnswerIsIgnored (version not in force after 20 s) and TestWatchDeliversEachWriteOfAnObjectInOrder failed before and pass now. The first two write both versions under one lock of the stand-in, so that no watch can come between them; a first form with a delayed watch depended on wall time.

Fix: all writes are delivered in the order of the store, to the reader and to the followers of the copy; what is newer is decided where the content is known, by the sequence of a report and by the version of a configuration. Only a deletion that a later write undoes is left out. A list still shows the last write alone: the upstreams' order is then known from what was read before, or from other instances.

--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -69,17 +69,28 @@
 
 // Put writes an object and returns its revision. A []byte is written as it is, any
 // other spec as JSON.
-func (s *Server) Put(kind, name string, spec any) uint64 {
-	content, ok := spec.([]byte)
-	if !ok {
-		var err error
-		if content, err = json.Marshal(spec); err != nil {
-			panic(err)
+func (s *Server) Put(kind, name string, spec any) uint64 { return s.PutSeries(kind, name, spec) }
+
+// PutSeries writes an object several times, so that a watch sees either none or all of the
+// writes, and returns the last revision.
+func (s *Server) PutSeries(kind, name string, specs ...any) (revision uint64) {
+	contents := make([][]byte, len(specs))
+	for i, spec := range specs {
+		content, ok := spec.([]byte)
+		if !ok {
+			var err error
+			if content, err = json.Marshal(spec); err != nil {
+				panic(err)
+			}
 		}
+		contents[i] = content
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.put(kind, name, content)
+	for _, content := range contents {
+		revision = s.put(kind, name, content)
+	}
+	return revision
 }
 
 // put writes an object unless its spec is unchanged. The caller holds the lock.
--- a/pkg/gateway/late_report_test.go
+++ b/pkg/gateway/late_report_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,12 +13,17 @@
 	"github.com/rosemarywing/rosemarywing/internal/standin/objectstore"
 )
 
+// report returns what a process of the upstream writes to the store.
+func (b *fakeUpstream) report(incarnation, sequence int, state string) map[string]any {
+	return map[string]any{
+		"service": "desk", "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "north",
+		"slots": b.slots, "state": state, "born": incarnation, "sequence": sequence,
+	}
+}
+
 // writeReport writes a report of an upstream to the store.
 func (c *testCluster) writeReport(upstream *fakeUpstream, incarnation, sequence int, state string) {
-	c.store.Put("servers", upstream.id, map[string]any{
-		"service": "desk", "address": strings.TrimPrefix(upstream.server.URL, "http://"), "zone": "north",
-		"slots": upstream.slots, "state": state, "born": incarnation, "sequence": sequence,
-	})
+	c.store.Put("servers", upstream.id, upstream.report(incarnation, sequence, state))
 }
 
 // awaitReport waits until all instances have read a report.
@@ -143,3 +149,31 @@
 	}, eventuallyTimeout).Should(BeTrue())
 	cluster.expectUnused(upstream)
 }
+
+// Failure: an instance reads the report by which an upstream leaves and a late one in the
+// same answer of the store. Guards against applying the last one only.
+func TestLateReportInTheSameAnswerIsIgnored(t *testing.T) {
+	cluster := newTestCluster(t, 1)
+	upstream := cluster.startUpstream("u1", answerWith("x"))
+	cluster.writeReport(upstream, 5, 7, "ready")
+	cluster.awaitReport("u1", 5, 7)
+	cluster.store.PutSeries("servers", "u1", upstream.report(5, 9, "draining"), upstream.report(5, 8, "ready"))
+	cluster.awaitReport("u1", 5, 8)
+	cluster.expectUnused(upstream)
+}
+
+// Failure: a late write of an earlier configuration is read in the same answer as the newest
+// one. Guards against an instance that never has the newest one in force.
+func TestLateConfigurationInTheSameAnswerIsIgnored(t *testing.T) {
+	cluster := newTestCluster(t, 1)
+	cluster.startUpstream("u1", answerWith("x"))
+	earlier := maps.Clone(cluster.config)
+	newer := maps.Clone(cluster.config)
+	newer["version"] = cluster.version + 1
+	newer["tenants"] = []map[string]any{{"name": "team-a", "api_keys": []string{"key-b"}, "priority": 1}}
+	cluster.store.PutSeries("config", "main", newer, earlier)
+	cluster.Eventually(func() bool {
+		return cluster.logged("configuration in force", fmt.Sprintf(`"version":%d,`, cluster.version+1))
+	}, eventuallyTimeout).Should(BeTrue())
+	cluster.Expect(cluster.post("/once/", nil).status).To(Equal(http.StatusUnauthorized))
+}
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -30,6 +30,7 @@
 			g.log.Error(err, "configuration cannot be read; the last one stays in force", "revision", object.Revision)
 			continue
 		}
+		readable = true
 		c.setConfig(config, object.Revision, update.AsOf)
 	}
 	if readable {
--- a/pkg/storesync/storesync.go
+++ b/pkg/storesync/storesync.go
@@ -84,8 +84,8 @@
 	Kind string
 	// Revision is the store revision of the copy after the update.
 	Revision uint64
-	// Changed holds the new and changed objects, and Deleted the names of the deleted
-	// ones.
+	// Changed holds the writes of objects in the order of the store, of which one object
+	// may have several, and Deleted the names of the objects that are deleted after them.
 	Changed []Object
 	Deleted []string
 	// AsOf is the time at which the copy is known to have been current: the time
--- a/pkg/storesync/syncer.go
+++ b/pkg/storesync/syncer.go
@@ -284,11 +284,11 @@
 	}
 	for i, event := range changes.Events {
 		switch {
-		case lastEvent[event.Object.Name] != i:
-		case event.Deleted:
-			update.Deleted = append(update.Deleted, event.Object.Name)
-		default:
+		case !event.Deleted:
+			// Also if it is not the last write, which may be a late one of older content.
 			update.Changed = append(update.Changed, event.Object)
+		case lastEvent[event.Object.Name] == i:
+			update.Deleted = append(update.Deleted, event.Object.Name)
 		}
 	}
 	return update, nil
--- a/pkg/storesync/syncer_test.go
+++ b/pkg/storesync/syncer_test.go
@@ -167,6 +167,39 @@
 	f.Eventually(f.store.recordedCalls, "20s").Should(Equal([]string{"list", "watch", "list", "watch"}))
 }
 
+// Failure: the events of a watch hold several writes of an object, of which the last one may
+// be a late write of what was known before. Guards against a reader that sees the last write
+// only, and against a deletion that is undone by an earlier event, or not undone by a later
+// one.
+func TestWatchDeliversEachWriteOfAnObjectInOrder(t *testing.T) {
+	deleted := func(name string, revision uint64) storesync.Event {
+		return storesync.Event{Object: object(name, revision), Deleted: true}
+	}
+	changed := func(name string, revision uint64) storesync.Event {
+		return storesync.Event{Object: object(name, revision)}
+	}
+	f := startSyncer(t, nil,
+		response{listing: storesync.Listing{Revision: 5, Objects: []storesync.Object{object("a", 1), object("b", 2), object("c", 3)}}},
+		response{changes: storesync.Changes{Revision: 20, Events: []storesync.Event{
+			changed("a", 6), changed("a", 7),
+			changed("b", 8), deleted("b", 9),
+			changed("c", 10), deleted("c", 11), changed("c", 12),
+		}}})
+	f.nextUpdate()
+	update := f.nextUpdate()
+	f.Expect(update.Changed).To(Equal([]storesync.Object{object("a", 6), object("a", 7), object("b", 8), object("c", 10), object("c", 12)}))
+	f.Expect(update.Deleted).To(Equal([]string{"b"}))
+	listing, _ := f.copied.List(context.Background())
+	f.Expect(listing.Objects).To(ConsistOf(object("a", 7), object("c", 12)))
+	// Followers of the copy get the same events.
+	followed, err := f.copied.Watch(context.Background(), 5)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(followed.Events).To(Equal([]storesync.Event{
+		changed("a", 6), changed("a", 7), changed("b", 8), changed("c", 10), changed("c", 12),
+		{Object: storesync.Object{Name: "b"}, Deleted: true},
+	}))
+}
+
 // Failure: objects expire during an outage of the store. Guards against dropping
 // upstreams that are registered again shortly after, and against keeping those that
 // are not.
