gateway: keep the word of a leaving upstream that comes before its record

What callers saw: requests reached an upstream that had said that it leaves, at an instance that had just started, until the next full report of another instance (0.8 s).

Cause: words in reports name upstreams by hash, and were dropped if no record with that hash had been read yet.

Evidence: TestWordOfLeavingThatComesBeforeTheRecordIsKept failed before (the request was placed) and passes now.

--- a/pkg/gateway/contain.go
+++ b/pkg/gateway/contain.go
@@ -97,7 +97,7 @@
 	c.pools = map[string]*admission.Pool{}
 	for _, info := range c.upstreams {
 		c.pool(info.Service).SetUpstream(info)
-		c.applyLeaving(info)
+		c.applyLeaving(info.Process())
 	}
 	c.follower.SetRelay("")
 	for _, follower := range c.relay.Followers() {
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -116,7 +116,7 @@
 	c.g.log.Info("earlier upstream report ignored", "upstream", info.ID, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence,
 		"revision", revision, "latest_leaving", latest.Leaving, "latest_incarnation", latest.Incarnation, "latest_sequence", latest.Sequence)
 	if since, leaves := c.reportOrder.LeavingSince(info.Process()); leaves {
-		c.recordLeaving(c.g.now(), since, info.Process(), "")
+		c.recordLeaving(c.g.now(), since, keyOf(info.Process()), "")
 	}
 }
 
@@ -128,7 +128,7 @@
 	c.services[info.ID], c.upstreams[info.ID] = info.Service, info
 	c.upstreamNames[loadshare.ShortHash(info.ID)] = info.ID
 	c.pool(info.Service).SetUpstream(info)
-	c.applyLeaving(info)
+	c.applyLeaving(info.Process())
 	c.g.log.Info("upstream entry", "upstream", info.ID, "service", info.Service, "address", info.Address,
 		"domain", info.Domain, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence, "revision", revision)
 }
--- a/pkg/gateway/upstream_records_test.go
+++ b/pkg/gateway/upstream_records_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
+	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
 )
 
@@ -50,10 +51,46 @@
 		applyRecord(c, now, nil)
 	}
 	g.Expect(c.upstreams["u"]).To(Equal(next))
-	decided := make(chan admission.Decision, 1)
-	submitMsg{request: &admission.Request{Key: 1, Service: "desk", Arrived: now, SoftDeadline: now + time.Second, Deadline: now + time.Second}, reply: decided}.apply(c)
-	c.update()
-	var decision admission.Decision
-	g.Eventually(decided).Should(Receive(&decision))
+	decision, _ := placement(g, c, now, 1)
 	g.Expect(decision.Upstream).To(Equal(next))
 }
+
+// placement submits a request and returns the decision, if there is one at once.
+func placement(g *WithT, c *controlLoop, now time.Duration, key uint64) (decision admission.Decision, decided bool) {
+	reply := make(chan admission.Decision, 1)
+	submitMsg{request: &admission.Request{Key: key, Service: "desk", Arrived: now, SoftDeadline: now + time.Second, Deadline: now + time.Second}, reply: reply}.apply(c)
+	c.update()
+	select {
+	case decision = <-reply:
+		return decision, true
+	default:
+		g.Expect(c.pool("desk").Dequeue(key)).To(BeTrue())
+		return decision, false
+	}
+}
+
+// Failure: an instance that starts is told by another one that a process of an upstream
+// leaves before it has read the upstream's record, which says that it is ready. Guards
+// against dropping the word, and against applying it to the next process.
+func TestWordOfLeavingThatComesBeforeTheRecordIsKept(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Minute
+	c := newTestControlLoop(t, &now, true)
+	c.g.recordDecoder = infoDecoder{}
+	word := loadshare.LeavingUpstream{Upstream: loadshare.ShortHash("u"), Incarnation: 5, AgeMs: 2000}
+	c.mergeLeaving(now, "b", []loadshare.LeavingUpstream{word})
+	info := admission.UpstreamInfo{ID: "u", Service: "desk", Address: "10.0.0.1:1", Incarnation: 5, Sequence: 8}
+	applyRecord(c, now, &info)
+	_, placed := placement(g, c, now, 1)
+	g.Expect(placed).To(BeFalse())
+	// The word is passed on, with its age.
+	var cursor uint64
+	word.AgeMs = 5000
+	g.Expect(c.leaving.export(now+3*time.Second, &cursor, true)).To(Equal([]loadshare.LeavingUpstream{word}))
+
+	info.Incarnation, info.Sequence = 6, 1
+	applyRecord(c, now, &info)
+	decision, placed := placement(g, c, now, 2)
+	g.Expect(placed).To(BeTrue())
+	g.Expect(decision.Upstream).To(Equal(info))
+}
