gateway, platform: make each write to the store conditional

A usage record that got no response took effect late and replaced a newer one: after a restart of all instances 4,000 tokens counted instead of 6,000, and the difference could be used once more (QUOTA). In the same way the registration of an instance replaced that of its next process, so that instances that started later looked for it at the previous address.

Cause: objects were created, or replaced whatever their revision was. A call that receives no response may be executed seconds later if its condition still holds; these had none.

Evidence: TestLateUsageRecordDoesNotReplaceANewerOne (4000 instead of 6000) and TestLateRegistrationDoesNotReplaceThatOfTheNextProcess (the first process's address) failed before and pass now. The stand-in of the store learned to postpone writes, to check revisions and to read one object for this.

Fix: Store.Put names the revision that it replaces, 0 for a new object, and returns the object as it is on a conflict; the gateway then decides to write again, three times at most. TestPutCreatesAndReplaces was written for the former interface; it now checks each conflict, and the same number of objects and records as before.

--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -43,6 +43,9 @@
 	LoseAnswers bool
 	// Delay delays the execution of every call.
 	Delay time.Duration
+	// PostponePuts closes the connection of a call that replaces an object without a
+	// response, and keeps the write until ExecutePostponed.
+	PostponePuts bool
 }
 
 // Server is the store. It is an http.Handler.
@@ -54,6 +57,8 @@
 	// compacted is the revision up to which the history was discarded.
 	compacted uint64
 	faults    Faults
+	// postponed holds the writes that were kept by the fault PostponePuts.
+	postponed []write
 	// changed is closed and replaced at each change of objects or faults.
 	changed chan struct{}
 	// calls is the number of calls by operation.
@@ -138,6 +143,27 @@
 	s.changed = make(chan struct{})
 }
 
+// ExecutePostponed executes the writes that were postponed, as far as their conditions still
+// hold, and returns their number.
+func (s *Server) ExecutePostponed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writes := s.postponed
+	s.postponed = nil
+	for _, w := range writes {
+		s.execute(w)
+	}
+	return len(writes)
+}
+
+// Get returns an object, and false if it does not exist.
+func (s *Server) Get(kind, name string) (Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, found := s.objects[kind][name]
+	return object, found
+}
+
 // Compact discards the history. Watches that start after an older revision then get
 // the status 410.
 func (s *Server) Compact() {
@@ -181,13 +207,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.mu.Lock()
-	status, dropAnswer := s.faults.Status, s.faults.LoseAnswers
+	status, dropAnswer, postponePuts := s.faults.Status, s.faults.LoseAnswers, s.faults.PostponePuts
 	s.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
 		return
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	if postponePuts && r.Method == http.MethodPut {
+		s.postpone(r, kind, name)
+		panic(http.ErrAbortHandler)
+	}
 	answer, status := s.dispatch(r, kind, name)
 	if dropAnswer {
 		panic(http.ErrAbortHandler)
@@ -230,6 +260,11 @@
 	switch {
 	case r.Method == http.MethodGet && query.Has("watch"):
 		return s.watch(r, kind)
+	case r.Method == http.MethodGet && name != "":
+		if object, found := s.Get(kind, name); found {
+			return object, http.StatusOK
+		}
+		return nil, http.StatusNotFound
 	case r.Method == http.MethodGet:
 		return s.list(kind, query.Get("after"), query.Has("stale_ok"))
 	case r.Method == http.MethodPost || r.Method == http.MethodPut:
@@ -325,21 +360,53 @@
 	return response, s.changed, true
 }
 
+// write is a call that creates or replaces an object.
+type write struct {
+	kind   string
+	create bool
+	object Object
+}
+
+// decodeWrite reads a write from a call and returns false if it is malformed.
+func decodeWrite(r *http.Request, kind, name string) (write, bool) {
+	w := write{kind: kind, create: r.Method == http.MethodPost}
+	err := json.NewDecoder(r.Body).Decode(&w.object)
+	return w, err == nil && (name != "" || w.object.Metadata.Name != "")
+}
+
 func (s *Server) writeObject(r *http.Request, kind, name string) (any, int) {
-	var object Object
-	if err := json.NewDecoder(r.Body).Decode(&object); err != nil || (name == "" && object.Metadata.Name == "") {
+	w, ok := decodeWrite(r, kind, name)
+	if !ok {
 		return nil, http.StatusBadRequest
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls["write"]++
-	existing, found := s.objects[kind][object.Metadata.Name]
-	if r.Method == http.MethodPost && found {
-		return existing, http.StatusConflict
+	return s.execute(w)
+}
+
+// postpone keeps a write for ExecutePostponed.
+func (s *Server) postpone(r *http.Request, kind, name string) {
+	if w, ok := decodeWrite(r, kind, name); ok {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.postponed = append(s.postponed, w)
 	}
-	if r.Method == http.MethodPut && !found {
+}
+
+// execute executes a write if its condition holds: that the object does not exist, or that
+// it has the revision that the write names. The caller holds the lock.
+func (s *Server) execute(w write) (any, int) {
+	name := w.object.Metadata.Name
+	existing, found := s.objects[w.kind][name]
+	switch {
+	case w.create && found:
+		return nil, http.StatusConflict
+	case !w.create && !found:
 		return nil, http.StatusNotFound
+	case found && w.object.Metadata.Revision != 0 && w.object.Metadata.Revision != existing.Metadata.Revision:
+		return existing, http.StatusConflict
 	}
-	s.put(kind, object.Metadata.Name, object.Spec)
-	return s.objects[kind][object.Metadata.Name], http.StatusOK
+	s.put(w.kind, name, w.object.Spec)
+	return s.objects[w.kind][name], http.StatusOK
 }
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -78,6 +78,9 @@
 	// written to the store.
 	usageCheckedAt time.Duration
 	usageWriting   atomic.Bool
+	// usageRevision is the revision of the usage record that this instance has written
+	// last; 0 if none.
+	usageRevision uint64
 }
 
 func newControlLoop(g *Gateway) *controlLoop {
--- a/pkg/gateway/quota_usage.go
+++ b/pkg/gateway/quota_usage.go
@@ -186,22 +186,28 @@
 		return
 	}
 	record := usageRecord{WrittenUnixMs: c.g.clock.Now().UnixMilli(), Used: used}
+	revision := c.usageRevision
 	go func() {
 		defer c.usageWriting.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		if err := c.g.store.Put(ctx, c.g.objectKinds.Usage, c.g.settings.Instance.Domain, record); err != nil {
+		written, err := c.g.writeObject(ctx, c.g.objectKinds.Usage, c.g.settings.Instance.Domain, record, revision)
+		if err != nil {
 			c.g.log.Info("writing the quota usage to the store failed", "teams", len(used), "error", err.Error())
 			return
 		}
-		c.g.enqueueContext(ctx, usageWrittenMsg{at: now, used: used})
+		c.g.enqueueContext(ctx, usageWrittenMsg{at: now, used: used, revision: written})
 	}()
 }
 
 // usageWrittenMsg states that a usage record was written to the store.
 type usageWrittenMsg struct {
-	at   time.Duration
-	used map[string][]float64
+	at       time.Duration
+	used     map[string][]float64
+	revision uint64
 }
 
-func (m usageWrittenMsg) apply(c *controlLoop) { c.quotas.MarkRecorded(m.at, m.used) }
+func (m usageWrittenMsg) apply(c *controlLoop) {
+	c.usageRevision = m.revision
+	c.quotas.MarkRecorded(m.at, m.used)
+}
--- a/pkg/gateway/registration.go
+++ b/pkg/gateway/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
@@ -89,13 +90,32 @@
 func (g *Gateway) registerAndList(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := g.store.Put(ctx, g.objectKinds.Instances, g.settings.Instance.Name, g.ownRecord()); err != nil {
+	if _, err := g.writeObject(ctx, g.objectKinds.Instances, g.settings.Instance.Name, g.ownRecord(), 0); err != nil {
 		return err
 	}
 	_, err := g.readInstances(ctx, g.store.List)
 	return err
 }
 
+// maxWriteAttempts bounds the calls for one write. More than one is needed if others write
+// the object, or if an earlier write of this instance has taken effect late.
+const maxWriteAttempts = 3
+
+// writeObject replaces an object of which revision is the last known revision, 0 if none is
+// known, and returns its new revision. Each call is conditional, so that one that takes
+// effect late does not replace what was written after it.
+func (g *Gateway) writeObject(ctx context.Context, kind, name string, spec any, revision uint64) (uint64, error) {
+	var object storesync.Object
+	var err error
+	for range maxWriteAttempts {
+		if object, err = g.store.Put(ctx, kind, name, spec, revision); !errors.Is(err, storesync.ErrConflict) {
+			break
+		}
+		revision = object.Revision
+	}
+	return object.Revision, err
+}
+
 // listAndRegister reads the records first, and writes this instance's record only
 // if its record from an earlier start is missing or outdated.
 func (g *Gateway) listAndRegister(ctx context.Context) error {
--- a/pkg/storesync/storesync.go
+++ b/pkg/storesync/storesync.go
@@ -13,8 +13,8 @@
 var (
 	// ErrCompacted means that the history after the given revision is no longer kept.
 	ErrCompacted = errors.New("the history after the revision was compacted")
-	// ErrConflict means that the object already exists or has another revision.
-	ErrConflict = errors.New("the object already exists or has another revision")
+	// ErrConflict means that the object already exists, has another revision or is gone.
+	ErrConflict = errors.New("the object already exists, has another revision or is gone")
 )
 
 // Object is one object of a kind. Spec is empty if the object could not be decoded.
@@ -75,8 +75,12 @@
 	Source
 	// ListStale is a cheaper List whose result may be seconds old.
 	ListStale(ctx context.Context, kind string) (Listing, error)
-	// Put creates or replaces an object.
-	Put(ctx context.Context, kind, name string, spec any) error
+	// Put creates an object if revision is 0, and otherwise replaces the one that has the
+	// revision. It returns the object as written. If the condition does not hold, it
+	// returns ErrConflict and the object as it is; revision 0 then means that there is
+	// none. A call that fails otherwise may take effect later if its condition still
+	// holds.
+	Put(ctx context.Context, kind, name string, spec any, revision uint64) (Object, error)
 }
 
 // Update is the result of a successful call, delivered by a Syncer.
