gateway: the age of the configuration grows while the newest one cannot be read

The newest configuration could not be decoded, and the one before it stayed in force for ever, with the keys that the newest one takes away; docs/OPERATIONS.md says that keys expire with its age.

Cause: that it could not be read was remembered for one update. The next watch that reported no change made the configuration in force current again, 0.7 s later.

Evidence: TestAgeGrowsWhileTheNewestConfigurationCannotBeRead failed before (age 0 instead of 3 s after two updates without a change) and passes now.

Fix: the control loop keeps whether the last write of the configuration could be decoded, and confirms the age only if so.

--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -37,6 +37,9 @@
 	// services maps the ID of each upstream to its service, and upstreams to its record.
 	services  map[string]string
 	upstreams map[string]admission.UpstreamInfo
+	// configUnreadable is true while the newest configuration could not be decoded. The one
+	// in force is then outdated, and its age grows.
+	configUnreadable bool
 	// reportOrder decides which records of upstreams are used.
 	reportOrder *admission.ReportOrder
 	// placementReplies holds, by request key, the channels of queued requests.
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -14,7 +14,6 @@
 // in force was last known to be current.
 func (c *controlLoop) applyConfigUpdate(update storesync.Update) {
 	g := c.g
-	readable := true
 	for _, object := range update.Changed {
 		if object.Name != g.objectKinds.ConfigName {
 			continue
@@ -24,16 +23,14 @@
 			config, err = g.recordDecoder.Config(spec)
 			return err
 		})
+		c.configUnreadable = err != nil
 		if err != nil {
-			// The configuration in force is outdated: its age must keep growing.
-			readable = false
 			g.log.Error(err, "configuration cannot be read; the last one stays in force", "revision", object.Revision)
 			continue
 		}
-		readable = true
 		c.setConfig(config, object.Revision, update.AsOf)
 	}
-	if readable {
+	if !c.configUnreadable {
 		g.configCurrentAt.Store(int64(update.AsOf))
 	}
 	if update.Recovered {
--- a/pkg/gateway/upstream_records_test.go
+++ b/pkg/gateway/upstream_records_test.go
@@ -10,11 +10,17 @@
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+	"github.com/rosemarywing/rosemarywing/pkg/traffic"
 )
 
-// infoDecoder decodes upstream records that are written in the type of the gateway.
+// infoDecoder decodes records that are written in the types of the gateway.
 type infoDecoder struct{ RecordDecoder }
 
+func (infoDecoder) Config(spec []byte) (config traffic.Config, err error) {
+	err = json.Unmarshal(spec, &config)
+	return config, err
+}
+
 func (infoDecoder) Upstream(_ string, spec []byte) (info admission.UpstreamInfo, err error) {
 	err = json.Unmarshal(spec, &info)
 	return info, err
@@ -94,3 +100,30 @@
 	g.Expect(placed).To(BeTrue())
 	g.Expect(decision.Upstream).To(Equal(info))
 }
+
+// Failure: the newest configuration cannot be read, and the store goes on confirming that
+// nothing has changed since. Guards against an age of the one in force that does not grow, so
+// that a key which the newest one takes away is served for ever.
+func TestAgeGrowsWhileTheNewestConfigurationCannotBeRead(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Minute
+	c := newTestControlLoop(t, &now, true)
+	c.g.recordDecoder = infoDecoder{}
+	apply := func(specs ...string) {
+		now += time.Second
+		update := storesync.Update{Kind: c.g.objectKinds.Config, AsOf: now}
+		for _, spec := range specs {
+			update.Changed = append(update.Changed, storesync.Object{Name: c.g.objectKinds.ConfigName, Spec: []byte(spec)})
+		}
+		c.applyConfigUpdate(update)
+	}
+	apply(`{"Version":1}`)
+	g.Expect(c.g.configAge()).To(BeZero())
+	apply(`{"Version":2`)
+	apply()
+	apply()
+	g.Expect(c.g.configAge()).To(Equal(3 * time.Second))
+	apply(`{"Version":3`, `{"Version":4}`)
+	g.Expect(c.g.configAge()).To(BeZero())
+	g.Expect(c.g.table.Load().Version()).To(BeEquivalentTo(4))
+}
