soak: reports of upstreams that take effect late

TestLateReports runs real processes while reports take effect up to 6 s late, records vanish and return, upstreams leave and start again under their ID, the store loses its history and instances are killed, and checks the bound of the platform, 2.5 s, for requests that callers send after an upstream has said that it leaves.

--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -16,6 +16,9 @@
 	// still arrive, and maxQuietArrivals bounds those of an instance in the rest of the time.
 	quietGrace       = 500 * time.Millisecond
 	maxQuietArrivals = 2
+	// startTime is the time after the start of an instance in which it need not know yet
+	// what the others know.
+	startTime = 4 * time.Second
 	// maxWordInterval is the longest time between two changes of what upstreams say.
 	maxWordInterval = 700 * time.Millisecond
 )
@@ -35,6 +38,9 @@
 	born      [maxUpstreams]int
 	toldLeave [maxUpstreams][maxInstances]time.Time
 	toldQuiet [maxUpstreams][maxInstances]*told
+	// drainedAt is when the record of an upstream has said that its process leaves; zero if
+	// it stays.
+	drainedAt [maxUpstreams]time.Time
 	// sentTo and sentAt say to which instance, and when, a client has sent a request.
 	sentTo map[string]int
 	sentAt map[string]time.Time
@@ -110,6 +116,9 @@
 			w.violations = append(w.violations, fmt.Sprintf("%s is the third to reach u%d from edge-%d in its quiet time of %s, %s after the word", id, upstream, instance, t.quiet, now.Sub(t.at)))
 		}
 	}
+	if at := w.drainedAt[upstream]; !at.IsZero() && w.sentAt[id].Sub(at) > recordDrainTime && w.sentAt[id].Sub(w.disturbedInstance[instance]) > startTime {
+		w.violations = append(w.violations, fmt.Sprintf("%s reached u%d from edge-%d %s after its record said that it leaves", id, upstream, instance, now.Sub(at)))
+	}
 	if w.leaving[upstream] {
 		header.Set("Server-Leaving", "1")
 		if w.toldLeave[upstream][instance].IsZero() {
