instance: ignore a report of leaving upstreams that arrives after a later one

An upstream that leaves was used again by the members of a failure domain, for up to 30 s, if a report of the list reader arrived after the next one, or one of the former reader after that of the new one; and at the reader itself, if the answer to a read of the platform's list came after that to a later read.

Cause: reports had no order, and a list was applied when it arrived.

Evidence: TestLateLeavingReportIsIgnored and TestSlowReadOfTheListDoesNotReplaceALaterOne failed before and pass now.

Fix: reports carry the reader, its incarnation and a sequence; a member ignores one that is not later than the last of that reader, or that is from a member which is no longer the reader while the one that it follows is. A read that began before the one in effect changes nothing. Members of earlier versions, whose reports have no number, are heard as before. TestListReaderReportsLeavingUpstreams checks the same upstreams in the report, which is now the whole message.

Looked at and in order: sched.Pool.ReportLoad (an older load report never replaces a newer one), member (incarnation, then refutation), leases, claims and records (each write names the version that it replaces), load reports between gateways (sequence and start time), prefix caches (not ordered by arrival beyond the stream of events).

--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -161,10 +161,10 @@
 	b.upstreamClient = upstream.NewClient(upstream.Options{})
 	b.directory = &directory{
 		platform: b.platform, domain: b.env.Settings.Instance.Domain,
-		view:         func() member.View { return b.members },
-		isListReader: func() bool { return holdsRole(b.members, listReaderRole, 1) },
-		dial:         func(address string) LeavingReporter { return b.dialer.Client(address) },
-		clock:        b.env.Clock,
+		view:      func() member.View { return b.members },
+		readsList: func(id string) bool { return memberHoldsRole(b.members, id, listReaderRole, 1) },
+		dial:      func(address string) LeavingReporter { return b.dialer.Client(address) },
+		clock:     b.env.Clock,
 	}
 }
 
--- a/pkg/instance/directory.go
+++ b/pkg/instance/directory.go
@@ -30,12 +30,13 @@
 // If every instance read the list of 960 instances and upstreams that often, it
 // would exceed its network budget of 5 KB/s many times over.
 type directory struct {
-	platform     platform.Instances
-	domain       string
-	view         func() member.View
-	isListReader func() bool
-	dial         func(address string) LeavingReporter
-	clock        clockwork.Clock
+	platform platform.Instances
+	domain   string
+	view     func() member.View
+	// readsList reports whether a member is the list reader.
+	readsList func(id string) bool
+	dial      func(address string) LeavingReporter
+	clock     clockwork.Clock
 
 	mu     sync.Mutex
 	list   []platform.ListedInstance
@@ -43,13 +44,29 @@
 	// leavingUpstreams names the upstreams of the domain that are leaving, sorted.
 	leavingUpstreams []string
 	reportedAt       time.Time
+	// sequence numbers the reports of this instance. received holds the last report of each
+	// reader, and lastReader the reader of the one that is in effect.
+	sequence   uint64
+	received   map[string]reportNumber
+	lastReader string
+}
+
+// reportNumber orders the reports of a list reader.
+type reportNumber struct{ incarnation, sequence uint64 }
+
+func (n reportNumber) after(other reportNumber) bool {
+	if n.incarnation != other.incarnation {
+		return n.incarnation > other.incarnation
+	}
+	return n.sequence > other.sequence
 }
 
 // Instances returns the platform's instance list. The list reader reads it at
 // each call; other members read it when their copy is older than
 // instanceListMaxAge or a look-up in it has failed.
 func (d *directory) Instances(ctx context.Context) ([]platform.ListedInstance, error) {
-	isReader := d.isListReader()
+	self := d.view().Self()
+	isReader := d.readsList(self.ID)
 	now := d.clock.Now()
 	d.mu.Lock()
 	if !isReader && !d.readAt.IsZero() && now.Sub(d.readAt) < instanceListMaxAge {
@@ -63,13 +80,21 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.readAt.After(now) {
+		// A read that began later was answered first.
+		return d.list, nil
+	}
 	d.list, d.readAt = list, now
 	leavingUpstreams := d.leavingInDomain(list)
 	changed := !slices.Equal(leavingUpstreams, d.leavingUpstreams)
 	d.leavingUpstreams = leavingUpstreams
 	if isReader && (changed || now.Sub(d.reportedAt) >= leavingReportInterval) {
 		d.reportedAt = now
-		go d.reportLeaving(context.WithoutCancel(ctx), leavingUpstreams)
+		d.sequence++
+		go d.reportLeaving(context.WithoutCancel(ctx), &peer.LeavingReport{
+			Upstreams: leavingUpstreams, Sequence: d.sequence,
+			Reader: &peer.InstanceRef{Id: self.ID, Incarnation: self.Incarnation},
+		})
 	}
 	return list, nil
 }
@@ -87,22 +112,47 @@
 	return leavingUpstreams
 }
 
-// reportLeaving sends the leaving upstreams to the other members. Failures are
+// reportLeaving sends a report of leaving upstreams to the other members. Failures are
 // ignored, since the report is repeated.
-func (d *directory) reportLeaving(ctx context.Context, leavingUpstreams []string) {
+func (d *directory) reportLeaving(ctx context.Context, report *peer.LeavingReport) {
 	for _, address := range d.peerAddresses() {
-		_, _ = d.dial(address).ReportLeaving(ctx, &peer.LeavingReport{Upstreams: leavingUpstreams})
+		_, _ = d.dial(address).ReportLeaving(ctx, report)
 	}
 }
 
-// ReportLeaving implements peer.LeavingHandler.
+// ReportLeaving implements peer.LeavingHandler. It ignores a report that arrives after a
+// later one.
 func (d *directory) ReportLeaving(_ context.Context, in *peer.LeavingReport) (*peer.Ack, error) {
+	reader := in.GetReader().GetId()
+	isReader := d.readsList(reader)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.leavingUpstreams = slices.Sorted(slices.Values(in.Upstreams))
+	if d.isLateReport(in, isReader) {
+		return &peer.Ack{}, nil
+	}
+	d.leavingUpstreams, d.lastReader = slices.Sorted(slices.Values(in.GetUpstreams())), reader
 	return &peer.Ack{}, nil
 }
 
+// isLateReport reports whether a later report of the reader was received, or one of the
+// member that has replaced it as reader. Members of earlier versions don't number their
+// reports. The caller holds mu.
+func (d *directory) isLateReport(in *peer.LeavingReport, isReader bool) bool {
+	reader := in.GetReader().GetId()
+	if in.GetSequence() == 0 {
+		return false
+	}
+	number := reportNumber{in.GetReader().GetIncarnation(), in.GetSequence()}
+	if last, known := d.received[reader]; known && !number.after(last) {
+		return true
+	}
+	if d.received == nil {
+		d.received = map[string]reportNumber{}
+	}
+	d.received[reader] = number
+	return !isReader && reader != d.lastReader && d.lastReader != "" && d.readsList(d.lastReader)
+}
+
 // entries returns the instances of the entry daemon in a failure domain, from the
 // copy of the platform's instance list.
 func (d *directory) entries(domain string) []platform.ListedInstance {
@@ -187,17 +237,21 @@
 	return addresses
 }
 
-// holdsRole reports whether this instance holds the role with the given key. Of
+// holdsRole reports whether this instance holds the role with the given key.
+func holdsRole(view member.View, key string, count int) bool {
+	return memberHoldsRole(view, view.Self().ID, key, count)
+}
+
+// memberHoldsRole reports whether a member holds the role with the given key. Of
 // the owners of the key, the first count that reach the platform hold the role;
 // if no owner reaches the platform, the first count of all owners do.
-func holdsRole(view member.View, key string, count int) bool {
+func memberHoldsRole(view member.View, id, key string, count int) bool {
 	owners := view.Owners(key)
 	reachable := slices.DeleteFunc(slices.Clone(owners), func(m member.Member) bool { return m.Detached })
 	if len(reachable) == 0 {
 		reachable = owners
 	}
-	self := view.Self().ID
-	return slices.ContainsFunc(reachable[:min(count, len(reachable))], func(m member.Member) bool { return m.ID == self })
+	return slices.ContainsFunc(reachable[:min(count, len(reachable))], func(m member.Member) bool { return m.ID == id })
 }
 
 // hashID returns a hash of an instance ID, from which random sources are seeded.
--- a/pkg/instance/directory_test.go
+++ b/pkg/instance/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,11 +35,11 @@
 }
 func (twoMemberView) Find(string) (member.Member, bool) { return member.Member{}, false }
 
-// reportRecorder receives the upstreams of each report.
-type reportRecorder chan []string
+// reportRecorder receives the reports.
+type reportRecorder chan *peer.LeavingReport
 
 func (r reportRecorder) ReportLeaving(_ context.Context, in *peer.LeavingReport) (*peer.Ack, error) {
-	r <- in.Upstreams
+	r <- in
 	return &peer.Ack{}, nil
 }
 
@@ -46,9 +47,9 @@
 	clock := clockwork.NewFakeClock()
 	return &directory{
 		platform: list, domain: "north", clock: clock,
-		view:         func() member.View { return twoMemberView{} },
-		isListReader: func() bool { return isReader },
-		dial:         func(string) LeavingReporter { return sent },
+		view:      func() member.View { return twoMemberView{} },
+		readsList: func(id string) bool { return isReader && id == "a" },
+		dial:      func(string) LeavingReporter { return sent },
 	}, clock
 }
 
@@ -66,14 +67,88 @@
 	_, err := reader.Instances(context.Background())
 	g.Expect(err).NotTo(HaveOccurred())
 	report := <-sent
-	g.Expect(report).To(Equal([]string{"booking-1"}))
+	g.Expect(report.GetUpstreams()).To(Equal([]string{"booking-1"}))
 	other, _ := newDirectory(&countingList{}, false, nil)
-	_, err = other.ReportLeaving(context.Background(), &peer.LeavingReport{Upstreams: report})
+	_, err = other.ReportLeaving(context.Background(), report)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(other.isLeaving("booking-1")).To(BeTrue())
 	g.Expect(other.isLeaving("booking-2")).To(BeFalse())
 }
 
+// Failure: a report of leaving upstreams arrives after a later one, of the same reader, of an
+// earlier process of it, or of the reader before it. Guards against an upstream that is used
+// again although it leaves, until the next report half a minute later.
+func TestLateLeavingReportIsIgnored(t *testing.T) {
+	report := func(reader string, incarnation, sequence uint64, upstreams ...string) *peer.LeavingReport {
+		return &peer.LeavingReport{Upstreams: upstreams, Reader: &peer.InstanceRef{Id: reader, Incarnation: incarnation}, Sequence: sequence}
+	}
+	for name, test := range map[string]struct {
+		before, late *peer.LeavingReport
+		ignored      bool
+	}{
+		"same reader":                    {report("a", 5, 2, "booking-1"), report("a", 5, 1), true},
+		"twice":                          {report("a", 5, 2, "booking-1"), report("a", 5, 2), true},
+		"earlier process of the reader":  {report("a", 5, 1, "booking-1"), report("a", 4, 9), true},
+		"former reader":                  {report("a", 5, 1, "booking-1"), report("b", 9, 9), true},
+		"next report":                    {report("a", 5, 1, "booking-1"), report("a", 5, 2), false},
+		"next process of the reader":     {report("a", 5, 9, "booking-1"), report("a", 6, 1), false},
+		"new reader":                     {report("b", 9, 9, "booking-1"), report("a", 5, 1), false},
+		"member without report numbers":  {report("a", 5, 9, "booking-1"), &peer.LeavingReport{}, false},
+		"first report of another reader": {&peer.LeavingReport{Upstreams: []string{"booking-1"}}, report("b", 5, 1), false},
+	} {
+		g := NewWithT(t)
+		d, _ := newDirectory(&countingList{}, true, nil)
+		for _, in := range []*peer.LeavingReport{test.before, test.late} {
+			_, err := d.ReportLeaving(context.Background(), in)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(d.isLeaving("booking-1")).To(Equal(test.ignored), name)
+	}
+}
+
+// slowList is an instance list whose first answer waits for the second one.
+type slowList struct {
+	answers       [2][]platform.ListedInstance
+	first, second chan struct{}
+	calls         atomic.Int32
+}
+
+func (s *slowList) Instances(context.Context) ([]platform.ListedInstance, error) {
+	if s.calls.Add(1) > 1 {
+		return s.answers[1], nil
+	}
+	close(s.first)
+	<-s.second
+	return s.answers[0], nil
+}
+
+// Failure: the answer to a read of the instance list arrives after that to a later read.
+// Guards against an upstream that is used again although it leaves.
+func TestSlowReadOfTheListDoesNotReplaceALaterOne(t *testing.T) {
+	g := NewWithT(t)
+	leaving := func(leaves bool) []platform.ListedInstance {
+		return []platform.ListedInstance{{Name: "booking-1", Domain: "north", Role: "upstream", Leaving: leaves}}
+	}
+	list := &slowList{answers: [2][]platform.ListedInstance{leaving(false), leaving(true)}, first: make(chan struct{}), second: make(chan struct{})}
+	sent := make(reportRecorder, 4)
+	d, clock := newDirectory(nil, true, sent)
+	d.platform = list
+	done := make(chan error, 1)
+	go func() {
+		_, err := d.Instances(context.Background())
+		done <- err
+	}()
+	<-list.first
+	clock.Advance(time.Second)
+	_, err := d.Instances(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	close(list.second)
+	g.Expect(<-done).To(Succeed())
+	g.Expect(d.isLeaving("booking-1")).To(BeTrue())
+	g.Expect((<-sent).GetUpstreams()).To(Equal([]string{"booking-1"}))
+	g.Consistently(sent, "20ms").ShouldNot(Receive())
+}
+
 // Guards against members other than the list reader that read the list every few
 // seconds, which exceeds their network budget, and against a copy that is never
 // refreshed.
