admission: a quiet time outlasts the record of the upstream

Cause: the quiet time was part of the upstream, which is removed with its record; an answer that arrived without a record was dropped, and another address of the same process began without a quiet time.

Evidence: TestQuietTimeOutlastsTheRecord and TestQuietTimeIsKeptWithoutARecord failed before and pass now.

Fix: the ends of quiet times are kept by process (ID and incarnation) until they have passed, and applied when a record of the process is read. The result of a request names the process that it was sent to. A test of a contained panic compares the whole message, which names that process now.

--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -40,6 +40,8 @@
 	// scaled to an engine of speed 1.
 	slotTimeMs float64
 	random     *rand.Rand
+	// quietUntil holds the ends of the quiet times by process.
+	quietUntil map[Process]time.Duration
 	allocation allocation
 	// overdue lists the upstreams of requests that became overdue.
 	overdue []string
@@ -67,7 +69,7 @@
 // NewPool returns a pool without upstreams. random must be seeded differently at
 // each instance.
 func NewPool(service Service, location Location, tuning Tuning, random *rand.Rand) *Pool {
-	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerRecord{}, slotTimeMs: initialSlotTimeMs}
+	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerRecord{}, quietUntil: map[Process]time.Duration{}, slotTimeMs: initialSlotTimeMs}
 }
 
 // SetService updates the description of the service.
@@ -79,7 +81,7 @@
 }
 
 // SetUpstream adds or updates an upstream. A new incarnation or address discards
-// what is known of the former process.
+// what is known of the former process, except its quiet time.
 func (p *Pool) SetUpstream(info UpstreamInfo) {
 	u := p.upstreams[info.ID]
 	if u == nil || u.info.Incarnation != info.Incarnation || u.info.Address != info.Address {
@@ -87,6 +89,7 @@
 		for _, report := range p.peers {
 			u.addPeerLoad(report, info.ID)
 		}
+		p.applyQuiet(u)
 		p.upstreams[info.ID] = u
 		p.sortUpstreams()
 	}
@@ -292,12 +295,21 @@
 	TotalTime time.Duration
 	// QuietTime is the time for which the upstream wants no request of this instance.
 	QuietTime time.Duration
+	// Process is the process that the request was sent to. If it is empty, that of the
+	// record is meant.
+	Process Process
 }
 
 // Finish removes a request from its upstream and updates the estimates of the
 // upstream's speed and failure rate.
 func (p *Pool) Finish(now time.Duration, upstreamID string, key uint64, result Result) {
 	u := p.upstreams[upstreamID]
+	if result.Process == (Process{}) && u != nil {
+		result.Process = u.info.Process()
+	}
+	if result.QuietTime > 0 {
+		p.startQuiet(now, result.Process, result.QuietTime)
+	}
 	if u == nil {
 		return
 	}
@@ -316,9 +328,6 @@
 	}
 	u.recordRelease(now)
 	p.observe(now, u, running, result)
-	if result.QuietTime > 0 {
-		p.startQuiet(now, u, result.QuietTime)
-	}
 }
 
 // observe updates the estimates of an upstream by the result of a request. running is
--- a/pkg/admission/quiet.go
+++ b/pkg/admission/quiet.go
@@ -13,12 +13,29 @@
 	maxQuietSpread = 500 * time.Millisecond
 )
 
-// startQuiet stops requests to an upstream for a time that it has asked for. After it,
-// requests are sent one at a time until one is answered.
-func (p *Pool) startQuiet(now time.Duration, u *upstream, quiet time.Duration) {
+// startQuiet stops requests to a process that has asked for it, for a time. After it,
+// requests are sent one at a time until one is answered. The end of the time is kept
+// beside the upstream, whose record may vanish and return.
+func (p *Pool) startQuiet(now time.Duration, process Process, quiet time.Duration) {
+	for known, end := range p.quietUntil {
+		if now >= end {
+			delete(p.quietUntil, known)
+		}
+	}
 	spread := min(time.Duration(float64(quiet)*quietSpread), maxQuietSpread)
-	u.quietUntil = max(u.quietUntil, now+quiet+time.Duration(p.random.Float64()*float64(spread)))
-	u.failedAttempts = max(1, u.failedAttempts)
+	end := now + quiet + time.Duration(p.random.Float64()*float64(spread))
+	p.quietUntil[process] = max(p.quietUntil[process], end)
+	if u := p.upstreams[process.ID]; u != nil {
+		p.applyQuiet(u)
+	}
+}
+
+// applyQuiet applies the quiet time of an upstream's process, if there is one.
+func (p *Pool) applyQuiet(u *upstream) {
+	if end, quiet := p.quietUntil[u.info.Process()]; quiet {
+		u.quietUntil = end
+		u.failedAttempts = max(1, u.failedAttempts)
+	}
 }
 
 // accepts reports whether the upstream wants the request now. A quiet time is for the
--- a/pkg/admission/quiet_test.go
+++ b/pkg/admission/quiet_test.go
@@ -121,3 +121,64 @@
 		})
 	}
 }
+
+// Failure: the record of an upstream that has asked for a quiet time vanishes and returns,
+// since its path to the store was cut, or names another address. Guards against requests
+// within the quiet time, and against a quiet time of the next process.
+func TestQuietTimeOutlastsTheRecord(t *testing.T) {
+	record := admission.UpstreamInfo{ID: "e0", Service: "llm", Address: "a0", Domain: "north", Slots: 8, Incarnation: 1, Sequence: 4}
+	const quiet, inTime, after = 20 * time.Second, 12 * time.Second, 21 * time.Second
+	for name, test := range map[string]struct {
+		returns func(f *fixture)
+		held    bool
+	}{
+		"removed and back": {func(f *fixture) {
+			f.pool.RemoveUpstream("e0")
+			f.pool.SetUpstream(record)
+		}, true},
+		"removed and back twice": {func(f *fixture) {
+			for range 2 {
+				f.pool.RemoveUpstream("e0")
+				f.pool.SetUpstream(record)
+			}
+		}, true},
+		"another address": {func(f *fixture) {
+			record := record
+			record.Address = "b0"
+			f.pool.SetUpstream(record)
+		}, true},
+		"next process": {func(f *fixture) {
+			record := record
+			record.Incarnation = 2
+			f.pool.RemoveUpstream("e0")
+			f.pool.SetUpstream(record)
+		}, false},
+	} {
+		f := newFixture(t, 0)
+		f.pool.SetUpstream(record)
+		f.askForQuiet(0, quiet)
+		test.returns(f)
+		f.submit(inTime, 1, 100)
+		f.Expect(placed(f.pool.Schedule(inTime))).To(HaveLen(map[bool]int{true: 0, false: 1}[test.held]), name)
+		f.submit(after, 1, 100)
+		f.submit(after, 1, 100)
+		if test.held {
+			f.Expect(count(placed(f.pool.Schedule(after)))).To(Equal(1), "%s: one request at a time until one is answered", name)
+		}
+	}
+}
+
+// Failure: the answer by which an upstream asks for a quiet time arrives while the upstream
+// has no record. Guards against forgetting it.
+func TestQuietTimeIsKeptWithoutARecord(t *testing.T) {
+	f := newFixture(t, 0)
+	record := admission.UpstreamInfo{ID: "e0", Service: "llm", Address: "a0", Domain: "north", Slots: 8, Incarnation: 1}
+	f.pool.SetUpstream(record)
+	key := f.submit(0, 1, 100)
+	f.Expect(placed(f.pool.Schedule(0))).To(HaveKey("e0"))
+	f.pool.RemoveUpstream("e0")
+	f.pool.Finish(second, "e0", key, admission.Result{Outcome: admission.Rejected, QuietTime: 20 * second, Process: record.Process()})
+	f.pool.SetUpstream(record)
+	f.submit(2*second, 1, 100)
+	f.Expect(placed(f.pool.Schedule(2 * second))).To(BeEmpty())
+}
--- a/pkg/gateway/contain_test.go
+++ b/pkg/gateway/contain_test.go
@@ -137,5 +137,5 @@
 		panic("unexpected")
 	}()
 	g.Expect(x.w.(*httptest.ResponseRecorder).Code).To(Equal(http.StatusBadGateway))
-	g.Expect(<-c.inbox).To(Equal(finishMsg{upstream: "u1", key: 7, result: admission.Result{Outcome: admission.Cancelled}}), "the slot is released")
+	g.Expect(<-c.inbox).To(Equal(finishMsg{upstream: "u1", key: 7, result: admission.Result{Outcome: admission.Cancelled, Process: admission.Process{ID: "u1"}}}), "the slot is released")
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -402,7 +402,7 @@
 func (x *exchange) reportResult(decision admission.Decision, result attemptResult) {
 	x.placement = nil
 	x.g.enqueue(finishMsg{service: x.service, upstream: decision.Upstream.ID, key: x.request.Key, result: admission.Result{
-		Outcome: result.outcome, EventInterval: result.eventInterval, TotalTime: result.totalTime, QuietTime: result.quietTime,
+		Outcome: result.outcome, EventInterval: result.eventInterval, TotalTime: result.totalTime, QuietTime: result.quietTime, Process: decision.Upstream.Process(),
 	}})
 	switch result.outcome {
 	case admission.Broken:
