--- a/pkg/admission/report_order.go
+++ b/pkg/admission/report_order.go
@@ -119,7 +119,9 @@
 		record.stood += step
 		o.obsolete[id] = record
 		_, leaves := o.LeavingSince(record.info.Process())
-		if record.stood >= maxReportDelay && !(leaves && record.info.Incarnation > 0) {
+		// Without an incarnation it may be another process.
+		leaves = leaves && record.info.Incarnation > 0
+		if record.stood >= maxReportDelay && !leaves {
 			o.record(now, record.info)
 			used = append(used, record.info)
 		}
