loadshare, quota: hear an instance again whose clock was set back

An instance that starts again with a clock that was set back was not heard by the others until its clock had passed the start of its previous process. Meanwhile its load was unknown, and after 30 s its share of the quotas was given to others; what it used counted as a part of what its previous process had reported, so that a team got 6300 tokens where 2900 were left.

Cause: processes are ordered by their start times, and a lower one was always taken for an earlier process.

Evidence: TestPeerWhoseClockWasSetBackIsHeardAgain, TestPeerThatHasStoppedIsHeardAgainAtOnce and TestRestartOfPeerWhoseClockWasSetBackKeepsUsage failed before and pass now. TestStaleReportsAreRejected is unchanged.

Fix: a lower start time is that of an earlier process only while the later one is heard. Quotas take each other start time of a peer as a restart; late reports do not reach them. For a failure domain the oldest start time stays ordered, since it falls when an older instance can be reached again.

--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -55,6 +55,63 @@
 	g.Expect(current).To(BeFalse(), "a report from the instance itself")
 }
 
+// Failure: an instance starts again with a clock that was set back, so that its start time is
+// before that of its previous process. Guards against never hearing it again, and against
+// taking a late report of the previous process for one of the next.
+func TestPeerWhoseClockWasSetBackIsHeardAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		domain  string
+		covered uint16
+	}{"of the own failure domain": {"north", 0}, "relay of another failure domain": {"south", 3}} {
+		g := NewWithT(t)
+		p := loadshare.NewPeers("b", "north", 40, 5)
+		next := func(now time.Duration, startTime int64, sequence uint64) (current, recovered bool) {
+			p.MarkUnreachable(now)
+			return handleReport(g, p, now, report("z", test.domain, test.covered, startTime, sequence))
+		}
+		next(time.Second, 900, 40)
+		current, _ := next(1200*time.Millisecond, 500, 1)
+		g.Expect(current).To(BeFalse(), "%s: the previous process was heard just before", name)
+		current, recovered := next(2*time.Second, 500, 3)
+		g.Expect([]bool{current, recovered}).To(Equal([]bool{true, true}), name)
+		current, _ = next(2*time.Second, 500, 2)
+		g.Expect(current).To(BeFalse(), "%s: late", name)
+		current, _ = next(2100*time.Millisecond, 500, 4)
+		g.Expect(current).To(BeTrue(), name)
+	}
+}
+
+// Failure: the relay of a large failure domain starts again with a clock that was set back.
+// Guards against followers that never take its replies.
+func TestRelayWhoseClockWasSetBackIsHeardAgain(t *testing.T) {
+	g := NewWithT(t)
+	p := loadshare.NewPeers("b", "north", 40, 5)
+	reply := func(now time.Duration, startTime int64, sequence uint64) bool {
+		p.MarkUnreachable(now)
+		current, _, err := p.HandleReply(now, &loadshare.Reply{Instance: "a", Domain: "north", Address: "127.0.0.1:7001", StartTime: startTime, Sequence: sequence}, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		return current
+	}
+	g.Expect(reply(time.Second, 900, 40)).To(BeTrue())
+	g.Expect(reply(1200*time.Millisecond, 500, 1)).To(BeFalse())
+	g.Expect(reply(2*time.Second, 500, 3)).To(BeTrue())
+	g.Expect(reply(2*time.Second, 500, 2)).To(BeFalse())
+}
+
+// An instance announces its stop and starts again with a clock that was set back. Guards
+// against waiting until it counts as unreachable.
+func TestPeerThatHasStoppedIsHeardAgainAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := loadshare.NewPeers("b", "north", 40, 5)
+	stopped := report("a", "north", 0, 900, 40)
+	stopped.Stopped = true
+	handleReport(g, p, time.Second, stopped)
+	current, _ := handleReport(g, p, time.Second, report("a", "north", 0, 900, 39))
+	g.Expect(current).To(BeFalse())
+	current, _ = handleReport(g, p, time.Second, report("a", "north", 0, 500, 1))
+	g.Expect(current).To(BeTrue())
+}
+
 // Failure: the relay crashes or shuts down. Guards against a failure domain in which
 // no instance reads the store and whose load the other failure domains do not see.
 func TestNextInstanceBecomesRelayWhenRelayIsLost(t *testing.T) {
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -193,7 +193,7 @@
 }
 
 func (d *remoteDomain) update(now time.Duration, report Report) (current, recovered bool) {
-	if report.Instance == d.relay && isStale(report, d.startTime, d.sequence) {
+	if report.Instance == d.relay && isStale(report, d.startTime, d.sequence, d.unreachable) {
 		return false, false
 	}
 	recovered = d.unreachable
@@ -202,7 +202,7 @@
 }
 
 func (e *peer) update(now time.Duration, report Report) (current, recovered bool, err error) {
-	if isStale(report, e.startTime, e.sequence) {
+	if isStale(report, e.startTime, e.sequence, e.unreachable) {
 		return false, false, nil
 	}
 	if report.StartTime != e.startTime {
@@ -216,8 +216,14 @@
 	return true, recovered, nil
 }
 
-func isStale(report Report, startTime int64, sequence uint64) bool {
-	return report.StartTime < startTime || (report.StartTime == startTime && report.Sequence <= sequence)
+// isStale reports whether a report was sent before the last one, which had the given start
+// time and sequence. silent is true if the sender has not been heard since: a lower start
+// time is then that of a new process with a clock that was set back.
+func isStale(report Report, startTime int64, sequence uint64, silent bool) bool {
+	if report.StartTime != startTime {
+		return report.StartTime < startTime && !silent
+	}
+	return report.Sequence <= sequence
 }
 
 // LocalTargets returns the addresses in the local failure domain to send a message
--- a/pkg/loadshare/roles.go
+++ b/pkg/loadshare/roles.go
@@ -156,7 +156,7 @@
 		return false, false, err
 	}
 	entry := p.localPeers[reply.Instance]
-	if reply.StartTime < entry.startTime || (reply.StartTime == entry.replyStartTime && reply.Sequence <= entry.replySequence) {
+	if (reply.StartTime < entry.startTime && !entry.unreachable) || (reply.StartTime == entry.replyStartTime && reply.Sequence <= entry.replySequence) {
 		return false, false, nil
 	}
 	if reply.StartTime != entry.startTime {
--- a/pkg/quota/peer.go
+++ b/pkg/quota/peer.go
@@ -50,7 +50,7 @@
 	SourceRelayed
 )
 
-// generation returns a number that grows when a peer restarts, and for a failure
+// generation returns a number that changes when a peer restarts, and for a failure
 // domain only when all of its instances have restarted: while one of them keeps
 // running, it knows the usage of the others, and the number is 0.
 func (u UsageReport) generation() int64 {
@@ -88,7 +88,10 @@
 // sender's window. Only the part above the sum known here counts as new usage, so
 // that the next report makes up for a lost one.
 func (p *peerUsage) applyReport(now, window time.Duration, report UsageReport) {
-	if generation := report.generation(); generation > p.generation {
+	// The start time of a peer is lower than before if its clock was set back. The oldest
+	// one of a failure domain is also lower once an older instance can be reached again.
+	generation := report.generation()
+	if generation > p.generation || (!report.RemoteDomain && generation != p.generation) {
 		if p.generation != 0 {
 			p.previous.addAll(now, window, p.current)
 			p.current, p.latest.Used = teamWindows{}, nil
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -232,6 +232,16 @@
 	g.Expect(used).To(BeNumerically(">", 2000))
 }
 
+// A peer restarts, and its clock is behind that of its previous process. Guards against
+// taking its usage for a part of what the previous process has reported.
+func TestRestartOfPeerWhoseClockWasSetBackKeepsUsage(t *testing.T) {
+	g := NewWithT(t)
+	a := quota.NewTeamQuotas(rules, 0, false)
+	a.ApplyReport(time.Second, "b", quota.UsageReport{StartTime: 9, CoveredInstances: 1, Used: map[string]float64{"desk": 5000}})
+	a.ApplyReport(2*time.Second, "b", quota.UsageReport{StartTime: 4, CoveredInstances: 1, Used: map[string]float64{"desk": 3000}})
+	g.Expect(exhaust(a, 2*time.Second)).To(BeNumerically("<=", bound-8000))
+}
+
 func TestRefundedAmountIsAvailableAgain(t *testing.T) {
 	g := NewWithT(t)
 	teams := quota.NewTeamQuotas(rules, 0, false)
