gateway: the last word of an upstream counts for a process whose record is read later

What callers saw: requests reached an upstream 0.9 s after it had said that it leaves (0.5 s allowed by the soak), and a third one in its quiet time (two are allowed).

Cause: an answer names its upstream and not its process, and was taken to be from the process whose record was known. With the next record the word was dropped.

TestWordOfProcessWhoseRecordIsNotReadYet covers the six cases on virtual time.

Fix: the last word of each upstream is kept until it ends. If the next record at the same address is of a process that had started before the word was said, that process gets the rest of the quiet time, or 30 s for a word of leaving, and is then asked again: clocks may differ, and a wrong guess must not cost an upstream for good.

The soak and TestNextProcessAfterALeavingOneIsUsed now state the start of a process in Unix milliseconds, as the platform does, instead of counting processes; what they check is unchanged.

--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -308,7 +308,7 @@
 		result.Process = u.info.Process()
 	}
 	if result.QuietTime > 0 {
-		p.startQuiet(now, result.Process, result.QuietTime)
+		p.SetQuiet(now, result.Process, result.QuietTime)
 	}
 	if u == nil {
 		return
--- a/pkg/admission/quiet.go
+++ b/pkg/admission/quiet.go
@@ -13,10 +13,10 @@
 	maxQuietSpread = 500 * time.Millisecond
 )
 
-// startQuiet stops requests to a process that has asked for it, for a time. After it,
+// SetQuiet stops requests to a process that has asked for it, for a time. After it,
 // requests are sent one at a time until one is answered. The end of the time is kept
 // beside the upstream, whose record may vanish and return.
-func (p *Pool) startQuiet(now time.Duration, process Process, quiet time.Duration) {
+func (p *Pool) SetQuiet(now time.Duration, process Process, quiet time.Duration) {
 	for known, end := range p.quietUntil {
 		if now >= end {
 			delete(p.quietUntil, known)
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -49,6 +49,8 @@
 	peers            *loadshare.Peers
 	poison           *poison.Detector
 	leaving          *leavingUpstreams
+	// lastWords holds the last words of upstreams in answers, by ID.
+	lastWords map[string]lastWord
 	// upstreamNames and teamNames map the short hashes in reports to names.
 	upstreamNames map[uint32]string
 	teamNames     map[uint32]string
@@ -104,6 +106,7 @@
 		peers:         newPeers(g),
 		poison:        newPoisonDetector(g),
 		leaving:       newLeavingUpstreams(),
+		lastWords:     map[string]lastWord{},
 		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{}, pendingReports: map[string]pendingReport{},
 		follower: delegation.NewFollower(), relay: delegation.NewRelay(func() uint64 { return g.lastRequestKey.Add(1) }),
 	}
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -126,6 +126,7 @@
 	c.upstreamNames[loadshare.ShortHash(info.ID)] = info.ID
 	c.pool(info.Service).SetUpstream(info)
 	c.applyLeaving(info.Process())
+	c.attributeLastWord(info)
 	c.g.log.Info("upstream entry", "upstream", info.ID, "service", info.Service, "address", info.Address,
 		"domain", info.Domain, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence, "revision", revision)
 }
--- a/pkg/gateway/upstream_records_test.go
+++ b/pkg/gateway/upstream_records_test.go
@@ -61,14 +61,14 @@
 	g.Expect(decision.Upstream).To(Equal(next))
 }
 
-// placement submits a request and returns the decision, if there is one at once.
-func placement(g *WithT, c *controlLoop, now time.Duration, key uint64) (decision admission.Decision, decided bool) {
+// placement submits a request and returns the decision, and whether it is placed at once.
+func placement(g *WithT, c *controlLoop, now time.Duration, key uint64) (decision admission.Decision, placed bool) {
 	reply := make(chan admission.Decision, 1)
 	submitMsg{request: &admission.Request{Key: key, Service: "desk", Arrived: now, SoftDeadline: now + time.Second, Deadline: now + time.Second}, reply: reply}.apply(c)
 	c.update()
 	select {
 	case decision = <-reply:
-		return decision, true
+		return decision, decision.Action == admission.Place
 	default:
 		g.Expect(c.pool("desk").Dequeue(key)).To(BeTrue())
 		return decision, false
@@ -127,3 +127,44 @@
 	g.Expect(c.g.configAge()).To(BeZero())
 	g.Expect(c.g.table.Load().Version()).To(BeEquivalentTo(4))
 }
+
+// Failure: a process of an upstream starts under the ID and the address of its predecessor,
+// and says in an answer that it leaves, or wants no requests, before its record is read.
+// Guards against taking the word for that of its predecessor only, and against applying the
+// word of the predecessor to it.
+func TestWordOfProcessWhoseRecordIsNotReadYet(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply   Reply
+		started time.Duration // from the word to the start of the next process
+		address string
+		held    time.Duration
+	}{
+		"leaving, its own":             {Reply{Leaving: true}, -time.Second, "10.0.0.1:1", unattributedLeavingTime},
+		"quiet, its own":               {Reply{QuietTime: 5 * time.Second}, -time.Second, "10.0.0.1:1", 5 * time.Second},
+		"leaving, of its predecessor":  {Reply{Leaving: true}, time.Second, "10.0.0.1:1", 0},
+		"quiet, of its predecessor":    {Reply{QuietTime: 5 * time.Second}, time.Second, "10.0.0.1:1", 0},
+		"leaving, of another address":  {Reply{Leaving: true}, -time.Second, "10.0.0.2:1", 0},
+		"leaving and a long quietness": {Reply{Leaving: true, QuietTime: time.Minute}, -time.Second, "10.0.0.1:1", time.Minute},
+	} {
+		g := NewWithT(t)
+		now := time.Minute
+		c := newTestControlLoop(t, &now, true)
+		c.g.recordDecoder = infoDecoder{}
+		said := c.g.clock.Now().UnixMilli()
+		info := admission.UpstreamInfo{ID: "u", Service: "desk", Address: "10.0.0.1:1", Incarnation: said - 60_000}
+		applyRecord(c, now, &info)
+		upstreamWordMsg{upstream: info, reply: test.reply, saidUnixMs: said}.apply(c)
+		now += time.Second
+		info.Incarnation, info.Address = said+test.started.Milliseconds(), test.address
+		applyRecord(c, now, &info)
+		if test.held > 0 {
+			now += test.held - 2*time.Second
+			_, placed := placement(g, c, now, 1)
+			g.Expect(placed).To(BeFalse(), name)
+			now += 2*time.Second + time.Second
+		}
+		decision, placed := placement(g, c, now, 2)
+		g.Expect(placed).To(BeTrue(), name)
+		g.Expect(decision.Upstream.Process()).To(Equal(info.Process()), name)
+	}
+}
--- a/pkg/gateway/upstream_word.go
+++ b/pkg/gateway/upstream_word.go
@@ -15,6 +15,9 @@
 	// that are kept.
 	maxReportedLeaving = 64
 	maxLeavingWords    = 4096
+	// unattributedLeavingTime is how long the next process of an upstream gets no requests
+	// if the word of leaving may have been its own.
+	unattributedLeavingTime = 30 * time.Second
 )
 
 // processKey identifies a process of an upstream in reports, also before its record is
@@ -82,12 +85,55 @@
 	return exported
 }
 
-// upstreamLeavingMsg records that the answer of an upstream said that it leaves.
-type upstreamLeavingMsg struct{ process admission.Process }
+// lastWord is the last word of an upstream in an answer. An answer names the upstream and not
+// its process, which may have been replaced before its record was.
+type lastWord struct {
+	address string
+	// incarnation is that of the process to which the word was attributed.
+	incarnation int64
+	// saidUnixMs is when the answer arrived, and until how long the upstream wants no
+	// requests.
+	saidUnixMs int64
+	until      time.Duration
+}
+
+// upstreamWordMsg records what an answer said about its upstream, besides the quiet time of
+// the process that the request was sent to.
+type upstreamWordMsg struct {
+	upstream   admission.UpstreamInfo
+	reply      Reply
+	saidUnixMs int64
+}
+
+func (m upstreamWordMsg) apply(c *controlLoop) {
+	now := c.g.now()
+	quiet := m.reply.QuietTime
+	if m.reply.Leaving {
+		c.recordLeaving(now, now, keyOf(m.upstream.Process()), "")
+		quiet = max(quiet, unattributedLeavingTime)
+	}
+	for id, word := range c.lastWords {
+		if now >= word.until {
+			delete(c.lastWords, id)
+		}
+	}
+	until := max(c.lastWords[m.upstream.ID].until, now+quiet)
+	c.lastWords[m.upstream.ID] = lastWord{address: m.upstream.Address, incarnation: m.upstream.Incarnation, saidUnixMs: m.saidUnixMs, until: until}
+}
 
-func (m upstreamLeavingMsg) apply(c *controlLoop) {
+// attributeLastWord applies the last word of an upstream to its next process, if that had
+// started before the word was said. Clocks may differ, so that the process gets a quiet time
+// and is asked again after it.
+func (c *controlLoop) attributeLastWord(info admission.UpstreamInfo) {
 	now := c.g.now()
-	c.recordLeaving(now, now, keyOf(m.process), "")
+	word, known := c.lastWords[info.ID]
+	if !known || now >= word.until || word.incarnation == info.Incarnation || word.address != info.Address || word.saidUnixMs < info.Incarnation {
+		return
+	}
+	word.incarnation = info.Incarnation
+	c.lastWords[info.ID] = word
+	c.pool(info.Service).SetQuiet(now, info.Process(), word.until-now)
+	c.g.log.Info("upstream had spoken before its record was read", "upstream", info.ID, "incarnation", info.Incarnation, "for_ms", (word.until - now).Milliseconds())
 }
 
 // recordLeaving stops requests to a process of an upstream, or keeps the word until the
@@ -130,8 +176,8 @@
 
 // heedUpstream acts on what the head of an upstream's answer says about the upstream.
 func (x *exchange) heedUpstream(upstream admission.UpstreamInfo, reply Reply) {
-	if reply.Leaving {
-		x.g.enqueue(upstreamLeavingMsg{process: upstream.Process()})
+	if reply.Leaving || reply.QuietTime > 0 {
+		x.g.enqueue(upstreamWordMsg{upstream: upstream, reply: reply, saidUnixMs: x.g.clock.Now().UnixMilli()})
 	}
 	if reply.QuietTime > 0 {
 		x.g.metrics.quietTimes.Inc(1)
--- a/pkg/gateway/upstream_word_test.go
+++ b/pkg/gateway/upstream_word_test.go
@@ -113,8 +113,8 @@
 	address := strings.TrimPrefix(upstream.server.URL, "http://")
 	for _, entry := range []struct {
 		id   string
-		born int
-	}{{"u1", 2}, {"u9", 1}} {
+		born int64
+	}{{"u1", time.Now().UnixMilli()}, {"u9", 1}} {
 		cluster.store.Put("servers", entry.id, map[string]any{"service": "desk", "address": address, "zone": "north", "slots": 8, "state": "ready", "born": entry.born})
 		cluster.Eventually(func() int { return cluster.post("/once/", nil).status }, eventuallyTimeout).Should(Equal(http.StatusOK))
 		cluster.store.Delete("servers", entry.id)
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -110,6 +110,7 @@
 		link, err := testbed.NewLink(strings.TrimPrefix(server.URL, "http://"))
 		d.requireNoError(err)
 		d.upstreamServers, d.upstreamLinks = append(d.upstreamServers, server), append(d.upstreamLinks, link)
+		d.words.born[i] = time.Now().UnixMilli()
 		t.Cleanup(server.Close)
 		t.Cleanup(server.CloseClientConnections)
 		t.Cleanup(link.Close)
@@ -160,7 +161,7 @@
 
 func (d *deployment) upstreamRecord(upstream int, state string) map[string]any {
 	return map[string]any{
-		"service": "desk", "address": d.upstreamLinks[upstream].Address(), "zone": "north", "slots": d.layout.slots, "state": state, "born": 1 + d.words.born[upstream],
+		"service": "desk", "address": d.upstreamLinks[upstream].Address(), "zone": "north", "slots": d.layout.slots, "state": state, "born": d.words.born[upstream],
 	}
 }
 
--- a/test/soak/late_report_test.go
+++ b/test/soak/late_report_test.go
@@ -81,7 +81,7 @@
 // restart replaces the process by the next one under the same ID.
 func (r *reporter) restart() {
 	r.d.words.drainedAt[r.upstream] = time.Time{}
-	r.d.words.born[r.upstream]++
+	r.d.words.born[r.upstream] = time.Now().UnixMilli()
 	r.state, r.sequence = "ready", 0
 	r.write(r.report())
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,6 +35,8 @@
 	{604, "quotas: same cause as 601"},
 	{3003, "quotas: after a restart of all, an instance that was cut off from the store stopped waiting for the usage records and assumed less than had been used"},
 	{8031, "soak: a link that held answers back did not excuse an instance that had not received an upstream's word"},
+	{8042, "upstreams: the word of a process that came before its record was taken for that of the process before it"},
+	{8047, "upstreams: same cause as 8042"},
 	{607, "quotas: the relay, which reports the usage of its failure domain to other domains, stopped, and its successor had just started and reported less"},
 }
 
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -33,9 +33,10 @@
 // upstreamWords is what the upstreams say of themselves, and whom they have told. Its fields
 // are guarded by deployment.mu.
 type upstreamWords struct {
-	leaving   [maxUpstreams]bool
-	shedding  [maxUpstreams]time.Duration
-	born      [maxUpstreams]int
+	leaving  [maxUpstreams]bool
+	shedding [maxUpstreams]time.Duration
+	// born is when the process of an upstream has started, in Unix milliseconds.
+	born      [maxUpstreams]int64
 	toldLeave [maxUpstreams][maxInstances]time.Time
 	toldQuiet [maxUpstreams][maxInstances]*told
 	// drainedAt is when the record of an upstream has said that its process leaves; zero if
@@ -84,7 +85,7 @@
 func (d *deployment) startProcess(upstream int) {
 	w := &d.words
 	w.leaving[upstream] = false
-	w.born[upstream]++
+	w.born[upstream] = time.Now().UnixMilli()
 	w.toldLeave[upstream], w.toldQuiet[upstream] = [maxInstances]time.Time{}, [maxInstances]*told{}
 	d.store.Put("servers", fmt.Sprintf("u%d", upstream), d.upstreamRecord(upstream, "ready"))
 }
