gateway: a word of leaving that may be of the next process counts for 10 s

30 s is more than needed: the record of a process that leaves says so, or is removed, within a few of its reports, and where clocks differ the time is lost for an upstream that stays. Terms: what was received instead of what was heard.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -35,7 +35,7 @@
 var stateChangeMessages = map[string]bool{
 	"configuration in force": true, "configuration cannot be read; the last one stays in force": true,
 	"upstream entry": true, "upstream removed": true, "earlier upstream report ignored": true,
-	"upstream leaves by its own word": true, "upstream had spoken before its record was read": true, "upstream asked for no requests": true,
+	"upstream leaves by its own word": true, "earlier answer applied to the next process of the upstream": true, "upstream asked for no requests": true,
 	"requests blocked": true, "requests released": true,
 	"dependency lost": true, "dependency regained": true,
 	"peer lost": true, "peer heard": true, "peer stopped": true,
--- a/pkg/gateway/upstream_word.go
+++ b/pkg/gateway/upstream_word.go
@@ -16,8 +16,9 @@
 	maxReportedLeaving = 64
 	maxLeavingWords    = 4096
 	// unattributedLeavingTime is how long the next process of an upstream gets no requests
-	// if the word of leaving may have been its own.
-	unattributedLeavingTime = 30 * time.Second
+	// if the word of leaving may have been its own. Its record says so within a few of its
+	// reports.
+	unattributedLeavingTime = 10 * time.Second
 )
 
 // processKey identifies a process of an upstream in reports, also before its record is
@@ -91,8 +92,8 @@
 	address string
 	// incarnation is that of the process to which the word was attributed.
 	incarnation int64
-	// saidUnixMs is when the answer arrived, and until how long the upstream wants no
-	// requests.
+	// saidUnixMs is the wall clock time at which the answer arrived, and until the end of
+	// the time in which the upstream wants no requests.
 	saidUnixMs int64
 	until      time.Duration
 }
@@ -133,7 +134,7 @@
 	word.incarnation = info.Incarnation
 	c.lastWords[info.ID] = word
 	c.pool(info.Service).SetQuiet(now, info.Process(), word.until-now)
-	c.g.log.Info("upstream had spoken before its record was read", "upstream", info.ID, "incarnation", info.Incarnation, "for_ms", (word.until - now).Milliseconds())
+	c.g.log.Info("earlier answer applied to the next process of the upstream", "upstream", info.ID, "incarnation", info.Incarnation, "for_ms", (word.until - now).Milliseconds())
 }
 
 // recordLeaving stops requests to a process of an upstream, or keeps the word until the
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -56,9 +56,9 @@
 }
 
 // Failure: an instance starts again with a clock that was set back, so that its start time is
-// before that of its previous process. Guards against never hearing it again, and against
+// before that of its previous process. Guards against ignoring all its reports, and against
 // taking a late report of the previous process for one of the next.
-func TestPeerWhoseClockWasSetBackIsHeardAgain(t *testing.T) {
+func TestReportsOfPeerWhoseClockWasSetBackAreUsed(t *testing.T) {
 	for name, test := range map[string]struct {
 		domain  string
 		covered uint16
@@ -71,7 +71,7 @@
 		}
 		next(time.Second, 900, 40)
 		current, _ := next(1200*time.Millisecond, 500, 1)
-		g.Expect(current).To(BeFalse(), "%s: the previous process was heard just before", name)
+		g.Expect(current).To(BeFalse(), "%s: the previous process has just sent a report", name)
 		current, recovered := next(2*time.Second, 500, 3)
 		g.Expect([]bool{current, recovered}).To(Equal([]bool{true, true}), name)
 		current, _ = next(2*time.Second, 500, 2)
@@ -83,7 +83,7 @@
 
 // Failure: the relay of a large failure domain starts again with a clock that was set back.
 // Guards against followers that never take its replies.
-func TestRelayWhoseClockWasSetBackIsHeardAgain(t *testing.T) {
+func TestRepliesOfRelayWhoseClockWasSetBackAreUsed(t *testing.T) {
 	g := NewWithT(t)
 	p := loadshare.NewPeers("b", "north", 40, 5)
 	reply := func(now time.Duration, startTime int64, sequence uint64) bool {
@@ -100,7 +100,7 @@
 
 // An instance announces its stop and starts again with a clock that was set back. Guards
 // against waiting until it counts as unreachable.
-func TestPeerThatHasStoppedIsHeardAgainAtOnce(t *testing.T) {
+func TestReportsOfStoppedPeerWhoseClockWasSetBackAreUsedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	p := loadshare.NewPeers("b", "north", 40, 5)
 	stopped := report("a", "north", 0, 900, 40)
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -217,8 +217,8 @@
 }
 
 // isStale reports whether a report was sent before the last one, which had the given start
-// time and sequence. silent is true if the sender has not been heard since: a lower start
-// time is then that of a new process with a clock that was set back.
+// time and sequence. silent is true if no report has arrived since: a lower start time is
+// then that of a new process whose clock was set back.
 func isStale(report Report, startTime int64, sequence uint64, silent bool) bool {
 	if report.StartTime != startTime {
 		return report.StartTime < startTime && !silent
