rollout: decisions of a roll-out; storesync, platform: status of objects

Cause: orders to move a service to upstreams of another version are not read today, so that a faulty version gets as many requests as any other.

Change: pkg/rollout decides on the stages of a roll-out, and compares the results of two versions by route and load. Objects of the store carry their status, which is written under the condition of a revision; upstreams carry their version and the time that they still need to warm up. Nothing uses them yet.

--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -17,12 +17,15 @@
 type Object struct {
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status,omitempty"`
 }
 
 // Metadata is the name of an object and the revision of its last change.
 type Metadata struct {
 	Name     string `json:"name"`
 	Revision uint64 `json:"revision"`
+	// CreateRevision is the revision at which the object was created.
+	CreateRevision uint64 `json:"create_revision"`
 }
 
 // event is a change of an object.
@@ -100,11 +103,21 @@
 
 // put writes an object unless its spec is unchanged. The caller holds the lock.
 func (s *Server) put(kind, name string, spec []byte) uint64 {
-	if current, found := s.objects[kind][name]; found && string(current.Spec) == string(spec) {
+	current, found := s.objects[kind][name]
+	if found && string(current.Spec) == string(spec) {
 		return current.Metadata.Revision
 	}
+	current.Spec = spec
+	return s.change(kind, name, current)
+}
+
+// change stores an object under the next revision. The caller holds the lock.
+func (s *Server) change(kind, name string, object Object) uint64 {
 	s.revision++
-	object := Object{Metadata: Metadata{Name: name, Revision: s.revision}, Spec: spec}
+	object.Metadata.Name, object.Metadata.Revision = name, s.revision
+	if object.Metadata.CreateRevision == 0 {
+		object.Metadata.CreateRevision = s.revision
+	}
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]Object{}
 	}
@@ -364,12 +377,15 @@
 type write struct {
 	kind   string
 	create bool
+	// status is true if the status of the object is replaced instead of its spec.
+	status bool
 	object Object
 }
 
 // decodeWrite reads a write from a call and returns false if it is malformed.
 func decodeWrite(r *http.Request, kind, name string) (write, bool) {
-	w := write{kind: kind, create: r.Method == http.MethodPost}
+	name, status := strings.CutSuffix(name, "/status")
+	w := write{kind: kind, create: r.Method == http.MethodPost, status: status}
 	err := json.NewDecoder(r.Body).Decode(&w.object)
 	return w, err == nil && (name != "" || w.object.Metadata.Name != "")
 }
@@ -407,6 +423,12 @@
 	case found && w.object.Metadata.Revision != 0 && w.object.Metadata.Revision != existing.Metadata.Revision:
 		return existing, http.StatusConflict
 	}
-	s.put(w.kind, name, w.object.Spec)
+	switch {
+	case !w.status:
+		s.put(w.kind, name, w.object.Spec)
+	case string(existing.Status) != string(w.object.Status):
+		existing.Status = w.object.Status
+		s.change(w.kind, name, existing)
+	}
 	return s.objects[w.kind][name], http.StatusOK
 }
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -12,6 +12,11 @@
 	Address string
 	Domain  string
 	Slots   int
+	// Version is the version of the software of the upstream; empty if unknown.
+	Version string
+	// Warmup is how long the upstream is slower than usual after its start, as of its last
+	// report.
+	Warmup time.Duration
 	// Leaving upstreams get no new requests.
 	Leaving bool
 	// Incarnation is the start time of the upstream's process in Unix milliseconds; 0 if
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -90,7 +90,7 @@
 }
 
 func encodeObject(object storesync.Object) *peer.StoredObject {
-	return &peer.StoredObject{Name: object.Name, Revision: object.Revision, Spec: object.Spec}
+	return &peer.StoredObject{Name: object.Name, Revision: object.Revision, Spec: object.Spec, Status: object.Status}
 }
 
 // relaySource reads the store copies of another instance. It implements
@@ -151,7 +151,7 @@
 }
 
 func decodeObject(object *peer.StoredObject) storesync.Object {
-	return storesync.Object{Name: object.GetName(), Revision: object.GetRevision(), Spec: object.GetSpec()}
+	return storesync.Object{Name: object.GetName(), Revision: object.GetRevision(), Spec: object.GetSpec(), Status: object.GetStatus()}
 }
 
 // currentRelay returns the relay that this instance follows, or nil if it reads
--- /dev/null
+++ b/pkg/rollout/evidence.go
@@ -0,0 +1,173 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Cell names results that may be compared: those of one route at upstreams under similar
+// load. A version may be faulty on one route only, or only when it is busy.
+type Cell struct {
+	Route string
+	// Busy is true for results of upstreams whose slots were mostly in use.
+	Busy bool
+}
+
+// Counts are the results in a cell, summed up since the order was given. They can be added.
+type Counts struct {
+	// Results is the number of requests that an upstream took, and Failures the part of
+	// them that failed.
+	Results, Failures uint32
+	// Timed is the number of results with a time to the first output. LogSum and
+	// LogSquares are the sums of its natural logarithm in ms, and of the squares.
+	Timed              uint32
+	LogSum, LogSquares float64
+}
+
+// Add returns the sum of two counts.
+func (c Counts) Add(other Counts) Counts {
+	return Counts{
+		Results: c.Results + other.Results, Failures: c.Failures + other.Failures, Timed: c.Timed + other.Timed,
+		LogSum: c.LogSum + other.LogSum, LogSquares: c.LogSquares + other.LogSquares,
+	}
+}
+
+// Result is the result of one request at an upstream.
+type Result struct {
+	Failed bool
+	// FirstOutput is the time to the first output; 0 if unknown. A request that had no
+	// output yet when it ended counts with the time that it had waited.
+	FirstOutput time.Duration
+}
+
+// Record returns the counts with one more result.
+func (c Counts) Record(result Result) Counts {
+	c.Results++
+	if result.Failed {
+		c.Failures++
+	}
+	if result.FirstOutput > 0 {
+		ms := math.Log(math.Max(1, float64(result.FirstOutput)/float64(time.Millisecond)))
+		c.Timed++
+		c.LogSum += ms
+		c.LogSquares += ms * ms
+	}
+	return c
+}
+
+// Evidence holds the results of the candidate version and of the incumbent versions of a
+// service, over all instances that reported them.
+type Evidence struct {
+	Candidate, Incumbent map[Cell]Counts
+}
+
+// NewEvidence returns evidence without results.
+func NewEvidence() Evidence {
+	return Evidence{Candidate: map[Cell]Counts{}, Incumbent: map[Cell]Counts{}}
+}
+
+// Add adds counts to those of a cell.
+func (e Evidence) Add(candidate bool, cell Cell, counts Counts) {
+	side := e.Incumbent
+	if candidate {
+		side = e.Candidate
+	}
+	side[cell] = side[cell].Add(counts)
+}
+
+// Results returns the number of results of the candidate, or of the incumbents.
+func (e Evidence) Results(candidate bool) int {
+	side := e.Incumbent
+	if candidate {
+		side = e.Candidate
+	}
+	total := 0
+	for _, counts := range side {
+		total += int(counts.Results)
+	}
+	return total
+}
+
+// Bounds above which a difference between two versions counts as a fault. A version is
+// rolled back rather too early than too late: it can be ordered again.
+const (
+	// minFailures is the number of failures without which a version is not faulty. Single
+	// upstreams fail, too.
+	minFailures = 15
+	// minExcessFailures is the difference of the failure rates from which on a version is
+	// faulty, if it is significant by failureSigmas standard errors.
+	minExcessFailures = 0.12
+	failureSigmas     = 4.0
+	// minTimed is the number of times to the first output that are compared at least.
+	minTimed = 25
+	// minSlowdown is the ratio of the mean times from which on a version is faulty, if it
+	// is significant by slowdownSigmas standard errors. Upstreams of one version differ
+	// by a factor of two to five in speed.
+	minSlowdown    = 1.7
+	slowdownSigmas = 4.0
+	// assumedFailureRate and its weight, in results, stand for the incumbents where they
+	// have few results.
+	assumedFailureRate   = 0.02
+	assumedFailureWeight = 20
+)
+
+// Fault returns a description of the difference if the candidate is worse than the
+// incumbents: in one cell, in one route, or over all.
+func (e Evidence) Fault() (string, bool) {
+	for cell := range e.Candidate {
+		if fault, found := e.compare(func(c Cell) bool { return c == cell }); found {
+			return fmt.Sprintf("route %s, busy %t: %s", cell.Route, cell.Busy, fault), true
+		}
+		if fault, found := e.compare(func(c Cell) bool { return c.Route == cell.Route }); found {
+			return fmt.Sprintf("route %s: %s", cell.Route, fault), true
+		}
+	}
+	return e.compare(func(Cell) bool { return true })
+}
+
+// compare compares the sums over the included cells. The incumbents are weighted like the
+// candidate, since the share of a cell differs between the two.
+func (e Evidence) compare(included func(Cell) bool) (string, bool) {
+	var results, failures, expected, variance float64
+	var timed, logSum, expectedLog, logVariance float64
+	for cell, candidate := range e.Candidate {
+		if !included(cell) || candidate.Results == 0 {
+			continue
+		}
+		incumbent := e.Incumbent[cell]
+		n := float64(candidate.Results)
+		rate := (float64(incumbent.Failures) + assumedFailureRate*assumedFailureWeight) / (float64(incumbent.Results) + assumedFailureWeight)
+		results += n
+		failures += float64(candidate.Failures)
+		expected += n * rate
+		variance += n * rate * (1 - rate) * (1 + n/(float64(incumbent.Results)+assumedFailureWeight))
+		if incumbent.Timed == 0 || candidate.Timed == 0 {
+			continue
+		}
+		n = float64(candidate.Timed)
+		mean := incumbent.LogSum / float64(incumbent.Timed)
+		timed += n
+		logSum += candidate.LogSum
+		expectedLog += n * mean
+		logVariance += n*candidate.logVariance() + n*n*incumbent.logVariance()/float64(incumbent.Timed)
+	}
+	if excess := failures - expected; failures >= minFailures && excess > minExcessFailures*results && excess > failureSigmas*math.Sqrt(variance) {
+		return fmt.Sprintf("%.0f of %.0f requests failed, %.1f expected", failures, results, expected), true
+	}
+	if excess := logSum - expectedLog; timed >= minTimed && excess > timed*math.Log(minSlowdown) && excess > slowdownSigmas*math.Sqrt(logVariance) {
+		return fmt.Sprintf("the first output took %.1f times as long, over %.0f requests", math.Exp(excess/timed), timed), true
+	}
+	return "", false
+}
+
+// logVariance returns the variance of the logarithm of the times.
+func (c Counts) logVariance() float64 {
+	if c.Timed < 2 {
+		return 1
+	}
+	n := float64(c.Timed)
+	mean := c.LogSum / n
+	// A few similar times say little about the others.
+	return math.Max(0.05, (c.LogSquares/n-mean*mean)*n/(n-1))
+}
--- /dev/null
+++ b/pkg/rollout/rollout_test.go
@@ -0,0 +1,296 @@
+package rollout_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/rollout"
+)
+
+// A roll-out of 15 s of a service that gets 1,000 requests/s on four routes of unlike
+// length, reported to the holder with a delay. Rules for the operator: a faulty version
+// gets a tenth of the requests and 50 more, and none later than 5 s after 50 faulty answers.
+const (
+	orderDuration  = 15 * time.Second
+	tick           = 50 * time.Millisecond
+	requestsPerSec = 1000
+	reportDelay    = 300 * time.Millisecond
+	exposureShare  = 0.1
+	exposureSlack  = 50
+	faultsAllowed  = 50
+	rollbackTime   = 5 * time.Second
+)
+
+type route struct {
+	name  string
+	part  float64
+	first time.Duration
+}
+
+var routes = []route{
+	{"draft", 0.14, 250 * time.Millisecond}, {"segment", 0.2, 60 * time.Millisecond},
+	{"check", 0.32, 90 * time.Millisecond}, {"filing", 0.34, 60 * time.Millisecond},
+}
+
+// version models the faults of a version.
+type version struct {
+	share    float64
+	slow     float64
+	from     time.Duration
+	route    string
+	busyOnly bool
+}
+
+func (v version) faulty(random *rand.Rand, at time.Duration, route string, busy bool) bool {
+	return v.share > 0 && at >= v.from && (v.route == "" || v.route == route) && (busy || !v.busyOnly) && random.Float64() < v.share
+}
+
+type outcome struct {
+	stage       rollout.Stage
+	endedAt     time.Duration
+	reason      string
+	exposed     int
+	total       int
+	sentTooLate int
+}
+
+// play runs a roll-out. upstreamFailures is the failure rate of single upstreams of either
+// version, a tenth of them.
+func play(seed uint64, candidate version, upstreamFailures float64, startedAfter time.Duration) outcome {
+	random := rand.New(rand.NewPCG(seed, 1))
+	order := rollout.Order{Service: "pool", Version: "v2", Duration: orderDuration, ID: "1"}
+	leader := rollout.NewLeader(order, rollout.Limits{ExposureShare: exposureShare}, rollout.Progress{}, 0)
+	selector := rollout.NewSelector(random.Float64())
+	evidence := rollout.NewEvidence()
+	type pending struct {
+		at        time.Duration
+		candidate bool
+		cell      rollout.Cell
+		result    rollout.Result
+	}
+	var reports []pending
+	result := outcome{stage: rollout.Waiting}
+	share, faults := 0.0, 0
+	fiftiethAt := time.Duration(math.MaxInt64 / 2)
+	for now := time.Duration(0); now < orderDuration; now += tick {
+		for range requestsPerSec * int(tick/time.Millisecond) / 1000 {
+			r := pickRoute(random)
+			toCandidate := false
+			switch result.stage {
+			case rollout.Trial, rollout.Ramp:
+				toCandidate = selector.Select(share)
+			case rollout.Full, rollout.Succeeded:
+				toCandidate = true
+			}
+			busy := random.Float64() < 0.5 || result.stage == rollout.Ramp
+			speed := 0.55 * math.Exp(random.Float64()*math.Log(2.8/0.55))
+			first := time.Duration(float64(r.first) / speed)
+			failed := random.Float64() < 0.1 && random.Float64() < upstreamFailures
+			if toCandidate {
+				result.exposed++
+				if now > fiftiethAt+rollbackTime {
+					result.sentTooLate++
+				}
+				if candidate.faulty(random, now-startedAfter, r.name, busy) {
+					if candidate.slow > 0 {
+						first = time.Duration(float64(first) * candidate.slow)
+					} else {
+						failed = true
+					}
+					if faults++; faults == faultsAllowed {
+						fiftiethAt = now
+					}
+				}
+			}
+			result.total++
+			reports = append(reports, pending{at: now + first + reportDelay, candidate: toCandidate, cell: rollout.Cell{Route: r.name, Busy: busy}, result: rollout.Result{Failed: failed, FirstOutput: first}})
+		}
+		kept := reports[:0]
+		for _, p := range reports {
+			if p.at > now {
+				kept = append(kept, p)
+				continue
+			}
+			evidence.Add(p.candidate, p.cell, rollout.Counts{}.Record(p.result))
+		}
+		reports = kept
+		observation := rollout.Observation{Elapsed: now, IncumbentSlots: 784, Evidence: evidence}
+		if now >= startedAfter {
+			observation.CandidateSlots = 784
+		}
+		if result.stage == rollout.Full && now > result.endedAt+3*time.Second {
+			observation.IncumbentInFlight = 0
+		} else {
+			observation.IncumbentInFlight = 500
+		}
+		if step, due := leader.Next(observation); due {
+			leader.Written(step, now)
+			result.stage, share, result.endedAt, result.reason = step.Stage, step.Share, now, step.Reason
+		}
+	}
+	return result
+}
+
+func pickRoute(random *rand.Rand) route {
+	draw := random.Float64()
+	for _, r := range routes {
+		if draw -= r.part; draw < 0 {
+			return r
+		}
+	}
+	return routes[0]
+}
+
+// Guards against a faulty version that gets more requests than the operator allows, however
+// its fault shows.
+func TestFaultyVersionIsRolledBack(t *testing.T) {
+	cases := map[string]version{
+		"fails at once":                  {share: 0.5},
+		"a third fails at once":          {share: 0.33},
+		"fails later":                    {share: 0.5, from: 3 * time.Second},
+		"fails late in the trial":        {share: 0.41, from: 6 * time.Second},
+		"fails on one route":             {share: 0.5, route: "draft"},
+		"fails on one route, later":      {share: 0.41, route: "segment", from: 3 * time.Second},
+		"fails at busy upstreams":        {share: 0.5, busyOnly: true},
+		"is slow":                        {share: 0.5, slow: 8},
+		"is slow later":                  {share: 0.5, slow: 8, from: 3 * time.Second},
+		"is slow on one route":           {share: 0.5, slow: 8, route: "check"},
+		"is slow when it is busy, later": {share: 0.5, slow: 8, busyOnly: true, from: 3 * time.Second},
+	}
+	for name, candidate := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for seed := range uint64(10) {
+				result := play(seed, candidate, 0.45, time.Second)
+				g.Expect(result.stage).To(Equal(rollout.RolledBack), "seed %d", seed)
+				g.Expect(result.exposed).To(BeNumerically("<=", exposureShare*float64(result.total)+exposureSlack), "seed %d: %s", seed, result.reason)
+				g.Expect(result.sentTooLate).To(BeZero(), "seed %d: %s", seed, result.reason)
+			}
+		})
+	}
+}
+
+// Guards against a sound version that is rolled back, or not finished in time, although
+// single upstreams of both versions fail.
+func TestSoundVersionSucceedsInTime(t *testing.T) {
+	g := NewWithT(t)
+	for _, startedAfter := range []time.Duration{0, 3 * time.Second} {
+		for _, upstreamFailures := range []float64{0, 0.45} {
+			for seed := range uint64(20) {
+				result := play(seed, version{}, upstreamFailures, startedAfter)
+				g.Expect(result.stage).To(Equal(rollout.Succeeded), "seed %d: %s", seed, result.reason)
+				g.Expect(result.endedAt).To(BeNumerically("<", orderDuration))
+			}
+		}
+	}
+}
+
+// Guards against a roll-out that stays open when no upstream of the version starts.
+func TestVersionWithoutUpstreamsIsRolledBack(t *testing.T) {
+	g := NewWithT(t)
+	result := play(1, version{}, 0, 2*orderDuration)
+	g.Expect(result.stage).To(Equal(rollout.RolledBack))
+	g.Expect(result.exposed).To(BeZero())
+	g.Expect(result.endedAt).To(BeNumerically("<", orderDuration))
+}
+
+func newLeader(progress rollout.Progress, elapsed time.Duration) *rollout.Leader {
+	order := rollout.Order{Service: "pool", Version: "v2", Duration: orderDuration, ID: "1"}
+	return rollout.NewLeader(order, rollout.Limits{ExposureShare: exposureShare}, progress, elapsed)
+}
+
+// Guards against a leader that starts again from the beginning after the former one has
+// died in any stage.
+func TestNextLeaderContinuesAtStoredStage(t *testing.T) {
+	g := NewWithT(t)
+	ready := rollout.Observation{Elapsed: 9 * time.Second, CandidateSlots: 70, IncumbentSlots: 70, IncumbentInFlight: 1, Evidence: rollout.NewEvidence()}
+	next := map[rollout.Stage]rollout.Stage{rollout.Waiting: rollout.Trial, rollout.Trial: rollout.Ramp}
+	for stored, expected := range next {
+		step, due := newLeader(rollout.Progress{Stage: stored, Share: 0.05}, 8*time.Second).Next(ready)
+		g.Expect(due).To(BeTrue(), stored.String())
+		g.Expect(step.Stage).To(Equal(expected), stored.String())
+	}
+	for _, stored := range []rollout.Stage{rollout.Full, rollout.Succeeded, rollout.RolledBack} {
+		_, due := newLeader(rollout.Progress{Stage: stored, Share: 1}, 8*time.Second).Next(ready)
+		g.Expect(due).To(BeFalse(), stored.String())
+	}
+	// In the ramp the new leader waits a whole step, since it has not seen its results.
+	leader := newLeader(rollout.Progress{Stage: rollout.Ramp, Share: 0.2}, 8900*time.Millisecond)
+	_, due := leader.Next(ready)
+	g.Expect(due).To(BeFalse())
+	ready.Elapsed = 10 * time.Second
+	step, due := leader.Next(ready)
+	g.Expect(due).To(BeTrue())
+	g.Expect(step.Share).To(BeNumerically(">", 0.2))
+}
+
+// Guards against stopping upstreams that still have requests, unless the time of the order
+// ends.
+func TestSucceedsOnceOtherVersionsAreEmpty(t *testing.T) {
+	g := NewWithT(t)
+	leader := newLeader(rollout.Progress{Stage: rollout.Full}, 9*time.Second)
+	o := rollout.Observation{Elapsed: 9 * time.Second, CandidateSlots: 70, Evidence: rollout.NewEvidence(), IncumbentInFlight: 3}
+	_, due := leader.Next(o)
+	g.Expect(due).To(BeFalse())
+	o.Elapsed, o.IncumbentInFlight = 10*time.Second, 0
+	_, due = leader.Next(o)
+	g.Expect(due).To(BeFalse(), "reports may be older than the last placement")
+	o.Elapsed = 10*time.Second + 700*time.Millisecond
+	step, due := leader.Next(o)
+	g.Expect(due).To(BeTrue())
+	g.Expect(step.Stage).To(Equal(rollout.Succeeded))
+	o.Elapsed, o.IncumbentInFlight = orderDuration-time.Second, 3
+	step, due = newLeader(rollout.Progress{Stage: rollout.Full}, 9*time.Second).Next(o)
+	g.Expect(due).To(BeTrue())
+	g.Expect(step.Stage).To(Equal(rollout.Succeeded))
+}
+
+// Guards against a fault that shows only once all requests go to the version.
+func TestFaultInFullStageRollsBack(t *testing.T) {
+	g := NewWithT(t)
+	evidence := rollout.NewEvidence()
+	for i := range 100 {
+		evidence.Add(true, rollout.Cell{Route: "draft"}, rollout.Counts{}.Record(rollout.Result{Failed: i%2 == 0}))
+		evidence.Add(false, rollout.Cell{Route: "draft"}, rollout.Counts{}.Record(rollout.Result{}))
+	}
+	step, due := newLeader(rollout.Progress{Stage: rollout.Full}, 9*time.Second).Next(rollout.Observation{Elapsed: 9 * time.Second, CandidateSlots: 70, IncumbentInFlight: 5, Evidence: evidence})
+	g.Expect(due).To(BeTrue())
+	g.Expect(step.Stage).To(Equal(rollout.RolledBack))
+}
+
+// Guards against a share that is exceeded because many instances each round it up.
+func TestSelectorsOfManyInstancesKeepToTheShare(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	selected, total := 0, 0
+	for range 74 {
+		selector := rollout.NewSelector(random.Float64())
+		for range 20 {
+			total++
+			if selector.Select(0.05) {
+				selected++
+			}
+		}
+	}
+	g.Expect(float64(selected)).To(BeNumerically("~", 0.05*float64(total), 25))
+	selector := rollout.NewSelector(0.99)
+	for range 100 {
+		g.Expect(selector.Select(0)).To(BeFalse())
+	}
+}
+
+func TestStageNamesAreParsed(t *testing.T) {
+	g := NewWithT(t)
+	for stage := rollout.Waiting; stage <= rollout.RolledBack; stage++ {
+		parsed, known := rollout.ParseStage(stage.String())
+		g.Expect(known).To(BeTrue())
+		g.Expect(parsed).To(Equal(stage))
+	}
+	_, known := rollout.ParseStage(fmt.Sprint("else"))
+	g.Expect(known).To(BeFalse())
+}
--- a/pkg/storesync/storesync.go
+++ b/pkg/storesync/storesync.go
@@ -22,6 +22,8 @@
 	Name     string
 	Revision uint64
 	Spec     []byte
+	// Status is empty if the object has none.
+	Status []byte
 }
 
 // Listing holds all objects of a kind at a revision.
@@ -81,6 +83,9 @@
 	// none. A call that fails otherwise may take effect later if its condition still
 	// holds.
 	Put(ctx context.Context, kind, name string, spec any, revision uint64) (Object, error)
+	// PutStatus replaces the status of the object that has the revision, with the errors of
+	// Put.
+	PutStatus(ctx context.Context, kind, name string, status any, revision uint64) (Object, error)
 }
 
 // Update is the result of a successful call, delivered by a Syncer.
