gateway: move a service to another version as the operator orders

Cause: nothing read the orders, and upstreams of a new version were used like any other.

Change: the instance that reads the store advances the roll-out, by evidence that all instances report; each instance keeps to the share of trial requests by itself. Pools place trial requests at the version and all others elsewhere. Turned on by exposure_share in the settings. docs/design/rollouts.md.

Tests of the package and of instances with fake upstreams: a faulty version, a sound one, the holder stopped, the store silent, late writes, withdrawn and replaced orders.

--- a/cmd/rosemarywing-gateway/main.go
+++ b/cmd/rosemarywing-gateway/main.go
@@ -68,9 +68,10 @@
 		Store:         platform.NewStore(settings.Store.Address),
 		HeaderCodec:   platform.HeaderCodec{},
 		RecordDecoder: platform.RecordDecoder{},
+		RolloutCodec:  platform.RolloutCodec{},
 		ObjectKinds: gateway.ObjectKinds{
 			Config: platform.KindConfig, ConfigName: platform.ConfigName,
-			Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, Usage: platform.KindUsage,
+			Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, Usage: platform.KindUsage, Rollouts: platform.KindRollouts,
 		},
 		Log:   log,
 		Clock: clockwork.NewRealClock(),
--- a/internal/bench/gateway_delegation.go
+++ b/internal/bench/gateway_delegation.go
@@ -204,7 +204,7 @@
 				to.carryOut(decided.Decision.Decision)
 				continue
 			}
-			upstream, _ := to.pool.Adopt(now, decided.Upstream.ID, decided.Key, decided.Request.PromptTokens, decided.ExpectedFirstOutput)
+			upstream, _ := to.pool.Adopt(now, decided.Upstream.ID, decided.Request, decided.ExpectedFirstOutput)
 			decided.Upstream = upstream
 			to.carryOut(decided.Decision.Decision)
 		}
--- a/pkg/admission/delegation.go
+++ b/pkg/admission/delegation.go
@@ -50,13 +50,13 @@
 
 // Adopt counts a request of this instance that another instance has placed at an
 // upstream. It returns false if the upstream is unknown here, is leaving, or wants no
-// request of this instance.
-func (p *Pool) Adopt(now time.Duration, upstreamID string, key uint64, promptTokens int, expectedFirstOutput time.Duration) (UpstreamInfo, bool) {
+// request of this instance, or is of a version that the request may not be placed at.
+func (p *Pool) Adopt(now time.Duration, upstreamID string, request *Request, expectedFirstOutput time.Duration) (UpstreamInfo, bool) {
 	u := p.upstreams[upstreamID]
-	if u == nil || u.info.Leaving || u.leaving || now < u.quietUntil {
+	if u == nil || u.info.Leaving || u.leaving || now < u.quietUntil || !p.allowsAny(u, request) {
 		return UpstreamInfo{}, false
 	}
-	u.requests = append(u.requests, runningRequest{key: key, promptTokens: promptTokens, placedAt: now, expectedFirstOutput: expectedFirstOutput})
+	u.requests = append(u.requests, runningRequest{key: request.Key, promptTokens: request.PromptTokens, placedAt: now, expectedFirstOutput: expectedFirstOutput})
 	return u.info, true
 }
 
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -40,7 +40,7 @@
 			kept = append(kept, r)
 			continue
 		}
-		if decision.Action == Place {
+		if decision.Action == Place && !r.Trial {
 			free--
 		}
 		decision.OldestReportAge, decision.FreeCapacity = oldest, capacityBefore
@@ -58,7 +58,7 @@
 	free := 0
 	delegated := slices.ContainsFunc(p.queue, func(r *Request) bool { return r.Delegated })
 	for _, u := range p.sorted {
-		if !u.usable(now) || (now < u.quietUntil && !delegated) {
+		if !u.usable(now) || (now < u.quietUntil && !delegated) || !p.allows(u, false) {
 			continue
 		}
 		inFlight, _ := u.load()
@@ -97,6 +97,12 @@
 	if now >= r.Deadline {
 		return p.refuse(now, r, "the request deadline has passed"), true
 	}
+	if r.Trial {
+		if decision, done := p.place(now, r); done {
+			return decision, true
+		}
+		r.Trial = false
+	}
 	if free > 0 {
 		if decision, done := p.place(now, r); done {
 			return decision, true
@@ -127,11 +133,11 @@
 	var chosen Decision
 	bestCost := 0.0
 	for _, u := range p.sorted {
-		if !u.usable(now) || !u.accepts(now, r) || slices.Contains(r.ExcludedUpstreams, u.info.ID) {
+		if !u.usable(now) || !u.accepts(now, r) || !p.allows(u, r.Trial) || slices.Contains(r.ExcludedUpstreams, u.info.ID) {
 			continue
 		}
 		inFlight, pendingPrefillTokens := u.load()
-		if inFlight >= p.maxInFlight(u) || !p.mayAllocate(now, u) {
+		if inFlight >= p.maxInFlight(u) || (!r.Trial && !p.mayAllocate(now, u)) || (r.Trial && inFlight >= u.slots) {
 			continue
 		}
 		expected := u.expectFirstOutput(&p.tuning, r.PromptTokens, inFlight, pendingPrefillTokens, p.slotTimeMs)
@@ -144,7 +150,11 @@
 		if now+expected+u.expectDecoding(&p.tuning, r.OutputTokens) > r.Deadline {
 			cost += missedDeadlineCostMs
 		}
-		cost *= 1 + p.tuning.CostJitter*p.random.Float64()
+		if p.concentrates(r) {
+			cost = p.trialCost(u, inFlight)
+		} else {
+			cost *= 1 + p.tuning.CostJitter*p.random.Float64()
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, ExpectedFirstOutput: expected, InFlight: inFlight}
@@ -157,7 +167,9 @@
 	if now+chosen.ExpectedFirstOutput > r.SoftDeadline {
 		chosen.Reason = "past the latency target, capacity is available"
 	}
-	p.allocate(now, best)
+	if !r.Trial {
+		p.allocate(now, best)
+	}
 	if r.Delegated {
 		best.grants = append(best.grants, grant{key: r.Key, promptTokens: r.PromptTokens, placedAt: now})
 		if best.failedAttempts > 0 {
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -43,6 +43,7 @@
 	// quietUntil holds the ends of the quiet times by process.
 	quietUntil map[Process]time.Duration
 	allocation allocation
+	versions   versionState
 	// overdue lists the upstreams of requests that became overdue.
 	overdue []string
 }
@@ -93,8 +94,12 @@
 		p.upstreams[info.ID] = u
 		p.sortUpstreams()
 	}
+	moved := u.info.Version != info.Version
 	u.info = info
 	u.applyService(p.service)
+	if moved {
+		p.countVersions()
+	}
 }
 
 func (u *upstream) applyService(service Service) {
@@ -117,6 +122,7 @@
 		p.sorted = append(p.sorted, u)
 	}
 	slices.SortFunc(p.sorted, func(a, b *upstream) int { return compareStrings(a.info.ID, b.info.ID) })
+	p.countVersions()
 }
 
 func compareStrings(a, b string) int {
--- a/pkg/admission/quiet_test.go
+++ b/pkg/admission/quiet_test.go
@@ -32,7 +32,7 @@
 	for now := 100 * time.Millisecond; now < 700*time.Millisecond; now += 50 * time.Millisecond {
 		f.Expect(f.pool.Schedule(now)).To(BeEmpty(), "the requests can still be served in time")
 	}
-	_, adopted := f.pool.Adopt(300*time.Millisecond, "e0", 99, 100, 0)
+	_, adopted := f.pool.Adopt(300*time.Millisecond, "e0", &admission.Request{Key: 99, PromptTokens: 100}, 0)
 	f.Expect(adopted).To(BeFalse(), "a decision of the relay")
 	f.Expect(count(placed(f.pool.Schedule(800*time.Millisecond)))).To(Equal(1), "one request at a time until one is answered")
 }
@@ -74,7 +74,7 @@
 	f.pool.SetUpstream(record)
 	f.submit(0, 1, 100)
 	f.Expect(f.pool.Schedule(0)).To(BeEmpty(), "the record still says ready")
-	_, adopted := f.pool.Adopt(0, "e0", 99, 100, 0)
+	_, adopted := f.pool.Adopt(0, "e0", &admission.Request{Key: 99, PromptTokens: 100}, 0)
 	f.Expect(adopted).To(BeFalse())
 	record.Incarnation = 2
 	f.pool.SetUpstream(record)
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -44,6 +44,9 @@
 	Service string
 	// Delegated is true for a request of another instance, for which this one decides.
 	Delegated bool
+	// Trial is true for a request that goes to the version on trial. If that has no room,
+	// the request becomes an ordinary one.
+	Trial bool
 	// Tier is the priority class; 0 is the highest.
 	Tier         int
 	PromptTokens int
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/connpool"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/membudget"
+	"github.com/rosemarywing/rosemarywing/pkg/rollout"
 )
 
 // attemptResult is the result of one attempt to have an upstream answer.
@@ -237,6 +238,9 @@
 	}
 	timeToFirstOutput := x.g.now() - started
 	outcome := admission.Answered
+	if response.Status/100 == 2 {
+		x.recordRollout(decision, rollout.FirstOutput(timeToFirstOutput))
+	}
 	if response.Status >= http.StatusInternalServerError {
 		outcome = admission.Failed
 		result := attemptResult{outcome: outcome, timeToFirstOutput: timeToFirstOutput,
--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -43,13 +43,15 @@
 	// stopGraceSeconds is the grace time of instances that are started from now on.
 	stopGraceSeconds float64
 	// memoryMiB is the memory limit of instances that are started from now on.
-	memoryMiB    int
-	storeAddress string
-	instances    []*instance
-	version      int
-	config       map[string]any
-	mu           sync.Mutex
-	logLines     []string
+	memoryMiB int
+	// exposureShare turns roll-outs on for instances that are started from now on.
+	exposureShare float64
+	storeAddress  string
+	instances     []*instance
+	version       int
+	config        map[string]any
+	mu            sync.Mutex
+	logLines      []string
 }
 
 type instance struct {
@@ -160,11 +162,11 @@
 			Store:    gateway.StoreSettings{Address: c.storeAddress},
 			Limits:   gateway.LimitSettings{MemoryMiB: c.memoryMiB, Descriptors: 4096},
 			Bounds: gateway.BoundSettings{ConfigFreshMs: 5000, StopGraceSeconds: c.stopGraceSeconds, LeaveNoticeSeconds: 0.2, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 50,
-				QuotaWindowSeconds: 8, QuotaOverage: 0.1, QuotaSlack: 0},
+				QuotaWindowSeconds: 8, QuotaOverage: 0.1, QuotaSlack: 0, ExposureShare: c.exposureShare},
 			Regions: map[string]string{"north": "r1"},
 		},
-		Store: platform.NewStore(c.storeAddress), HeaderCodec: platform.HeaderCodec{}, RecordDecoder: platform.RecordDecoder{},
-		ObjectKinds: gateway.ObjectKinds{Config: platform.KindConfig, ConfigName: platform.ConfigName, Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, Usage: platform.KindUsage},
+		Store: platform.NewStore(c.storeAddress), HeaderCodec: platform.HeaderCodec{}, RecordDecoder: platform.RecordDecoder{}, RolloutCodec: platform.RolloutCodec{},
+		ObjectKinds: gateway.ObjectKinds{Config: platform.KindConfig, ConfigName: platform.ConfigName, Upstreams: platform.KindUpstreams, Instances: platform.KindInstances, Usage: platform.KindUsage, Rollouts: platform.KindRollouts},
 		Log:         c.log(), Clock: clockwork.NewRealClock(),
 		Now: func() time.Duration {
 			if stopped := c.clockStoppedAt.Load(); stopped > 0 {
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 	"github.com/rosemarywing/rosemarywing/pkg/poison"
 	"github.com/rosemarywing/rosemarywing/pkg/quota"
+	"github.com/rosemarywing/rosemarywing/pkg/rollout"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
 )
 
@@ -49,6 +50,7 @@
 	peers            *loadshare.Peers
 	poison           *poison.Detector
 	leaving          *leavingUpstreams
+	rollouts         *rollouts
 	// lastWords holds the last words of upstreams in answers, by ID.
 	lastWords map[string]lastWord
 	// upstreamNames and teamNames map the short hashes in reports to names.
@@ -106,6 +108,7 @@
 		peers:         newPeers(g),
 		poison:        newPoisonDetector(g),
 		leaving:       newLeavingUpstreams(),
+		rollouts:      newRollouts(rollout.Limits{ExposureShare: bounds.ExposureShare}),
 		lastWords:     map[string]lastWord{},
 		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{}, pendingReports: map[string]pendingReport{},
 		follower: delegation.NewFollower(), relay: delegation.NewRelay(func() uint64 { return g.lastRequestKey.Add(1) }),
@@ -184,6 +187,7 @@
 	c.g.isRelay.Store(c.peers.RelayAddress() == "")
 	c.g.isHighestRanked.Store(c.peers.IsHighestRanked())
 	c.writeUsage(now)
+	c.stepRollouts(now)
 	c.sendDueReports(now)
 	c.sendDueReplies(now)
 }
@@ -245,6 +249,7 @@
 func (m submitMsg) apply(c *controlLoop) {
 	c.placementReplies[m.request.Key] = m.reply
 	now := c.g.now()
+	m.request.Trial = c.selectTrial(now, m.request)
 	if c.follower.Ready(now) && !c.pool(m.request.Service).AllQuiet(now) {
 		c.follower.Submit(now, m.request)
 		return
@@ -341,5 +346,7 @@
 		c.applyConfigUpdate(m.update)
 	case c.g.objectKinds.Upstreams:
 		c.applyUpstreamUpdate(m.update)
+	case c.g.objectKinds.Rollouts:
+		c.applyRolloutUpdate(m.update)
 	}
 }
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/connpool"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/membudget"
+	"github.com/rosemarywing/rosemarywing/pkg/rollout"
 )
 
 const (
@@ -199,6 +200,7 @@
 		if last == 0 {
 			result.timeToFirstOutput = now - started
 			x.g.enqueue(firstOutputMsg{service: x.service, upstream: decision.Upstream.ID, key: x.request.Key})
+			x.recordRollout(decision, rollout.FirstOutput(result.timeToFirstOutput))
 		} else {
 			result.longestInterval = max(result.longestInterval, now-last)
 			if now-started-result.timeToFirstOutput >= answerBeginning {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -401,6 +401,7 @@
 // reportResult reports the result of an attempt to the control loop.
 func (x *exchange) reportResult(decision admission.Decision, result attemptResult) {
 	x.placement = nil
+	x.recordRollout(decision, rolloutCounts(result))
 	x.g.enqueue(finishMsg{service: x.service, upstream: decision.Upstream.ID, key: x.request.Key, result: admission.Result{
 		Outcome: result.outcome, EventInterval: result.eventInterval, TotalTime: result.totalTime, QuietTime: result.quietTime, Process: decision.Upstream.Process(),
 	}})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -32,9 +32,11 @@
 	Store         storesync.Store
 	HeaderCodec   HeaderCodec
 	RecordDecoder RecordDecoder
-	ObjectKinds   ObjectKinds
-	Log           logr.Logger
-	Clock         clockwork.Clock
+	// RolloutCodec may be nil if the settings turn roll-outs off.
+	RolloutCodec RolloutCodec
+	ObjectKinds  ObjectKinds
+	Log          logr.Logger
+	Clock        clockwork.Clock
 	// Now is the monotonic clock of all ages and time limits. It must advance
 	// while the machine is suspended. The default is boottime.Now.
 	Now func() time.Duration
@@ -46,6 +48,7 @@
 	store           storesync.Store
 	headerCodec     HeaderCodec
 	recordDecoder   RecordDecoder
+	rolloutCodec    RolloutCodec
 	objectKinds     ObjectKinds
 	log             logr.Logger
 	requestLog      *requestLog
@@ -100,6 +103,8 @@
 	// exchanges holds the requests being served.
 	exchanges      sync.Map
 	lastRequestKey atomic.Uint64
+	// rolloutsKnown is true once the orders to move services to other versions were read.
+	rolloutsKnown atomic.Bool
 	// watchedFingerprints holds what poison.Detector.Watched returned last.
 	watchedFingerprints atomic.Pointer[map[poison.Fingerprint]struct{}]
 }
@@ -138,7 +143,7 @@
 	opts.Log = opts.Log.WithValues("instance", opts.Settings.Instance.Name)
 	registry := metrics.NewRegistry()
 	g := &Gateway{
-		settings: opts.Settings, store: opts.Store, headerCodec: opts.HeaderCodec, recordDecoder: opts.RecordDecoder, objectKinds: opts.ObjectKinds,
+		settings: opts.Settings, store: opts.Store, headerCodec: opts.HeaderCodec, recordDecoder: opts.RecordDecoder, rolloutCodec: opts.RolloutCodec, objectKinds: opts.ObjectKinds,
 		log: opts.Log, requestLog: newRequestLog(opts.Log), panicLogs: newPanicLimiter(), clock: opts.Clock, now: opts.Now,
 		startedUnixNano: opts.Clock.Now().UnixNano(), socket: socket,
 		conns: connpool.NewPool(connpool.Options{
@@ -152,7 +157,11 @@
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	// The configuration counts as outdated until the store has answered.
 	g.configCurrentAt.Store(int64(g.now() - time.Hour))
-	for _, kind := range []string{g.objectKinds.Config, g.objectKinds.Upstreams} {
+	kinds := []string{g.objectKinds.Config, g.objectKinds.Upstreams}
+	if g.rolloutsEnabled() {
+		kinds = append(kinds, g.objectKinds.Rollouts)
+	}
+	for _, kind := range kinds {
 		g.storeCopies[kind] = storesync.NewCopy(g.now)
 	}
 	g.dialer = peer.NewDialer(peer.DialerOptions{DialTimeout: dialTimeout, CallTimeout: listTimeout, Traffic: g.traffic})
@@ -202,7 +211,7 @@
 
 // ready reports whether the load balancer should route callers to this instance.
 func (g *Gateway) ready() bool {
-	return g.stop.Load() == nil && g.table.Load() != nil && g.configFresh()
+	return g.stop.Load() == nil && g.table.Load() != nil && g.configFresh() && (g.rolloutsKnown.Load() || !g.rolloutsEnabled())
 }
 
 // Handler returns the handler for callers' requests.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -51,6 +51,13 @@
 	// lateRefused counts the requests that were refused since the instance stops before they
 	// can be expected to end.
 	lateRefused metrics.Counter
+	// rolloutTrials counts the requests selected for a version on trial, rolloutsSucceeded and
+	// rolloutsRolledBack the roll-outs that this instance has ended, and rolloutWritesFailed
+	// the stages that it could not write.
+	rolloutTrials       metrics.Counter
+	rolloutsSucceeded   metrics.Counter
+	rolloutsRolledBack  metrics.Counter
+	rolloutWritesFailed metrics.Counter
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -76,7 +83,9 @@
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
 		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"), panics: counter("panics.contained"),
 		poisonRefused: counter("poison.refused"), poisonBlocked: counter("poison.blocked"),
-		lateRefused:      counter("stops.refused"),
+		lateRefused:   counter("stops.refused"),
+		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
+		rolloutsRolledBack: counter("rollouts.rolled_back"), rolloutWritesFailed: counter("rollouts.unwritten"),
 		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
 		earlierReports:     counter("upstreams.earlier_reports"),
 		poisonFingerprints: metrics.NewRegisteredGauge("poison.fingerprints", registry),
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -98,4 +98,6 @@
 	Upstreams  string
 	Instances  string
 	Usage      string
+	// Rollouts is the kind of the orders to move a service to another version.
+	Rollouts string
 }
--- a/pkg/gateway/reports.go
+++ b/pkg/gateway/reports.go
@@ -59,6 +59,8 @@
 	suspicions poison.Cursor
 	// leaving marks what was sent of the words of leaving upstreams.
 	leaving uint64
+	// rolloutsSentAt is when evidence about versions was last sent.
+	rolloutsSentAt time.Duration
 	// results holds the results of requests since the last report.
 	results []loadshare.UpstreamResult
 }
@@ -236,6 +238,7 @@
 	report.Suspicions = encodeSuspicions(c.poison.Export(now, &state.suspicions, !report.Partial, !wholeDomain))
 	report.LeavingUpstreams = c.leaving.export(now, &state.leaving, !report.Partial)
 	report.Retries = encodeRetries(state.changedRetries(c.retryBudget.Counts(now, retryScope), report.Partial))
+	report.Rollouts = c.exportRollouts(now, state, wholeDomain)
 	totals, source := c.quotas.ReportableTotal(now)
 	report.UsageSource = uint8(source)
 	if report.Partial {
@@ -332,6 +335,7 @@
 	c.retryBudget.ApplyPeer(now, name, remoteDomain, coveredInstances, c.decodeRetries(report.Retries))
 	c.mergeSuspicions(now, name, report.Suspicions)
 	c.mergeLeaving(now, name, report.LeavingUpstreams)
+	c.applyRollouts(name, report.Rollouts)
 	if !remoteDomain && c.peers.Large() {
 		c.applyFollowerReport(now, report)
 	}
--- /dev/null
+++ b/pkg/gateway/rollouts.go
@@ -0,0 +1,356 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/admission"
+	"github.com/rosemarywing/rosemarywing/pkg/rollout"
+	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+)
+
+// RolloutCodec decodes and encodes the objects of the store that order a service to move
+// to another version.
+type RolloutCodec interface {
+	// Rollout decodes an order and the progress that its status records. Progress is the
+	// zero value if the status is missing, malformed or of another order.
+	Rollout(name string, object storesync.Object) (rollout.Order, rollout.Progress, error)
+	// RolloutStatus returns the status that records a progress.
+	RolloutStatus(progress rollout.Progress) any
+}
+
+const (
+	// maxRolloutAge is the age of this instance's copy of the orders above which it sends
+	// no request to a version on trial, since the version may have been found faulty. It
+	// covers the longest way of a copy while the store and the relays work.
+	maxRolloutAge = relayMaxCopyAge
+	// rolloutStepInterval is the time between two decisions of the holder, and
+	// rolloutWriteRetry that until a write without a response is tried again.
+	rolloutStepInterval = 100 * time.Millisecond
+	rolloutWriteRetry   = 300 * time.Millisecond
+	// minReachableForRollout is the part of the instances that may be serving whose reports
+	// the holder must have before it sends a version more requests.
+	minReachableForRollout = 0.7
+	// busyShare is the part of an upstream's slots in use from which on it counts as busy.
+	busyShare = 0.75
+)
+
+// rolloutState is what this instance knows of the roll-out of one service.
+type rolloutState struct {
+	order    rollout.Order
+	progress rollout.Progress
+	// revision is that of the object, under the condition of which its status is written.
+	revision uint64
+	// seenAt is when the order was first seen here.
+	seenAt   time.Duration
+	selector *rollout.Selector
+	// own holds the results of this instance's requests, and reported those that other
+	// instances or the relays of other failure domains have reported, by peer.
+	own      rollout.Evidence
+	reported map[string]rollout.Evidence
+	// leader decides while this instance reads the store for the others; nil otherwise.
+	leader    *rollout.Leader
+	steppedAt time.Duration
+	writing   bool
+	// writeAfter is the time before which no write is tried.
+	writeAfter time.Duration
+}
+
+// rollouts holds the roll-outs of all services, by service.
+type rollouts struct {
+	enabled bool
+	limits  rollout.Limits
+	states  map[string]*rolloutState
+	// currentAt is the last time at which the copy of the orders was known to be current,
+	// and revision the revision of the store that it shows; 0 before the first.
+	currentAt time.Duration
+	revision  uint64
+	// versionsInUse holds the versions of each service whose upstreams have been used.
+	// Upstreams of others are held back until the orders that precede them are known.
+	versionsInUse map[string]map[string]bool
+	held          map[string]heldUpstream
+}
+
+// heldUpstream is the record of an upstream that is held back.
+type heldUpstream struct {
+	info     admission.UpstreamInfo
+	revision uint64
+}
+
+func newRollouts(limits rollout.Limits) *rollouts {
+	return &rollouts{
+		enabled: limits.ExposureShare > 0, limits: limits, states: map[string]*rolloutState{},
+		versionsInUse: map[string]map[string]bool{}, held: map[string]heldUpstream{},
+	}
+}
+
+// mustHold reports whether an upstream is held back, since an order that precedes its
+// record may not be known yet.
+func (r *rollouts) mustHold(info admission.UpstreamInfo, revision uint64) bool {
+	if !r.enabled {
+		return false
+	}
+	if r.versionsInUse[info.Service] == nil {
+		r.versionsInUse[info.Service] = map[string]bool{}
+	}
+	inUse := r.versionsInUse[info.Service]
+	inUse[info.Version] = inUse[info.Version] || revision <= r.revision
+	return !inUse[info.Version]
+}
+
+// applyRolloutUpdate applies changed and withdrawn orders.
+func (c *controlLoop) applyRolloutUpdate(update storesync.Update) {
+	now := c.g.now()
+	for _, object := range update.Changed {
+		c.setRollout(now, object)
+	}
+	for _, name := range update.Deleted {
+		if state := c.rollouts.states[name]; state != nil {
+			delete(c.rollouts.states, name)
+			c.pool(name).SetVersionRule(admission.VersionRule{})
+			c.g.log.Info("roll-out withdrawn", "service", name, "version", state.order.Version, "stage", state.progress.Stage.String())
+		}
+	}
+	c.rollouts.currentAt, c.rollouts.revision = update.AsOf, max(c.rollouts.revision, update.Revision)
+	c.g.rolloutsKnown.Store(true)
+	for id, held := range c.rollouts.held {
+		if held.revision <= c.rollouts.revision {
+			delete(c.rollouts.held, id)
+			c.useUpstream(held.info, held.revision)
+		}
+	}
+}
+
+// setRollout applies an order and its recorded progress.
+func (c *controlLoop) setRollout(now time.Duration, object storesync.Object) {
+	var order rollout.Order
+	var progress rollout.Progress
+	err := decodeSpec(c.g, object, func([]byte) (err error) {
+		order, progress, err = c.g.rolloutCodec.Rollout(object.Name, object)
+		return err
+	})
+	if err != nil {
+		c.g.log.Info("roll-out order ignored", "service", object.Name, "revision", object.Revision, "error", err.Error())
+		return
+	}
+	state := c.rollouts.states[order.Service]
+	if state == nil || state.order.ID != order.ID {
+		state = &rolloutState{
+			order: order, seenAt: now, selector: rollout.NewSelector(rand.Float64()),
+			own: rollout.NewEvidence(), reported: map[string]rollout.Evidence{},
+		}
+		c.rollouts.states[order.Service] = state
+		c.g.log.Info("roll-out ordered", "service", order.Service, "version", order.Version, "duration_ms", order.Duration.Milliseconds(), "revision", object.Revision)
+	}
+	state.revision = object.Revision
+	c.setProgress(now, state, progress)
+}
+
+// setProgress puts the recorded progress of a roll-out in force. A stage that is earlier
+// than the one in force is that of a store that has lost the later one.
+func (c *controlLoop) setProgress(now time.Duration, state *rolloutState, progress rollout.Progress) {
+	if progress.Stage < state.progress.Stage {
+		c.g.log.Info("earlier stage of the roll-out ignored", "service", state.order.Service, "stage", state.progress.Stage.String(), "recorded", progress.Stage.String())
+		return
+	}
+	if progress != state.progress {
+		c.g.log.Info("roll-out stage", "service", state.order.Service, "version", state.order.Version, "stage", progress.Stage.String(), "share", progress.Share,
+			"holder", progress.Holder, "epoch", progress.Epoch, "elapsed_ms", state.elapsed(c.g, now).Milliseconds())
+		if state.leader != nil && progress.Holder != c.g.settings.Instance.Name {
+			state.leader = nil
+		}
+	}
+	state.progress = progress
+	c.applyVersionRule(state)
+}
+
+func (c *controlLoop) applyVersionRule(state *rolloutState) {
+	rule := admission.VersionRule{Candidate: state.order.Version}
+	switch state.progress.Stage {
+	case rollout.Waiting:
+	case rollout.Trial:
+		rule.Concentrate = true
+	case rollout.Ramp:
+	case rollout.Full, rollout.Succeeded:
+		rule.Moved = true
+	case rollout.RolledBack:
+		rule.Strict = true
+	}
+	c.pool(state.order.Service).SetVersionRule(rule)
+}
+
+// elapsed returns the time since the order was given: since this instance has seen it, or
+// since a former holder had, by the wall clock.
+func (s *rolloutState) elapsed(g *Gateway, now time.Duration) time.Duration {
+	elapsed := now - s.seenAt
+	if s.progress.StartedUnixMs > 0 {
+		byWallClock := g.clock.Now().Sub(time.UnixMilli(s.progress.StartedUnixMs))
+		elapsed = max(elapsed, min(byWallClock, s.order.Duration))
+	}
+	return elapsed
+}
+
+// selectTrial reports whether a request goes to the version on trial.
+func (c *controlLoop) selectTrial(now time.Duration, request *admission.Request) bool {
+	state := c.rollouts.states[request.Service]
+	if state == nil || len(request.ExcludedUpstreams) > 0 || now-c.rollouts.currentAt > maxRolloutAge {
+		return false
+	}
+	if stage := state.progress.Stage; stage != rollout.Trial && stage != rollout.Ramp {
+		return false
+	}
+	selected := state.selector.Select(state.progress.Share)
+	if selected {
+		c.g.metrics.rolloutTrials.Inc(1)
+	}
+	return selected
+}
+
+// rolloutResultMsg adds a first output or the end of a request to the evidence.
+type rolloutResultMsg struct {
+	service, version string
+	cell             rollout.Cell
+	counts           rollout.Counts
+}
+
+func (m rolloutResultMsg) apply(c *controlLoop) {
+	state := c.rollouts.states[m.service]
+	if state == nil {
+		return
+	}
+	state.own.Add(m.version == state.order.Version, m.cell, m.counts)
+	c.markReportsChanged()
+}
+
+// recordRollout adds counts to the evidence about the version of a request's upstream.
+func (x *exchange) recordRollout(decision admission.Decision, counts rollout.Counts) {
+	if !x.g.rolloutsEnabled() || counts == (rollout.Counts{}) {
+		return
+	}
+	slots := float64(max(1, decision.Upstream.Slots))
+	x.g.enqueue(rolloutResultMsg{
+		service: x.service, version: decision.Upstream.Version, counts: counts,
+		cell: rollout.Cell{Route: x.route.Name, Busy: float64(decision.InFlight+1) >= busyShare*slots},
+	})
+}
+
+// rolloutCounts returns what the result of an attempt says about the upstream's version.
+func rolloutCounts(result attemptResult) rollout.Counts {
+	switch result.outcome {
+	case admission.Answered:
+		return rollout.Result(false)
+	case admission.Failed, admission.Broken:
+		return rollout.Result(true)
+	}
+	if result.err != nil && result.outcome == admission.Cancelled && result.timeToFirstOutput == 0 && result.totalTime > 0 {
+		// The time to the first output would have been longer.
+		return rollout.FirstOutput(result.totalTime)
+	}
+	return rollout.Counts{}
+}
+
+func (g *Gateway) rolloutsEnabled() bool { return g.settings.Bounds.ExposureShare > 0 }
+
+// stepRollouts lets this instance advance the roll-outs if it reads the store for the
+// others. The condition of the write fences it if another instance does the same.
+func (c *controlLoop) stepRollouts(now time.Duration) {
+	if len(c.rollouts.states) == 0 || c.peers.SyncSourceAddress() != "" || c.g.stop.Load() != nil {
+		return
+	}
+	for _, state := range c.rollouts.states {
+		if state.writing || now < state.writeAfter || now-state.steppedAt < rolloutStepInterval || state.progress.Stage.Final() {
+			continue
+		}
+		state.steppedAt = now
+		elapsed := state.elapsed(c.g, now)
+		if state.leader == nil {
+			state.leader = rollout.NewLeader(state.order, c.rollouts.limits, state.progress, elapsed)
+		}
+		if step, due := state.leader.Next(c.observeRollout(now, state, elapsed)); due {
+			c.writeRollout(now, state, step)
+		} else if state.progress.OrderID == "" {
+			c.writeRollout(now, state, rollout.Step{Stage: rollout.Waiting, Reason: "the order is new"})
+		}
+	}
+}
+
+func (c *controlLoop) observeRollout(now time.Duration, state *rolloutState, elapsed time.Duration) rollout.Observation {
+	pool := c.pool(state.order.Service)
+	view := c.quotas.FleetView(now)
+	o := rollout.Observation{
+		Elapsed: elapsed, IncumbentInFlight: pool.IncumbentInFlight(), Evidence: state.pooledEvidence(true),
+		Complete: float64(view.Reachable) >= minReachableForRollout*float64(view.Reachable+view.Unreachable),
+	}
+	o.CandidateSlots, o.IncumbentSlots = pool.VersionSlots()
+	return o
+}
+
+// writeRollout records a step without waiting for the store. A version that was found to
+// be faulty gets no more requests of this instance from now on.
+func (c *controlLoop) writeRollout(now time.Duration, state *rolloutState, step rollout.Step) {
+	g := c.g
+	next := rollout.Progress{
+		OrderID: state.order.ID, Version: state.order.Version, Stage: step.Stage, Share: step.Share,
+		StartedUnixMs: state.progress.StartedUnixMs, Holder: g.settings.Instance.Name, Epoch: state.progress.Epoch,
+	}
+	if next.StartedUnixMs == 0 {
+		next.StartedUnixMs = g.clock.Now().Add(-state.elapsed(g, now)).UnixMilli()
+	}
+	if state.progress.Holder != next.Holder {
+		next.Epoch++
+	}
+	g.log.Info("roll-out decision", "service", state.order.Service, "version", state.order.Version, "stage", step.Stage.String(), "share", step.Share, "reason", step.Reason,
+		"elapsed_ms", state.elapsed(g, now).Milliseconds(), "epoch", next.Epoch, "results", state.pooledEvidence(true).Results(true))
+	if step.Stage == rollout.RolledBack {
+		c.pool(state.order.Service).SetVersionRule(admission.VersionRule{Candidate: state.order.Version, Strict: true})
+	}
+	state.writing = true
+	service, revision, orderID := state.order.Service, state.revision, state.order.ID
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		written, err := g.store.PutStatus(ctx, g.objectKinds.Rollouts, service, g.rolloutCodec.RolloutStatus(next), revision)
+		g.enqueueContext(context.Background(), rolloutWrittenMsg{service: service, orderID: orderID, step: step, progress: next, revision: written.Revision, err: err})
+	}()
+}
+
+// rolloutWrittenMsg is the result of a write of a status.
+type rolloutWrittenMsg struct {
+	service, orderID string
+	step             rollout.Step
+	progress         rollout.Progress
+	revision         uint64
+	err              error
+}
+
+func (m rolloutWrittenMsg) apply(c *controlLoop) {
+	state := c.rollouts.states[m.service]
+	if state == nil || state.order.ID != m.orderID {
+		return
+	}
+	now := c.g.now()
+	state.writing = false
+	if m.err != nil {
+		c.g.metrics.rolloutWritesFailed.Inc(1)
+		c.g.log.Info("roll-out stage not written", "service", m.service, "stage", m.step.Stage.String(), "conflict", errors.Is(m.err, storesync.ErrConflict), "error", m.err.Error())
+		state.writeAfter = now + rolloutWriteRetry
+		if errors.Is(m.err, storesync.ErrConflict) && m.revision > state.revision {
+			// The watch delivers what was written instead.
+			state.leader = nil
+		}
+		return
+	}
+	state.revision = max(state.revision, m.revision)
+	if state.leader != nil {
+		state.leader.Written(m.step, state.elapsed(c.g, now))
+	}
+	c.setProgress(now, state, m.progress)
+	switch m.step.Stage {
+	case rollout.Succeeded:
+		c.g.metrics.rolloutsSucceeded.Inc(1)
+	case rollout.RolledBack:
+		c.g.metrics.rolloutsRolledBack.Inc(1)
+	}
+}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -70,6 +70,9 @@
 	QuotaWindowSeconds float64 `ini:"quota_window_s"`
 	QuotaOverage       float64 `ini:"quota_overage"`
 	QuotaSlack         float64 `ini:"quota_slack"`
+	// ExposureShare is the part of a service's requests that a faulty version may get while
+	// the service moves to it. 0 turns roll-outs off.
+	ExposureShare float64 `ini:"exposure_share"`
 }
 
 // StopGrace is the time from SIGTERM to SIGKILL.
@@ -164,8 +167,11 @@
 	if bounds.ConfigFreshMs <= 0 || bounds.StopGraceSeconds <= 0 || bounds.RetryWindowSeconds <= 0 || bounds.QuotaWindowSeconds <= 0 {
 		problems = append(problems, errors.New("bounds: times must be above 0"))
 	}
-	if bounds.LeaveNoticeSeconds < 0 || bounds.RetryRatio < 0 || bounds.RetryExtra < 0 || bounds.QuotaOverage < 0 || bounds.QuotaSlack < 0 {
+	if bounds.LeaveNoticeSeconds < 0 || bounds.RetryRatio < 0 || bounds.RetryExtra < 0 || bounds.QuotaOverage < 0 || bounds.QuotaSlack < 0 || bounds.ExposureShare < 0 {
 		problems = append(problems, errors.New("bounds: no value may be negative"))
 	}
+	if bounds.ExposureShare > 1 {
+		problems = append(problems, errors.New("bounds.exposure_share must not be above 1"))
+	}
 	return errors.Join(problems...)
 }
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -119,6 +119,11 @@
 
 // useUpstream adds or replaces an upstream by its latest report.
 func (c *controlLoop) useUpstream(info admission.UpstreamInfo, revision uint64) {
+	if c.rollouts.mustHold(info, revision) {
+		c.removeUpstream(info.ID, "orders that precede its version may not be known yet")
+		c.rollouts.held[info.ID] = heldUpstream{info: info, revision: revision}
+		return
+	}
 	if oldService, known := c.services[info.ID]; known && oldService != info.Service {
 		c.removeUpstream(info.ID, "it now belongs to another service")
 	}
@@ -132,6 +137,7 @@
 }
 
 func (c *controlLoop) removeUpstream(name, reason string) {
+	delete(c.rollouts.held, name)
 	service, known := c.services[name]
 	if !known {
 		return
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -86,6 +86,33 @@
 	// Retries are the counts of the retry budget whose number of retries has changed, or
 	// all counts in a full report.
 	Retries []RetryCount
+	// Rollouts hold the evidence about versions on trial, of the instances that the report
+	// covers, since the order was given. They replace those of the last report that had any.
+	Rollouts []RolloutEvidence
+}
+
+// RolloutEvidence holds the results of requests at upstreams of the versions of a service
+// that moves to another version.
+type RolloutEvidence struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	// Service and Order are the short hashes of the service's name and of the order's ID.
+	Service uint32
+	Order   uint32
+	Cells   []RolloutCell
+}
+
+// RolloutCell holds the results on one route, at busy or other upstreams, of the candidate
+// or of the other versions. It is a rollout.Counts.
+type RolloutCell struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	Route      string
+	Busy       bool
+	Candidate  bool
+	Results    uint32
+	Failures   uint32
+	Timed      uint32
+	LogSum     float32
+	LogSquares float32
 }
 
 // UpstreamLoad is the sender's load on one upstream.
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -457,7 +458,13 @@
 
 // DomainKey returns the name that stands for a whole failure domain where loads and
 // quota usage are kept by peer.
-func DomainKey(domainName string) string { return "domain " + domainName }
+func DomainKey(domainName string) string { return domainKeyPrefix + domainName }
+
+// domainKeyPrefix is not part of any instance name.
+const domainKeyPrefix = "domain "
+
+// IsDomainKey reports whether a name stands for a whole failure domain.
+func IsDomainKey(name string) bool { return strings.HasPrefix(name, domainKeyPrefix) }
 
 // KnownCount returns the number of known instances, this one included.
 func (p *Peers) KnownCount() int {
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -33,27 +33,19 @@
 	}
 }
 
-// Result is the result of one request at an upstream.
-type Result struct {
-	Failed bool
-	// FirstOutput is the time to the first output; 0 if unknown. A request that had no
-	// output yet when it ended counts with the time that it had waited.
-	FirstOutput time.Duration
+// Result returns the counts of one request that an upstream has ended.
+func Result(failed bool) Counts {
+	if failed {
+		return Counts{Results: 1, Failures: 1}
+	}
+	return Counts{Results: 1}
 }
 
-// Record returns the counts with one more result.
-func (c Counts) Record(result Result) Counts {
-	c.Results++
-	if result.Failed {
-		c.Failures++
-	}
-	if result.FirstOutput > 0 {
-		ms := math.Log(math.Max(1, float64(result.FirstOutput)/float64(time.Millisecond)))
-		c.Timed++
-		c.LogSum += ms
-		c.LogSquares += ms * ms
-	}
-	return c
+// FirstOutput returns the counts of one first output. It is recorded when it arrives, since
+// a slow version takes long to end an answer.
+func FirstOutput(after time.Duration) Counts {
+	ms := math.Log(math.Max(1, float64(after)/float64(time.Millisecond)))
+	return Counts{Timed: 1, LogSum: ms, LogSquares: ms * ms}
 }
 
 // Evidence holds the results of the candidate version and of the incumbent versions of a
@@ -76,6 +68,16 @@
 	side[cell] = side[cell].Add(counts)
 }
 
+// Merge adds all counts of other.
+func (e Evidence) Merge(other Evidence) {
+	for cell, counts := range other.Candidate {
+		e.Add(true, cell, counts)
+	}
+	for cell, counts := range other.Incumbent {
+		e.Add(false, cell, counts)
+	}
+}
+
 // Results returns the number of results of the candidate, or of the incumbents.
 func (e Evidence) Results(candidate bool) int {
 	side := e.Incumbent
@@ -132,7 +134,7 @@
 	var results, failures, expected, variance float64
 	var timed, logSum, expectedLog, logVariance float64
 	for cell, candidate := range e.Candidate {
-		if !included(cell) || candidate.Results == 0 {
+		if !included(cell) {
 			continue
 		}
 		incumbent := e.Incumbent[cell]
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -128,7 +128,10 @@
 	// IncumbentInFlight is the number of requests in progress at upstreams of other
 	// versions, over all instances.
 	IncumbentInFlight int
-	Evidence          Evidence
+	// Complete is true if the counts and the evidence include most of the instances. A
+	// holder that is cut off does not send a version more requests.
+	Complete bool
+	Evidence Evidence
 }
 
 // Leader advances the roll-out of one order at the instance that holds it.
@@ -178,7 +181,7 @@
 			return Step{Stage: Ramp, Share: rampShares[0], Reason: "the trial has shown no fault"}, true
 		}
 	case Ramp:
-		if o.Elapsed-l.stageSince >= max(minRampStep, l.fraction(rampStep)) && l.enoughCapacity(o) && !overdue {
+		if o.Elapsed-l.stageSince >= max(minRampStep, l.fraction(rampStep)) && l.mayTakeMore(o) && !overdue {
 			return l.afterRampStep(), true
 		}
 	case Full:
@@ -196,14 +199,15 @@
 }
 
 func (l *Leader) trialDone(o Observation) bool {
-	if !l.enoughCapacity(o) || o.Elapsed < l.fraction(trialEnd) {
+	if !l.mayTakeMore(o) || o.Elapsed < l.fraction(trialEnd) {
 		return false
 	}
 	return o.Evidence.Results(true) >= minTrialResults || o.Elapsed >= l.fraction(lateTrialEnd)
 }
 
-func (l *Leader) enoughCapacity(o Observation) bool {
-	return float64(o.CandidateSlots) >= minCapacity*float64(o.IncumbentSlots)
+// mayTakeMore reports whether the version may get more requests.
+func (l *Leader) mayTakeMore(o Observation) bool {
+	return o.Complete && float64(o.CandidateSlots) >= minCapacity*float64(o.IncumbentSlots)
 }
 
 func (l *Leader) afterRampStep() Step {
@@ -218,7 +222,7 @@
 // finish ends the roll-out once the upstreams of other versions are empty, or in time for
 // the operator although some are not.
 func (l *Leader) finish(o Observation, overdue bool) (Step, bool) {
-	if o.IncumbentInFlight > 0 {
+	if o.IncumbentInFlight > 0 || !o.Complete {
 		l.empty = false
 	} else if !l.empty {
 		l.empty, l.emptySince = true, o.Elapsed
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -1,7 +1,6 @@
 package rollout_test
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -71,7 +70,7 @@
 		at        time.Duration
 		candidate bool
 		cell      rollout.Cell
-		result    rollout.Result
+		counts    rollout.Counts
 	}
 	var reports []pending
 	result := outcome{stage: rollout.Waiting}
@@ -108,7 +107,7 @@
 				}
 			}
 			result.total++
-			reports = append(reports, pending{at: now + first + reportDelay, candidate: toCandidate, cell: rollout.Cell{Route: r.name, Busy: busy}, result: rollout.Result{Failed: failed, FirstOutput: first}})
+			reports = append(reports, pending{at: now + first + reportDelay, candidate: toCandidate, cell: rollout.Cell{Route: r.name, Busy: busy}, counts: rollout.Result(failed).Add(rollout.FirstOutput(first))})
 		}
 		kept := reports[:0]
 		for _, p := range reports {
@@ -116,10 +115,10 @@
 				kept = append(kept, p)
 				continue
 			}
-			evidence.Add(p.candidate, p.cell, rollout.Counts{}.Record(p.result))
+			evidence.Add(p.candidate, p.cell, p.counts)
 		}
 		reports = kept
-		observation := rollout.Observation{Elapsed: now, IncumbentSlots: 784, Evidence: evidence}
+		observation := rollout.Observation{Elapsed: now, IncumbentSlots: 784, Evidence: evidence, Complete: true}
 		if now >= startedAfter {
 			observation.CandidateSlots = 784
 		}
@@ -208,7 +207,7 @@
 // died in any stage.
 func TestNextLeaderContinuesAtStoredStage(t *testing.T) {
 	g := NewWithT(t)
-	ready := rollout.Observation{Elapsed: 9 * time.Second, CandidateSlots: 70, IncumbentSlots: 70, IncumbentInFlight: 1, Evidence: rollout.NewEvidence()}
+	ready := rollout.Observation{Elapsed: 9 * time.Second, CandidateSlots: 70, IncumbentSlots: 70, IncumbentInFlight: 1, Complete: true, Evidence: rollout.NewEvidence()}
 	next := map[rollout.Stage]rollout.Stage{rollout.Waiting: rollout.Trial, rollout.Trial: rollout.Ramp}
 	for stored, expected := range next {
 		step, due := newLeader(rollout.Progress{Stage: stored, Share: 0.05}, 8*time.Second).Next(ready)
@@ -234,7 +233,7 @@
 func TestSucceedsOnceOtherVersionsAreEmpty(t *testing.T) {
 	g := NewWithT(t)
 	leader := newLeader(rollout.Progress{Stage: rollout.Full}, 9*time.Second)
-	o := rollout.Observation{Elapsed: 9 * time.Second, CandidateSlots: 70, Evidence: rollout.NewEvidence(), IncumbentInFlight: 3}
+	o := rollout.Observation{Elapsed: 9 * time.Second, CandidateSlots: 70, Complete: true, Evidence: rollout.NewEvidence(), IncumbentInFlight: 3}
 	_, due := leader.Next(o)
 	g.Expect(due).To(BeFalse())
 	o.Elapsed, o.IncumbentInFlight = 10*time.Second, 0
@@ -255,14 +254,29 @@
 	g := NewWithT(t)
 	evidence := rollout.NewEvidence()
 	for i := range 100 {
-		evidence.Add(true, rollout.Cell{Route: "draft"}, rollout.Counts{}.Record(rollout.Result{Failed: i%2 == 0}))
-		evidence.Add(false, rollout.Cell{Route: "draft"}, rollout.Counts{}.Record(rollout.Result{}))
+		evidence.Add(true, rollout.Cell{Route: "draft"}, rollout.Result(i%2 == 0))
+		evidence.Add(false, rollout.Cell{Route: "draft"}, rollout.Result(false))
 	}
 	step, due := newLeader(rollout.Progress{Stage: rollout.Full}, 9*time.Second).Next(rollout.Observation{Elapsed: 9 * time.Second, CandidateSlots: 70, IncumbentInFlight: 5, Evidence: evidence})
 	g.Expect(due).To(BeTrue())
 	g.Expect(step.Stage).To(Equal(rollout.RolledBack))
 }
 
+// Guards against a holder that is cut off from the others, sees no fault and gives the
+// version more requests.
+func TestHolderWithoutReportsDoesNotWidenTrial(t *testing.T) {
+	g := NewWithT(t)
+	o := rollout.Observation{Elapsed: 10 * time.Second, CandidateSlots: 70, IncumbentSlots: 70, Evidence: rollout.NewEvidence()}
+	for _, progress := range []rollout.Progress{{Stage: rollout.Trial, Share: 0.05}, {Stage: rollout.Ramp, Share: 0.2}, {Stage: rollout.Full}} {
+		_, due := newLeader(progress, 8*time.Second).Next(o)
+		g.Expect(due).To(BeFalse(), progress.Stage.String())
+	}
+	o.Complete = true
+	step, due := newLeader(rollout.Progress{Stage: rollout.Trial, Share: 0.05}, 8*time.Second).Next(o)
+	g.Expect(due).To(BeTrue())
+	g.Expect(step.Stage).To(Equal(rollout.Ramp))
+}
+
 // Guards against a share that is exceeded because many instances each round it up.
 func TestSelectorsOfManyInstancesKeepToTheShare(t *testing.T) {
 	g := NewWithT(t)
@@ -291,6 +305,6 @@
 		g.Expect(known).To(BeTrue())
 		g.Expect(parsed).To(Equal(stage))
 	}
-	_, known := rollout.ParseStage(fmt.Sprint("else"))
+	_, known := rollout.ParseStage("else")
 	g.Expect(known).To(BeFalse())
 }
