admission: eject upstreams that answer with failures only

An upstream that fails at once is idle and has the shortest expected time, and the cost of its failure rate does not help when the others are full.

Change: after three failed answers in a row an upstream gets one request at a time, after a growing pause, until one is answered; reports tell the other instances, which leave it to those that have ejected it. At most half of a service's upstreams are ejected. An ejection without a further failure ends after 3 s.

One byte more for each upstream in a report.

--- a/internal/bench/gateway.go
+++ b/internal/bench/gateway.go
@@ -375,7 +375,7 @@
 	s.loop.scheduleAt(max(s.loop.now, i.lastReport+s.config.MinReportInterval), func() {
 		i.reportScheduled, i.lastReport, i.reportedQueueLength = false, s.loop.now, i.pool.QueueLength()
 		state := admission.PeerState{Demand: i.pool.Demand(false), Loads: map[string]admission.Load{}}
-		i.pool.CollectLoads(state.Loads, admission.OwnLoad)
+		i.pool.CollectLoads(s.loop.now, state.Loads, admission.OwnLoad)
 		for _, other := range s.instances {
 			if other != i {
 				s.loop.scheduleAfter(networkDelay, func() {
--- a/internal/bench/gateway_delegation.go
+++ b/internal/bench/gateway_delegation.go
@@ -152,7 +152,7 @@
 	report := delegation.FollowerReport{Follower: i.name, StartTime: 1, Sequence: d.sequence, Waiting: d.follower.Waiting(now, d.sequence)}
 	_, report.DecisionSeen = d.follower.Seen()
 	state := admission.PeerState{Loads: map[string]admission.Load{}}
-	i.pool.CollectLoads(state.Loads, admission.OwnLoad)
+	i.pool.CollectLoads(now, state.Loads, admission.OwnLoad)
 	for id, load := range state.Loads {
 		load.Samples = 0
 		state.Loads[id] = load
@@ -196,7 +196,7 @@
 func (i *gatewayInstance) reply(to *gatewayInstance) {
 	seen, decisions := i.delegation.relay.Reply(i.sim.loop.now, to.name)
 	loads := map[string]admission.Load{}
-	i.pool.CollectLoads(loads, admission.FleetLoad)
+	i.pool.CollectLoads(i.sim.loop.now, loads, admission.FleetLoad)
 	i.send(to, func() {
 		now := to.sim.loop.now
 		for _, decided := range to.delegation.follower.HandleReply(now, i.name, 1, seen, decisions) {
--- /dev/null
+++ b/pkg/admission/ejection.go
@@ -0,0 +1,72 @@
+package admission
+
+import "time"
+
+// Load pattern of failing upstreams: an upstream that answers each request with a failure
+// at once is idle and has the shortest expected time. Under overload, when all others are
+// full, it has the only free slots and gets most of the requests.
+
+const (
+	// ejectAfter is the number of failures in a row after which an upstream is ejected:
+	// it gets one request at a time, after a pause that grows, until one is answered.
+	ejectAfter = 3
+	// ejectionMemory is how long an ejection holds without a further failure. An instance
+	// that has no request to try the upstream with must not keep the others away from it.
+	ejectionMemory = 3 * time.Second
+	// maxEjectedShare is the largest part of a service's upstreams that are ejected. If
+	// more of them fail, the requests are the more likely cause.
+	maxEjectedShare = 0.5
+)
+
+// recordFailedAnswer counts an answer that indicates a failure of the upstream, and ejects
+// the upstream if it gives no others.
+func (p *Pool) recordFailedAnswer(now time.Duration, u *upstream) {
+	u.observeFailure(now, true)
+	u.failuresInRow++
+	if u.failuresInRow < ejectAfter || (!u.ejected(now) && p.ejectedCount(now) >= int(maxEjectedShare*float64(len(p.sorted)))) {
+		if !u.ejected(now) {
+			// The upstream has answered, so that its connections work.
+			u.failedAttempts = 0
+		}
+		return
+	}
+	u.lastFailedAnswer = now
+	if now >= u.backoffUntil {
+		// Those that were sent before the ejection and fail now do not extend the pause.
+		u.backOff(now)
+	}
+	u.failedAttempts = max(1, u.failedAttempts)
+}
+
+// recordAnswer ends an ejection.
+func (u *upstream) recordAnswer(now time.Duration) {
+	u.failedAttempts, u.failuresInRow = 0, 0
+	u.observeFailure(now, false)
+}
+
+// ejected reports whether this instance has ejected the upstream for failed answers.
+func (u *upstream) ejected(now time.Duration) bool {
+	return u.failuresInRow >= ejectAfter && u.failedAttempts > 0 && now-u.lastFailedAnswer < ejectionMemory
+}
+
+func (p *Pool) ejectedCount(now time.Duration) int {
+	count := 0
+	for _, u := range p.sorted {
+		if u.ejected(now) || u.peerLoad.ejections > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// Ejected returns the upstreams that this instance has ejected, or that its peers report
+// as ejected.
+func (p *Pool) Ejected(now time.Duration) []string {
+	var ids []string
+	for _, u := range p.sorted {
+		if u.ejected(now) || u.peerLoad.ejections > 0 {
+			ids = append(ids, u.info.ID)
+		}
+	}
+	return ids
+}
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -204,9 +204,9 @@
 )
 
 // CollectLoads writes the load of the instances in scope at each upstream to dst.
-func (p *Pool) CollectLoads(dst map[string]Load, scope Scope) {
+func (p *Pool) CollectLoads(now time.Duration, dst map[string]Load, scope Scope) {
 	for id, u := range p.upstreams {
-		if load, found := u.loadOf(scope); found {
+		if load, found := u.loadOf(now, scope); found {
 			dst[id] = load
 		}
 	}
@@ -214,9 +214,9 @@
 
 // loadOf returns the load of the instances in scope, and false if there is neither a
 // load nor an estimate of the speed.
-func (u *upstream) loadOf(scope Scope) (Load, bool) {
+func (u *upstream) loadOf(now time.Duration, scope Scope) (Load, bool) {
 	sum := loadSum{}
-	sum.add(Load{InFlight: len(u.requests), PendingPrefillTokens: u.pendingPrefillTokens(), Speed: u.speed, Samples: u.samples})
+	sum.add(Load{InFlight: len(u.requests), PendingPrefillTokens: u.pendingPrefillTokens(), Speed: u.speed, Samples: u.samples, Ejected: u.ejected(now)})
 	switch scope {
 	case OwnLoad:
 	case DomainLoad:
@@ -228,10 +228,10 @@
 		granted, tokens := u.grantedLoad()
 		sum.inFlight, sum.pendingPrefillTokens = sum.inFlight+granted, sum.pendingPrefillTokens+tokens
 	}
-	if sum.inFlight == 0 && sum.samples == 0 {
+	if sum.inFlight == 0 && sum.samples == 0 && sum.ejections == 0 {
 		return Load{}, false
 	}
-	load := Load{InFlight: sum.inFlight, PendingPrefillTokens: sum.pendingPrefillTokens, Samples: sum.samples}
+	load := Load{InFlight: sum.inFlight, PendingPrefillTokens: sum.pendingPrefillTokens, Samples: sum.samples, Ejected: sum.ejections > 0}
 	if sum.samples > 0 {
 		load.Speed = sum.speed / sum.samples
 	}
@@ -341,12 +341,10 @@
 func (p *Pool) observe(now time.Duration, u *upstream, running int, result Result) {
 	switch result.Outcome {
 	case Answered:
-		u.failedAttempts = 0
-		u.observeFailure(now, false)
+		u.recordAnswer(now)
 		p.updateEstimates(u, running, result)
 	case Failed:
-		u.failedAttempts = 0
-		u.observeFailure(now, true)
+		p.recordFailedAnswer(now, u)
 	case Rejected:
 		u.fullUntil = now + rejectionBackoff
 	case Unreachable, Broken:
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -140,6 +140,8 @@
 	// weight of the estimate, in recent observations.
 	Speed   float64
 	Samples float64
+	// Ejected is true if the instance has ejected the upstream for failed answers.
+	Ejected bool
 }
 
 // Tuning holds the parameters of the scheduling policy.
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -77,7 +77,11 @@
 	// failedAttempts counts the failures in a row.
 	backoffUntil   time.Duration
 	failedAttempts int
-	fullUntil      time.Duration
+	// failuresInRow counts the failed answers since the last other one, and
+	// lastFailedAnswer is the time of the last one since the upstream was ejected.
+	failuresInRow    int
+	lastFailedAnswer time.Duration
+	fullUntil        time.Duration
 	// leaving is true once the upstream itself has said that it leaves. quietUntil is the
 	// end of the time for which it wants no request of this instance.
 	leaving            bool
@@ -91,6 +95,8 @@
 type loadSum struct {
 	inFlight, pendingPrefillTokens int
 	speed, samples                 float64
+	// ejections is the number of summands that have ejected the upstream.
+	ejections int
 }
 
 func (s *loadSum) add(load Load) {
@@ -98,6 +104,9 @@
 	s.pendingPrefillTokens += load.PendingPrefillTokens
 	s.speed += load.Speed * load.Samples
 	s.samples += load.Samples
+	if load.Ejected {
+		s.ejections++
+	}
 }
 
 func (s *loadSum) merge(other loadSum) {
@@ -105,6 +114,7 @@
 	s.pendingPrefillTokens += other.pendingPrefillTokens
 	s.speed += other.speed
 	s.samples += other.samples
+	s.ejections += other.ejections
 }
 
 func (s *loadSum) remove(load Load) {
@@ -112,6 +122,9 @@
 	s.pendingPrefillTokens -= load.PendingPrefillTokens
 	s.speed -= load.Speed * load.Samples
 	s.samples -= load.Samples
+	if load.Ejected {
+		s.ejections--
+	}
 }
 
 func (u *upstream) addPeerLoad(report peerRecord, id string) {
@@ -194,6 +207,10 @@
 	if u.info.Leaving || u.leaving || now < u.backoffUntil || now < u.fullUntil {
 		return false
 	}
+	if u.peerLoad.ejections > 0 && !u.ejected(now) {
+		// The instances that have ejected it also try it again.
+		return false
+	}
 	return u.failedAttempts == 0 || len(u.requests) == 0
 }
 
--- a/pkg/admission/version_test.go
+++ b/pkg/admission/version_test.go
@@ -52,7 +52,7 @@
 		f.pool.Schedule(0)
 	}
 	loads := map[string]admission.Load{}
-	f.pool.CollectLoads(loads, admission.OwnLoad)
+	f.pool.CollectLoads(0, loads, admission.OwnLoad)
 	f.Expect([]int{loads["c0"].InFlight, loads["c1"].InFlight}).To(ConsistOf(8, 0))
 }
 
--- a/pkg/gateway/delegation.go
+++ b/pkg/gateway/delegation.go
@@ -300,7 +300,7 @@
 		c.loadViewSentAt = now
 		loads := map[string]admission.Load{}
 		for _, pool := range c.pools {
-			pool.CollectLoads(loads, admission.FleetLoad)
+			pool.CollectLoads(now, loads, admission.FleetLoad)
 		}
 		view.Upstreams = encodeLoads(loads)
 	}
@@ -424,7 +424,7 @@
 	own := map[string]admission.Load{}
 	states := make(map[string]admission.PeerState, len(c.pools))
 	for service, pool := range c.pools {
-		pool.CollectLoads(own, admission.OwnLoad)
+		pool.CollectLoads(now, own, admission.OwnLoad)
 		states[service] = admission.PeerState{RemoteDomain: true, Demand: int(view.ReachableInstances), Loads: map[string]admission.Load{}}
 	}
 	for _, upstreamLoad := range view.Upstreams {
--- a/pkg/gateway/reports.go
+++ b/pkg/gateway/reports.go
@@ -95,12 +95,12 @@
 	}
 	newLoads, newUsed = map[string]admission.Load{}, map[string]float64{}
 	for id, load := range loads {
-		if sent := s.sentLoads[id]; sent.InFlight != load.InFlight || sent.PendingPrefillTokens != load.PendingPrefillTokens {
+		if sent := s.sentLoads[id]; sent.InFlight != load.InFlight || sent.PendingPrefillTokens != load.PendingPrefillTokens || sent.Ejected != load.Ejected {
 			newLoads[id] = load
 		}
 	}
 	for id, sent := range s.sentLoads {
-		if _, found := loads[id]; !found && sent.InFlight > 0 {
+		if _, found := loads[id]; !found && (sent.InFlight > 0 || sent.Ejected) {
 			newLoads[id] = admission.Load{}
 		}
 	}
@@ -228,7 +228,7 @@
 		if wholeDomain {
 			scope = admission.DomainLoad
 		}
-		pool.CollectLoads(loads, scope)
+		pool.CollectLoads(now, loads, scope)
 		if demand := pool.Demand(wholeDomain); demand > 0 {
 			report.Demands = append(report.Demands, loadshare.Demand{Service: loadshare.ShortHash(service), Requests: clampTo[uint16](demand)})
 		}
@@ -259,7 +259,7 @@
 		encoded = append(encoded, loadshare.UpstreamLoad{
 			Upstream: loadshare.ShortHash(id), InFlight: clampTo[uint16](load.InFlight),
 			PendingPrefillTokens: clampTo[uint32](load.PendingPrefillTokens),
-			SpeedPercent:         clampTo[uint16](int(load.Speed * percent)), Samples: clampTo[uint8](int(load.Samples)),
+			SpeedPercent:         clampTo[uint16](int(load.Speed * percent)), Samples: clampTo[uint8](int(load.Samples)), Ejected: load.Ejected,
 		})
 	}
 	return encoded
@@ -268,7 +268,7 @@
 func decodeLoad(load loadshare.UpstreamLoad) admission.Load {
 	return admission.Load{
 		InFlight: int(load.InFlight), PendingPrefillTokens: int(load.PendingPrefillTokens),
-		Speed: float64(load.SpeedPercent) / percent, Samples: float64(load.Samples),
+		Speed: float64(load.SpeedPercent) / percent, Samples: float64(load.Samples), Ejected: load.Ejected,
 	}
 }
 
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -127,6 +127,8 @@
 	// SpeedPercent is the observed speed, averaged over Samples observations.
 	SpeedPercent uint16
 	Samples      uint8
+	// Ejected is true if the sender has ejected the upstream for failed answers.
+	Ejected bool
 }
 
 // Demand is the number of requests that the sender expects to place on a service's
