gateway: hold requests until a starting instance has read its configuration

Change: a request that arrives before the configuration, the upstreams and the orders were read waits for them, up to 0.5 s and a quarter of its timeout.

--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -153,6 +153,29 @@
 }
 
 func (c *testCluster) startInstanceOn(name, callers string) *instance {
+	c.t.Helper()
+	started := c.run(name, callers)
+	c.Eventually(func() int {
+		select {
+		case err := <-started.done:
+			c.t.Fatalf("%s ended early: %v", name, err)
+		default:
+		}
+		return c.readyStatus(started)
+	}, eventuallyTimeout).Should(Equal(http.StatusOK), "%s is not ready", name)
+	return started
+}
+
+// startUnready starts an instance and waits until it answers callers.
+func (c *testCluster) startUnready(name string) *instance {
+	c.t.Helper()
+	started := c.run(name, reserveAddress(c.t))
+	c.Eventually(func() int { return c.readyStatus(started) }, eventuallyTimeout).Should(Equal(http.StatusServiceUnavailable))
+	return started
+}
+
+// run starts an instance.
+func (c *testCluster) run(name, callers string) *instance {
 	c.t.Helper()
 	started := &instance{callers: callers, ready: reserveAddress(c.t), done: make(chan error, 1)}
 	g, err := gateway.New(gateway.Options{
@@ -179,14 +202,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	started.stop = cancel
 	go func() { started.done <- g.Run(ctx) }()
-	c.Eventually(func() int {
-		select {
-		case err := <-started.done:
-			c.t.Fatalf("%s ended early: %v", name, err)
-		default:
-		}
-		return c.readyStatus(started)
-	}, eventuallyTimeout).Should(Equal(http.StatusOK), "%s is not ready", name)
 	c.instances = append(c.instances, started)
 	return started
 }
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -38,6 +38,9 @@
 	// services maps the ID of each upstream to its service, and upstreams to its record.
 	services  map[string]string
 	upstreams map[string]admission.UpstreamInfo
+	// upstreamsListed is true once the upstreams were read, and loaded once Gateway.loaded
+	// is closed.
+	upstreamsListed, loaded bool
 	// configUnreadable is true while the newest configuration could not be decoded. The one
 	// in force is then outdated, and its age grows.
 	configUnreadable bool
@@ -346,7 +349,12 @@
 		c.applyConfigUpdate(m.update)
 	case c.g.objectKinds.Upstreams:
 		c.applyUpstreamUpdate(m.update)
+		c.upstreamsListed = true
 	case c.g.objectKinds.Rollouts:
 		c.applyRolloutUpdate(m.update)
 	}
+	if !c.loaded && c.g.table.Load() != nil && c.upstreamsListed && (c.g.rolloutsKnown.Load() || !c.g.rolloutsEnabled()) {
+		c.loaded = true
+		close(c.g.loaded)
+	}
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -63,6 +63,7 @@
 
 // Phases.
 const (
+	phaseStart  phase = "waiting for the configuration"
 	phaseBody   phase = "reading the body"
 	phaseQueued phase = "queued"
 	phaseSent   phase = "sent to an upstream"
@@ -93,6 +94,10 @@
 		x.fail(errkind.New(errkind.Overloaded, "the instance is at capacity with %d requests in flight", inFlight), defaultRetryAfter)
 		return
 	}
+	if err := x.awaitLoaded(); err != nil {
+		x.fail(err, jitter(defaultRetryAfter))
+		return
+	}
 	if err := x.identify(); err != nil {
 		x.fail(err, jitter(defaultRetryAfter))
 		return
@@ -117,6 +122,35 @@
 	return d/2 + rand.N(d)
 }
 
+// maxLoadWait is how long a request waits at an instance that has just started. Such an
+// instance has read its configuration within 0.4 s; after a restart of all instances the
+// caller would find no other one that is further.
+const maxLoadWait = 500 * time.Millisecond
+
+// awaitLoaded waits until this instance has read what it needs to place requests.
+func (x *exchange) awaitLoaded() *errkind.Error {
+	select {
+	case <-x.g.loaded:
+		return nil
+	default:
+	}
+	x.phase.Store(phaseStart)
+	wait := maxLoadWait
+	if x.requestInfo.Timeout > 0 {
+		wait = min(wait, x.requestInfo.Timeout/4)
+	}
+	select {
+	case <-x.g.loaded:
+		x.g.metrics.heldAtStart.Inc(1)
+		x.phase.Store(phaseBody)
+		return nil
+	case <-x.r.Context().Done():
+		return errkind.New(errkind.CallerGone, "the caller disconnected before the configuration was read")
+	case <-x.g.clock.After(wait):
+		return errkind.New(errkind.NotReady, "the configuration, the upstreams or the roll-outs have not been read yet")
+	}
+}
+
 // identify finds the route, the service and the team of the request.
 func (x *exchange) identify() *errkind.Error {
 	x.table = x.g.table.Load()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -103,6 +103,8 @@
 	// exchanges holds the requests being served.
 	exchanges      sync.Map
 	lastRequestKey atomic.Uint64
+	// loaded is closed once the configuration, the upstreams and the orders were read.
+	loaded chan struct{}
 	// rolloutsKnown is true once the orders to move services to other versions were read.
 	rolloutsKnown atomic.Bool
 	// watchedFingerprints holds what poison.Detector.Watched returned last.
@@ -152,7 +154,7 @@
 		answerMemory: membudget.New(int64(float64(opts.Settings.Limits.MemoryMiB<<20) * answerMemoryShare)),
 		metrics:      newInstanceMetrics(registry), traffic: peer.NewTraffic(registry),
 		storeCopies:  map[string]*storesync.Copy{},
-		usageRecords: &usageRecords{store: opts.Store, kind: opts.ObjectKinds.Usage, now: opts.Now}, instancesListed: make(chan struct{}),
+		usageRecords: &usageRecords{store: opts.Store, kind: opts.ObjectKinds.Usage, now: opts.Now}, instancesListed: make(chan struct{}), loaded: make(chan struct{}),
 	}
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	// The configuration counts as outdated until the store has answered.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -58,6 +58,9 @@
 	rolloutsSucceeded   metrics.Counter
 	rolloutsRolledBack  metrics.Counter
 	rolloutWritesFailed metrics.Counter
+	// heldAtStart counts the requests that were served although they arrived before the
+	// configuration had been read.
+	heldAtStart metrics.Counter
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -83,7 +86,7 @@
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
 		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"), panics: counter("panics.contained"),
 		poisonRefused: counter("poison.refused"), poisonBlocked: counter("poison.blocked"),
-		lateRefused:   counter("stops.refused"),
+		lateRefused: counter("stops.refused"), heldAtStart: counter("requests.held_at_start"),
 		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
 		rolloutsRolledBack: counter("rollouts.rolled_back"), rolloutWritesFailed: counter("rollouts.unwritten"),
 		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
