admission: teams above their share yield; refuse what can no longer begin in time

Callers saw: with three teams at 4 to 7 times their usual demand, and room for half of it, all teams were refused alike.

Change: within a tier, requests of teams that use over 1.5 times the mean of all teams' engine time come after the others.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -28,6 +28,7 @@
 	if len(p.queue) == 0 {
 		return nil
 	}
+	p.updateShares(now)
 	p.sortQueue(now)
 	var decisions []Decision
 	kept := p.queue[:0]
@@ -68,7 +69,7 @@
 }
 
 // sortQueue orders the queue: requests that can still meet their latency target
-// first, then higher tiers, then the newest. Under sustained overload, serving the
+// first, then higher tiers, then teams within their share, then the newest. Under sustained overload, serving the
 // oldest first would make every request late; serving the newest first meets the
 // target of some, whatever their size.
 func (p *Pool) sortQueue(now time.Duration) {
@@ -79,6 +80,9 @@
 		if a.Tier != b.Tier {
 			return cmp.Compare(a.Tier, b.Tier)
 		}
+		if share := p.compareShares(a, b); share != 0 {
+			return share
+		}
 		return cmp.Compare(b.Arrived, a.Arrived)
 	})
 }
@@ -117,13 +121,24 @@
 	if end, quiet := p.quietEnd(now); quiet && !r.Delegated {
 		return p.waitForQuiet(now, r, end)
 	}
-	maxWait := time.Duration(float64(r.Deadline-r.Arrived) * p.tuning.MaxQueueFraction)
-	if now-r.Arrived >= maxWait {
+	if now-r.Arrived >= p.maxWait(r) {
 		return p.refuse(now, r, p.noCapacityReason()), true
 	}
 	return Decision{}, false
 }
 
+// maxWait returns how long a request may wait in the queue. One that can no longer begin in
+// time is refused at once, so that its caller can return while its time lasts, instead of
+// when it has given it up. One that is late when it arrives has no better chance elsewhere
+// and waits for its whole part of the time.
+func (p *Pool) maxWait(r *Request) time.Duration {
+	wait := time.Duration(float64(r.Deadline-r.Arrived) * p.tuning.MaxQueueFraction)
+	if target := r.SoftDeadline - r.Arrived; target > 0 {
+		wait = min(wait, max(target/2, target-fromMs(p.tuning.FirstOutputOverheadMs+p.engineTimeMs(r))))
+	}
+	return wait
+}
+
 // place chooses the upstream with the lowest cost: the expected time to the first
 // output plus penalties, with random jitter, since instances with the same view
 // would otherwise all choose the same upstream. Late requests are last in the queue
@@ -167,6 +182,7 @@
 	if now+chosen.ExpectedFirstOutput > r.SoftDeadline {
 		chosen.Reason = "past the latency target, capacity is available"
 	}
+	p.recordUse(now, r)
 	if !r.Trial {
 		p.allocate(now, best)
 	}
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -47,6 +47,8 @@
 	// Trial is true for a request that goes to the version on trial. If that has no room,
 	// the request becomes an ordinary one.
 	Trial bool
+	// Team is the team whose request it is; empty if unknown.
+	Team string
 	// Tier is the priority class; 0 is the highest.
 	Tier         int
 	PromptTokens int
--- a/pkg/gateway/delegation.go
+++ b/pkg/gateway/delegation.go
@@ -112,7 +112,7 @@
 	}
 	for _, request := range c.follower.Waiting(now, report.Sequence) {
 		waiting := loadshare.WaitingRequest{
-			Key: request.Key, Service: loadshare.ShortHash(request.Service), Tier: int16(request.Tier), Trial: request.Trial,
+			Key: request.Key, Service: loadshare.ShortHash(request.Service), Tier: int16(request.Tier), Team: loadshare.ShortHash(request.Team), Trial: request.Trial,
 			PromptTokens: clampTo[uint32](request.PromptTokens), OutputTokens: clampTo[uint32](request.OutputTokens),
 			WaitedMs: toMs(now - request.Arrived), TargetInMs: int32((request.SoftDeadline - now).Milliseconds()), TimeoutInMs: toMs(request.Deadline - now),
 		}
@@ -197,7 +197,7 @@
 
 func (c *controlLoop) decodeWaiting(now time.Duration, waiting loadshare.WaitingRequest) *admission.Request {
 	request := &admission.Request{
-		Key: waiting.Key, Service: c.serviceName(waiting.Service), Tier: int(waiting.Tier), Trial: waiting.Trial,
+		Key: waiting.Key, Service: c.serviceName(waiting.Service), Tier: int(waiting.Tier), Team: c.teamNames[waiting.Team], Trial: waiting.Trial,
 		PromptTokens: int(waiting.PromptTokens), OutputTokens: int(waiting.OutputTokens),
 		Arrived: now - fromMs(waiting.WaitedMs), SoftDeadline: now + time.Duration(waiting.TargetInMs)*time.Millisecond, Deadline: now + fromMs(waiting.TimeoutInMs),
 	}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -270,7 +270,7 @@
 	elapsedBefore := x.g.callerTimeouts.elapsedBefore(x.route.Name, x.requestInfo.Timeout)
 	softDeadline := x.arrived + latencyTarget - elapsedBefore
 	return &admission.Request{
-		Key: x.g.lastRequestKey.Add(1), Service: x.service, Tier: x.tier(),
+		Key: x.g.lastRequestKey.Add(1), Service: x.service, Team: x.teamName(), Tier: x.tier(),
 		PromptTokens: x.requestInfo.PromptTokens, OutputTokens: x.expectedOutputTokens(),
 		Arrived: x.arrived, SoftDeadline: softDeadline, Deadline: x.deadline,
 	}
--- a/pkg/loadshare/reply.go
+++ b/pkg/loadshare/reply.go
@@ -26,6 +26,8 @@
 	TimeoutInMs uint32
 	// Excluded holds the short hashes of the upstreams that must not be chosen.
 	Excluded []uint32
+	// Team is the short hash of the team's name.
+	Team uint32
 	// Trial is true for a request that goes to a version on trial.
 	Trial bool
 }
