upstream: heads of the replies to control calls are checked too

The scheduler took the reply to a control call (load report, order, exported or imported KV cache) as successful, though its head had run into that of a 500.

Cause: only dispatches, fetched answers and resumed streams asked httphead.Check.

Change: callControl asks it before it reads the status; a defective head is UpstreamBroken.

Evidence: before, TestDefectiveHeadIsAnError failed for "second head in a value" and "second head in the status line" on the ways load, order, exported KV and imported KV. The other heads on these ways, and cancel, passed before and stay as guards.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -17,6 +17,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/httphead"
 )
 
 // DialFunc opens a connection.
@@ -239,6 +240,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := httphead.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, errkind.Wrap(errkind.UpstreamBroken, err, "the reply of %s%s", call.Address, call.Path)
+	}
 	if response.StatusCode/100 != 2 {
 		return nil, refusedError(response, call)
 	}
--- a/pkg/upstream/cut_heads_test.go
+++ b/pkg/upstream/cut_heads_test.go
@@ -131,8 +131,13 @@
 				"dispatch to a service": func() error {
 					return failed(client.Dispatch(ctx, upstream.Call{Address: server.address, RequestID: "r1", Method: http.MethodPost, Path: "/"}))
 				},
-				"fetch":  func() error { return failed(client.FetchAnswer(ctx, server.address, "r1")) },
-				"resume": func() error { return failed(client.Resume(ctx, server.address, "r1", 1)) },
+				"fetch":       func() error { return failed(client.FetchAnswer(ctx, server.address, "r1")) },
+				"resume":      func() error { return failed(client.Resume(ctx, server.address, "r1", 1)) },
+				"load":        func() error { _, err := client.Load(ctx, server.address); return err },
+				"cancel":      func() error { return client.CancelStream(ctx, server.address, "r1") },
+				"order":       func() error { return client.GiveOrder(ctx, server.address, upstream.Order{}) },
+				"exported KV": func() error { _, err := client.ExportKV(ctx, server.address, "r1"); return err },
+				"imported KV": func() error { return client.ImportKV(ctx, server.address, "r1", []byte("kv")) },
 			} {
 				t.Run(way, func(t *testing.T) { NewWithT(t).Expect(call()).To(HaveOccurred()) })
 			}
