pkg/platform: the heads of the platform's answers are checked

The product's own interface took an answer of its platform as successful though its head had run into that of a 500.

Cause: the client asked httphead.Check for nothing.

Change: it does, and a defective head is PlatformUnavailable.

Evidence: before, TestDefectiveHeadOfThePlatformIsAnError failed for "second head in a value", "second head in the status line" and "name with a space" on each way (get, list, instances, put, delete, watch). The other statuses, and TestCutAnswerOfThePlatformIsAnError, passed before and stay as guards.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -17,6 +17,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/httphead"
 )
 
 // eventProgress is the type of the events that keep an idle watch alive. Next
@@ -179,6 +180,10 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.PlatformUnavailable, err, "%s %s", operation, path)
 	}
+	if err := httphead.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, errkind.Wrap(errkind.PlatformUnavailable, err, "%s %s", operation, path)
+	}
 	if response.StatusCode == http.StatusOK {
 		return response, nil
 	}
