httphead: answers of HTTP/1.0 with chunks are defective

Callers got the sizes of chunks as part of the body of an answer of HTTP/1.0 with Transfer-Encoding, through the gateway and through the product's own interface.

Cause: net/http removes Transfer-Encoding from a head below HTTP/1.1 and reads the body to the length or the end of the connection. RFC 9112 (6.1) calls such framing faulty. The head as parsed does not show it.

Change: httphead.CheckOldVersion looks at a head below HTTP/1.1 before it is read, and refuses one with Transfer-Encoding, or one that does not fit in the buffer of 4 KiB. pkg/connpool asks it for each head, pkg/upstream for the first of each connection. A later answer on a kept connection of pkg/upstream that changes to HTTP/1.0 is not checked: dispatches never have one.

Evidence: before, TestDefectiveHeadIsNoAnswer (pkg/connpool) failed for "chunks in HTTP/1.0" and "chunks and length in HTTP/1.0" (body "3\r\nabc\r\n0\r\n\r\n") and "chunks in HTTP/1.0, kept" (body "abc"), and TestDefectiveHeadIsAnError (pkg/upstream) for both such heads on all ways but cancel ("events" also but load). Ruled out: refusing HTTP/1.0, or HTTP/1.0 without a length, since answers may end with their connection.

--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -233,6 +233,9 @@
 		if start, err := c.reader.Peek(len(responsePrefix)); err == nil && string(start) != responsePrefix {
 			return nil, errNoResponse
 		}
+		if err := httphead.CheckOldVersion(c.reader); err != nil {
+			return nil, fmt.Errorf("read the answer: %w", err)
+		}
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, fmt.Errorf("read the answer: %w", err)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -84,7 +84,7 @@
 // NewClient returns a client.
 func NewClient(options Options) *Client {
 	options = options.withDefaults()
-	transport := newTransport(options.Dial, 0)
+	transport := newTransport(dialChecked(options.Dial), 0)
 	transport.MaxIdleConnsPerHost = maxIdlePerUpstream
 	transport.IdleConnTimeout = idleConnTimeout
 	client := newHTTPClient(transport)
--- a/pkg/upstream/cut_heads_test.go
+++ b/pkg/upstream/cut_heads_test.go
@@ -109,6 +109,9 @@
 		"other protocol":                 "HTTP/1.1 101 Switching Protocols\r\n" + echo + "\r\n",
 		"other protocol, then answer":    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + echo + "\r\nHTTP/1.1 200 OK\r\n" + end,
 		"name with a space":              "HTTP/1.1 200 OK\r\n" + echo + "Content-Length : 3\r\n\r\n{ }",
+		"chunks and length in HTTP/1.0":  "HTTP/1.0 200 OK\r\n" + echo + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n{ }",
+		"events, chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\n" + echo + "Content-Type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n" +
+			"8\r\ndata: a\n\r\n1\r\n\n\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := newScriptedServer(t, func(conn net.Conn, _ int) bool {
--- a/pkg/upstream/dispatch.go
+++ b/pkg/upstream/dispatch.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.DialFailed, err, "no connection to %s", call.Address)
 	}
-	sealable := &sealableConn{Conn: conn}
+	sealable := &sealableConn{Conn: newCheckedConn(conn)}
 	if err := runOnDispatch(call); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -173,6 +173,9 @@
 	if conn.seal() {
 		return errkind.Wrap(errkind.DialFailed, cause, "nothing was written to %s", address)
 	}
+	if errors.Is(cause, httphead.ErrDefective) {
+		return errkind.Wrap(errkind.AnswerIncomplete, cause, "the answer of %s", address)
+	}
 	return errkind.Wrap(errkind.UpstreamBroken, cause, "the connection to %s broke", address)
 }
 
