soak: upstreams send answers that look complete or sound and are not

One in 50 requests, by its ID, gets part of an answer without a length and a reset, or an answer with status 000 or with two heads in one. The soak's checks decide: a whole body, and now also a status of 200 to 599.

The testbed's link turned a reset by the server into an end of the connection, and so did CloseConnections, which the soak's reset of an upstream uses. Both reset now, else an answer without a length would be complete.

Not covered: the soak's request bodies are short, so that the reset never meets an upload still in progress; the tests of pkg/connpool do that. test/failure, which also uses the link, was not run in full.

--- a/internal/testbed/link.go
+++ b/internal/testbed/link.go
@@ -83,12 +83,12 @@
 	return l.bytesToServer.Load(), l.bytesToClient.Load()
 }
 
-// CloseConnections closes all open connections.
+// CloseConnections resets all open connections.
 func (l *Link) CloseConnections() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for conn := range l.connections {
-		_ = conn.Close()
+		resetConn(conn)
 	}
 }
 
@@ -161,13 +161,21 @@
 }
 
 // propagateEnd ends the write side of a connection after its source has ended: on
-// EOF it half-closes the connection, on any other error it closes it.
+// EOF it half-closes the connection, on any other error it resets it.
 func (l *Link) propagateEnd(to net.Conn, err error) {
 	if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 		_ = tcp.CloseWrite()
 		return
 	}
-	_ = to.Close()
+	resetConn(to)
+}
+
+// resetConn resets a connection, which must not look like its end.
+func resetConn(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
 }
 
 // waitUntilOpen blocks while the direction is cut. It returns false once the link
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -198,6 +200,10 @@
 			return
 		}
 		defer d.endExecution(upstream, id)
+		if broken := brokenAnswerTo(id); broken != "" {
+			d.breakAnswer(rw, broken, id)
+			return
+		}
 		rw.Header().Set("Response-Signature", "s")
 		const work = 15 * time.Millisecond
 		time.Sleep(work)
@@ -218,6 +224,43 @@
 	})
 }
 
+// brokenAnswers are answers that look complete or sound and are not. Each ends with a reset,
+// which alone shows that those without a length are incomplete.
+var brokenAnswers = []string{
+	"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n\r\nid: 1\ndata: part\n\n",
+	"HTTP/1.0 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n\r\nid: 1\ndata: part\n\n",
+	"HTTP/1.1 000 \r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\npart",
+	"HTTP/1.1 200 OHTTP/1.1 000 \r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\npart",
+}
+
+// brokenAnswerTo returns the broken answer that one in brokenAnswerInterval requests gets, by
+// its ID, so that the faults of a seed stay as drawn. It returns "" for the others.
+func brokenAnswerTo(id string) string {
+	const brokenAnswerInterval = 50
+	hash := fnv.New32a()
+	_, _ = io.WriteString(hash, id)
+	n := hash.Sum32() % uint32(brokenAnswerInterval*len(brokenAnswers))
+	if n >= uint32(len(brokenAnswers)) {
+		return ""
+	}
+	return brokenAnswers[n]
+}
+
+// breakAnswer writes an answer to the request id and resets the connection.
+func (d *deployment) breakAnswer(rw http.ResponseWriter, answer, id string) {
+	conn, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		d.t.Errorf("hijack the connection of request %s: %v", id, err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, answer, id)
+	time.Sleep(time.Millisecond)
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func answerBody(id string) string { return strings.Repeat("answer to "+id+". ", 20) }
 
 func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -310,6 +310,9 @@
 		if request.err == nil && request.status == http.StatusOK && request.body != expectedBody(request) {
 			fail("%s %s got a wrong response body: %q", request.route, request.id, request.body)
 		}
+		if request.err == nil && (request.status < http.StatusOK || request.status > 599) {
+			fail("%s %s got status %d, which is none", request.route, request.id, request.status)
+		}
 		if request.err == nil && request.status == http.StatusNotFound {
 			fail("%s %s got status 404: the gateway knew no route", request.route, request.id)
 		}
