--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -57,6 +59,8 @@
 	objects  map[string]map[string]Object
 	history  []event
 	revision uint64
+	// era is the number of times that the store has returned from an older copy, plus 1.
+	era uint64
 	// compacted is the revision up to which the history was discarded.
 	compacted uint64
 	faults    Faults
@@ -72,7 +76,7 @@
 
 // NewServer returns an empty store.
 func NewServer() *Server {
-	return &Server{objects: map[string]map[string]Object{}, revision: 1, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Server{objects: map[string]map[string]Object{}, revision: 1, era: 1, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // Put writes an object and returns its revision. A []byte is written as it is, any
@@ -185,6 +189,41 @@
 	s.history, s.compacted = nil, s.revision
 }
 
+// Snapshot is a copy of the state of the store.
+type Snapshot struct {
+	objects   map[string]map[string]Object
+	history   []event
+	revision  uint64
+	compacted uint64
+}
+
+// Snapshot returns a copy of the present state.
+func (s *Server) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{objects: cloneObjects(s.objects), history: slices.Clone(s.history), revision: s.revision, compacted: s.compacted}
+}
+
+// Return takes the state back to a snapshot and raises the era. What was written since is
+// lost, and its revisions are given out again.
+func (s *Server) Return(snapshot Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.history = cloneObjects(snapshot.objects), slices.Clone(snapshot.history)
+	s.revision, s.compacted = snapshot.revision, snapshot.compacted
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	cloned := make(map[string]map[string]Object, len(objects))
+	for kind, ofKind := range objects {
+		cloned[kind] = maps.Clone(ofKind)
+	}
+	return cloned
+}
+
 // Calls returns the number of calls since the start, by operation. Lists whose client
 // accepts stale results also count as "stale".
 func (s *Server) Calls() map[string]int {
@@ -221,8 +260,10 @@
 	}
 	s.mu.Lock()
 	status, dropAnswer, postponePuts := s.faults.Status, s.faults.LoseAnswers, s.faults.PostponePuts
+	era := s.era
 	s.mu.Unlock()
 	if status != 0 {
+		w.Header().Set(eraHeader, strconv.FormatUint(era, 10))
 		w.WriteHeader(status)
 		return
 	}
@@ -231,14 +272,37 @@
 		s.postpone(r, kind, name)
 		panic(http.ErrAbortHandler)
 	}
-	answer, status := s.dispatch(r, kind, name)
+	answer := s.dispatch(r, kind, name)
 	if dropAnswer {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
+	w.Header().Set(eraHeader, strconv.FormatUint(answer.era, 10))
+	w.WriteHeader(answer.status)
 	// An error means that the client has disconnected.
-	_ = json.NewEncoder(w).Encode(answer)
+	_ = json.NewEncoder(w).Encode(answer.body)
+}
+
+// eraHeader is the header of each response with the era in which the call was executed.
+const eraHeader = "Store-Era"
+
+// answer is the response to a call.
+type answer struct {
+	body   any
+	status int
+	era    uint64
+}
+
+// answer returns a response of the present era. The caller holds the lock.
+func (s *Server) answer(body any, status int) answer {
+	return answer{body: body, status: status, era: s.era}
+}
+
+// emptyAnswer returns a response without a body. The caller does not hold the lock.
+func (s *Server) emptyAnswer(status int) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answer(nil, status)
 }
 
 // applyHoldAndDelay waits until the fault HoldCalls is off, then for the fault Delay.
@@ -267,23 +331,29 @@
 	}
 }
 
-// dispatch executes a call and returns the body and the status of the response.
-func (s *Server) dispatch(r *http.Request, kind, name string) (any, int) {
+// dispatch executes a call and returns the response.
+func (s *Server) dispatch(r *http.Request, kind, name string) answer {
 	query := r.URL.Query()
 	switch {
 	case r.Method == http.MethodGet && query.Has("watch"):
 		return s.watch(r, kind)
 	case r.Method == http.MethodGet && name != "":
-		if object, found := s.Get(kind, name); found {
-			return object, http.StatusOK
-		}
-		return nil, http.StatusNotFound
+		return s.getObject(kind, name)
 	case r.Method == http.MethodGet:
 		return s.list(kind, query.Get("after"), query.Has("stale_ok"))
 	case r.Method == http.MethodPost || r.Method == http.MethodPut:
 		return s.writeObject(r, kind, name)
 	}
-	return nil, http.StatusMethodNotAllowed
+	return s.emptyAnswer(http.StatusMethodNotAllowed)
+}
+
+func (s *Server) getObject(kind, name string) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if object, found := s.objects[kind][name]; found {
+		return s.answer(object, http.StatusOK)
+	}
+	return s.answer(nil, http.StatusNotFound)
 }
 
 type listResponse struct {
@@ -292,7 +362,7 @@
 	CurrentRevision uint64   `json:"current_rev"`
 }
 
-func (s *Server) list(kind, after string, staleAllowed bool) (any, int) {
+func (s *Server) list(kind, after string, staleAllowed bool) answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls["list"]++
@@ -310,7 +380,7 @@
 		}
 		response.Items = append(response.Items, s.objects[kind][name])
 	}
-	return response, http.StatusOK
+	return s.answer(response, http.StatusOK)
 }
 
 type watchEvent struct {
@@ -327,11 +397,11 @@
 const maxWatchWaitMs = 30_000
 
 // watch waits for events after a revision, until the wait time of the call has passed.
-func (s *Server) watch(r *http.Request, kind string) (any, int) {
+func (s *Server) watch(r *http.Request, kind string) answer {
 	after, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	waitMs, waitErr := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
 	if err != nil || waitErr != nil || waitMs > maxWatchWaitMs {
-		return nil, http.StatusBadRequest
+		return s.emptyAnswer(http.StatusBadRequest)
 	}
 	timer := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
 	defer timer.Stop()
@@ -339,30 +409,28 @@
 	s.calls["watch"]++
 	s.mu.Unlock()
 	for {
-		response, changed, ok := s.eventsSince(kind, after)
-		if !ok {
-			return nil, http.StatusGone
-		}
-		if len(response.Events) > 0 {
-			return response, http.StatusOK
+		answer, events, changed := s.eventsSince(kind, after)
+		if events > 0 || answer.status != http.StatusOK {
+			return answer
 		}
 		select {
 		case <-r.Context().Done():
-			return nil, http.StatusServiceUnavailable
+			return s.emptyAnswer(http.StatusServiceUnavailable)
 		case <-timer.C:
-			return response, http.StatusOK
+			return answer
 		case <-changed:
 		}
 	}
 }
 
-// eventsSince returns the events of a kind after a revision and a channel that is closed
-// at the next change. It returns false if the revision is compacted.
-func (s *Server) eventsSince(kind string, after uint64) (watchResponse, chan struct{}, bool) {
+// eventsSince returns the response to a watch, the number of its events and a channel that
+// is closed at the next change. The response is 410 if the history after the revision was
+// discarded, or if the store does not have the revision.
+func (s *Server) eventsSince(kind string, after uint64) (answer, int, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted {
-		return watchResponse{}, nil, false
+	if after < s.compacted || after > s.revision {
+		return s.answer(nil, http.StatusGone), 0, s.changed
 	}
 	response := watchResponse{Events: []watchEvent{}, CurrentRevision: s.revision}
 	for _, e := range s.history {
@@ -370,7 +438,7 @@
 			response.Events = append(response.Events, watchEvent{Object: e.object, Deleted: e.deleted})
 		}
 	}
-	return response, s.changed, true
+	return s.answer(response, http.StatusOK), len(response.Events), s.changed
 }
 
 // write is a call that creates or replaces an object.
@@ -390,15 +458,15 @@
 	return w, err == nil && (name != "" || w.object.Metadata.Name != "")
 }
 
-func (s *Server) writeObject(r *http.Request, kind, name string) (any, int) {
+func (s *Server) writeObject(r *http.Request, kind, name string) answer {
 	w, ok := decodeWrite(r, kind, name)
 	if !ok {
-		return nil, http.StatusBadRequest
+		return s.emptyAnswer(http.StatusBadRequest)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls["write"]++
-	return s.execute(w)
+	return s.answer(s.execute(w))
 }
 
 // postpone keeps a write for ExecutePostponed.
