storesync, platform: order copies of the store by era and revision

Cause: copies were ordered by the highest revision seen. After the store has returned from an older copy of itself, followers of a relay would miss all that is written at revisions that were given out before.

Change: Position{Era, Revision} with Before orders listings, changes, updates, copies and the calls between relays and followers. A watch that is answered in a later era lists again, and all objects are delivered again, since their revisions say nothing. Missing ones are kept for ReturnGrace. An earlier era of a relay is ignored and confirms nothing; of the store itself it is an error.

--- a/pkg/gateway/lifecycle.go
+++ b/pkg/gateway/lifecycle.go
@@ -44,6 +44,10 @@
 	// upstreamDeletionGrace is the time within which upstreams renew their records
 	// that expired during an outage of the store.
 	upstreamDeletionGrace = 2 * time.Second
+	// orderReturnGrace is the time within which the operator writes orders again that the
+	// store has lost by returning from an older copy. Until then they stay in force, and
+	// upstreams of versions that were not used before wait.
+	orderReturnGrace = 10 * time.Second
 	// watchMargin is the time allowed for the answer after a watch's wait. A
 	// store that is 100 times slower than its usual 4 ms still answers in time.
 	watchMargin = 500 * time.Millisecond
@@ -176,10 +180,14 @@
 			})
 	})
 	for kind := range g.storeCopies {
+		returnGrace := upstreamDeletionGrace
+		if kind == g.objectKinds.Rollouts {
+			returnGrace = orderReturnGrace
+		}
 		syncer := storesync.New(storesync.Options{
 			Store: g.store, Relay: g.currentRelay, Copy: g.storeCopies[kind], Kind: kind,
 			StoreWatchWait: storeWatchWait, RelayWatchWait: relayWatchWait, WatchMargin: watchMargin, ListTimeout: listTimeout,
-			MaxRelayAge: g.maxRelayAge, DirectRetryInterval: directRetryInterval, MaxDirectRetryInterval: maxDirectRetryInterval, DeletionGrace: upstreamDeletionGrace,
+			MaxRelayAge: g.maxRelayAge, DirectRetryInterval: directRetryInterval, MaxDirectRetryInterval: maxDirectRetryInterval, DeletionGrace: upstreamDeletionGrace, ReturnGrace: returnGrace,
 			Now: g.now, Clock: g.clock, Log: g.log,
 			OnUpdate: func(update storesync.Update) { g.enqueueContext(ctx, storeUpdateMsg{update: update}) },
 			OnStoreCall: func(err error) {
--- a/pkg/gateway/quota_usage_test.go
+++ b/pkg/gateway/quota_usage_test.go
@@ -21,7 +21,7 @@
 
 func (s *fakeSource) List(context.Context, string) (storesync.Listing, error) {
 	s.calls++
-	return storesync.Listing{Revision: 7, Objects: []storesync.Object{{Name: "north", Spec: []byte("{}")}}}, s.err
+	return storesync.Listing{Position: storesync.Position{Revision: 7}, Objects: []storesync.Object{{Name: "north", Spec: []byte("{}")}}}, s.err
 }
 
 // All instances of a failure domain have restarted and ask their relay for the usage
--- a/pkg/gateway/registration.go
+++ b/pkg/gateway/registration.go
@@ -105,10 +105,10 @@
 // known, and returns its new revision. Each call is conditional, so that one that takes
 // effect late does not replace what was written after it.
 func (g *Gateway) writeObject(ctx context.Context, kind, name string, spec any, revision uint64) (uint64, error) {
-	var object storesync.Object
+	var object storesync.Written
 	var err error
 	for range maxWriteAttempts {
-		if object, err = g.store.Put(ctx, kind, name, spec, revision); !errors.Is(err, storesync.ErrConflict) {
+		if object, err = g.store.Put(ctx, kind, name, spec, storesync.Position{Revision: revision}); !errors.Is(err, storesync.ErrConflict) {
 			break
 		}
 		revision = object.Revision
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -56,12 +56,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.GetWaitMs())*time.Millisecond)
 	defer cancel()
-	changes, err := storeCopy.Watch(ctx, in.GetAfter())
+	changes, err := storeCopy.Watch(ctx, storesync.Position{Era: in.GetEra(), Revision: in.GetAfter()})
 	if err != nil {
 		// The only possible error is that the history was compacted.
 		return &peer.FollowStoreReply{Compacted: true}, nil
 	}
-	reply := encodeReply(changes.Revision, changes.Freshness, true, s.now()-arrived)
+	reply := encodeReply(changes.Position, changes.Freshness, true, s.now()-arrived)
 	for _, event := range changes.Events {
 		if event.Deleted {
 			reply.Deleted = append(reply.Deleted, event.Object.Name)
@@ -73,16 +73,16 @@
 }
 
 func encodeListing(listing storesync.Listing, known bool, waited time.Duration) *peer.FollowStoreReply {
-	reply := encodeReply(listing.Revision, listing.Freshness, known, waited)
+	reply := encodeReply(listing.Position, listing.Freshness, known, waited)
 	for _, object := range listing.Objects {
 		reply.Changed = append(reply.Changed, encodeObject(object))
 	}
 	return reply
 }
 
-func encodeReply(revision uint64, freshness storesync.Freshness, known bool, waited time.Duration) *peer.FollowStoreReply {
+func encodeReply(position storesync.Position, freshness storesync.Freshness, known bool, waited time.Duration) *peer.FollowStoreReply {
 	return &peer.FollowStoreReply{
-		Revision: revision, Known: known, Failing: freshness.StoreFailing,
+		Era: position.Era, Revision: position.Revision, Known: known, Failing: freshness.StoreFailing,
 		WaitedMs:      uint64(waited.Milliseconds()),
 		AgeMs:         uint64(math.Ceil(float64(freshness.Age) / float64(time.Millisecond))),
 		SinceReturnMs: uint64(freshness.SinceRecovery.Milliseconds()),
@@ -109,7 +109,7 @@
 	if !reply.GetKnown() {
 		return storesync.Listing{}, errEmptyCopy
 	}
-	listing := storesync.Listing{Revision: reply.GetRevision(), Freshness: decodeFreshness(reply)}
+	listing := storesync.Listing{Position: decodePosition(reply), Freshness: decodeFreshness(reply)}
 	for _, object := range reply.GetChanged() {
 		listing.Objects = append(listing.Objects, decodeObject(object))
 	}
@@ -117,9 +117,9 @@
 }
 
 // Watch implements storesync.Source.
-func (r relaySource) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (storesync.Changes, error) {
+func (r relaySource) Watch(ctx context.Context, kind string, after storesync.Position, wait time.Duration) (storesync.Changes, error) {
 	reply, err := r.g.dialer.Client(r.address).FollowStore(ctx, &peer.FollowStoreRequest{
-		Kind: kind, After: after, WaitMs: uint32(wait.Milliseconds()),
+		Kind: kind, Era: after.Era, After: after.Revision, WaitMs: uint32(wait.Milliseconds()),
 	})
 	if err != nil {
 		return storesync.Changes{}, err
@@ -127,7 +127,7 @@
 	if reply.GetCompacted() {
 		return storesync.Changes{}, storesync.ErrCompacted
 	}
-	changes := storesync.Changes{Revision: reply.GetRevision(), Freshness: decodeFreshness(reply)}
+	changes := storesync.Changes{Position: decodePosition(reply), Freshness: decodeFreshness(reply)}
 	for _, object := range reply.GetChanged() {
 		changes.Events = append(changes.Events, storesync.Event{Object: decodeObject(object)})
 	}
@@ -141,6 +141,10 @@
 // cancelled call closes its own connection.
 func (relaySource) CloseIdleConnections() {}
 
+func decodePosition(reply *peer.FollowStoreReply) storesync.Position {
+	return storesync.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}
+}
+
 func decodeFreshness(reply *peer.FollowStoreReply) storesync.Freshness {
 	return storesync.Freshness{
 		Age:           time.Duration(reply.GetAgeMs()) * time.Millisecond,
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -311,7 +311,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		written, err := g.store.PutStatus(ctx, g.objectKinds.Rollouts, service, g.rolloutCodec.RolloutStatus(next), revision)
+		written, err := g.store.PutStatus(ctx, g.objectKinds.Rollouts, service, g.rolloutCodec.RolloutStatus(next), storesync.Position{Revision: revision})
 		g.enqueueContext(context.Background(), rolloutWrittenMsg{service: service, orderID: orderID, step: step, progress: next, revision: written.Revision, err: err})
 	}()
 }
--- a/pkg/storesync/copy.go
+++ b/pkg/storesync/copy.go
@@ -18,8 +18,11 @@
 	mu       sync.Mutex
 	objects  map[string]Object
 	history  []historyEvent
-	revision uint64
-	// compactedRevision is the revision up to which the history was dropped.
+	position Position
+	// known is true once there was an update.
+	known bool
+	// compactedRevision is the revision up to which the history was dropped. The history
+	// holds events of the era of position only.
 	compactedRevision uint64
 	asOf              time.Duration
 	// recoveredAt is when the store could be read again after an outage; 0 if there
@@ -47,9 +50,10 @@
 func (c *Copy) apply(update Update, recoveredAt time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first := c.revision == 0
-	if first {
-		c.compactedRevision = update.Revision
+	restart := !c.known || update.Era > c.position.Era
+	if restart {
+		// Followers in an earlier era have to list again.
+		c.history, c.compactedRevision = nil, update.Revision
 	}
 	for _, object := range update.Changed {
 		c.objects[object.Name] = object
@@ -59,10 +63,13 @@
 		delete(c.objects, name)
 		c.appendHistory(Event{Object: Object{Name: name}, Deleted: true}, update.Revision)
 	}
-	c.revision = max(c.revision, update.Revision)
+	if c.position.Before(update.Position) {
+		c.position = update.Position
+	}
+	c.known = true
 	c.asOf, c.recoveredAt = max(c.asOf, update.AsOf), recoveredAt
 	c.storeFailing = false
-	if first || len(update.Changed)+len(update.Deleted) > 0 {
+	if restart || len(update.Changed)+len(update.Deleted) > 0 {
 		c.notifyWatches()
 	}
 }
@@ -112,11 +119,11 @@
 func (c *Copy) snapshot() (Listing, bool, chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	listing := Listing{Revision: c.revision, Freshness: c.freshness()}
+	listing := Listing{Position: c.position, Freshness: c.freshness()}
 	for _, object := range c.objects {
 		listing.Objects = append(listing.Objects, object)
 	}
-	return listing, c.revision > 0, c.changed
+	return listing, c.known, c.changed
 }
 
 func (c *Copy) freshness() Freshness {
@@ -127,9 +134,10 @@
 	return f
 }
 
-// Watch waits for changes after a revision and returns them. It returns no changes if
-// the context ends, or if the store starts to fail during the wait.
-func (c *Copy) Watch(ctx context.Context, after uint64) (Changes, error) {
+// Watch waits for changes after a position and returns them. It returns no changes if
+// the context ends, or if the store starts to fail during the wait. A caller in a later
+// era than the copy gets no changes until the copy has reached that era.
+func (c *Copy) Watch(ctx context.Context, after Position) (Changes, error) {
 	failing := true
 	for {
 		changes, changed, err := c.changesSince(after)
@@ -146,15 +154,18 @@
 	}
 }
 
-func (c *Copy) changesSince(after uint64) (Changes, chan struct{}, error) {
+func (c *Copy) changesSince(after Position) (Changes, chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision == 0 || after < c.compactedRevision {
+	if !c.known || after.Era < c.position.Era || after.Era == c.position.Era && after.Revision < c.compactedRevision {
 		return Changes{}, nil, ErrCompacted
 	}
-	changes := Changes{Revision: c.revision, Freshness: c.freshness()}
+	changes := Changes{Position: c.position, Freshness: c.freshness()}
+	if after.Era > c.position.Era {
+		return changes, c.changed, nil
+	}
 	for _, e := range c.history {
-		if e.revision > after {
+		if e.revision > after.Revision {
 			changes.Events = append(changes.Events, e.event)
 		}
 	}
--- a/pkg/storesync/copy_test.go
+++ b/pkg/storesync/copy_test.go
@@ -16,10 +16,10 @@
 func TestWatchReturnsWhenStoreFails(t *testing.T) {
 	g := NewWithT(t)
 	kept := NewCopy(fixedNow)
-	kept.apply(Update{Revision: 5, Changed: []Object{{Name: "a", Revision: 1}}}, 0)
+	kept.apply(Update{Position: Position{Revision: 5}, Changed: []Object{{Name: "a", Revision: 1}}}, 0)
 	answers := make(chan Changes)
 	watch := func(ctx context.Context) {
-		changes, err := kept.Watch(ctx, 5)
+		changes, err := kept.Watch(ctx, Position{Revision: 5})
 		if err == nil {
 			answers <- changes
 		}
@@ -36,8 +36,8 @@
 	g.Consistently(answers, "20ms").ShouldNot(Receive())
 	end()
 	g.Eventually(answers, "20s").Should(Receive(&changes))
-	kept.apply(Update{Revision: 6}, 0)
-	changes, _, _ = kept.changesSince(5)
+	kept.apply(Update{Position: Position{Revision: 6}}, 0)
+	changes, _, _ = kept.changesSince(Position{Revision: 5})
 	g.Expect(changes.StoreFailing).To(BeFalse())
 }
 
@@ -50,7 +50,7 @@
 	end()
 	_, known := kept.List(ended)
 	g.Expect(known).To(BeFalse())
-	go kept.apply(Update{Revision: 5}, 0)
+	go kept.apply(Update{Position: Position{Revision: 5}}, 0)
 	listing, known := kept.List(context.Background())
 	g.Expect(known).To(BeTrue())
 	g.Expect(listing.Revision).To(BeEquivalentTo(5))
--- a/pkg/storesync/syncer.go
+++ b/pkg/storesync/syncer.go
@@ -38,6 +38,9 @@
 	// held back. Objects that expired during the outage are usually written again
 	// within this time.
 	DeletionGrace time.Duration
+	// ReturnGrace is the time for which objects are kept that are missing when the store has
+	// returned from an older copy, since they are written again.
+	ReturnGrace time.Duration
 	// Copy, if not nil, is updated and serves other instances.
 	Copy *Copy
 	// OnUpdate is called with each update, in order.
@@ -61,8 +64,10 @@
 // Syncer keeps a copy of one kind current: it lists the objects once and then watches
 // for changes.
 type Syncer struct {
-	opts         Options
-	revision     uint64
+	opts Options
+	// position is that of the copy, and known is true once there is one.
+	position     Position
+	known        bool
 	listed       bool
 	storeFailing bool
 	backoff      time.Duration
@@ -70,8 +75,8 @@
 	// pendingDeletions the times at which deleted objects are removed from the copy.
 	revisions        map[string]uint64
 	pendingDeletions map[string]time.Duration
-	// recoveredAt is when the store answered again after failures; 0 if it did
-	// not fail.
+	// recoveredAt is when the store answered again after failures, or was seen to have
+	// returned from an older copy; 0 if neither has happened.
 	recoveredAt time.Duration
 	// asOf is the latest time at which the copy is known to have been current.
 	asOf time.Duration
@@ -101,7 +106,10 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrCompacted):
-			s.opts.Log.Info("store history was compacted, listing again", "kind", s.opts.Kind, "revision", s.revision, "relay", isRelay)
+			s.opts.Log.Info("store history was compacted, listing again", "kind", s.opts.Kind, "era", s.position.Era, "revision", s.position.Revision, "relay", isRelay)
+			s.listed = false
+		case errors.Is(err, ErrEraChanged):
+			s.opts.Log.Info("store era changed, listing again", "kind", s.opts.Kind, "era", s.position.Era, "revision", s.position.Revision, "relay", isRelay)
 			s.listed = false
 		case err != nil && isRelay:
 			s.opts.Log.Info("dependency lost", "dependency", "relay", "kind", s.opts.Kind, "error", err.Error())
@@ -111,6 +119,9 @@
 			s.handleStoreFailure(ctx, err)
 		default:
 			s.handleSuccess(update, isRelay)
+			if !s.listed || update.ignored {
+				s.pause(ctx, minBackoff)
+			}
 		}
 	}
 }
@@ -144,8 +155,11 @@
 			s.recoveredAt = now
 		}
 	}
+	if update.Returned {
+		s.recoveredAt = now
+	}
 	s.asOf = max(s.asOf, update.AsOf)
-	update.AsOf, update.Revision = s.asOf, s.revision
+	update.AsOf, update.Position = s.asOf, s.position
 	if s.opts.Copy != nil {
 		s.opts.Copy.apply(update, s.recoveredAt)
 	}
@@ -174,7 +188,10 @@
 		if s.recoveredAt > 0 && now-s.recoveredAt < s.opts.DeletionGrace {
 			deleteAt = s.recoveredAt + s.opts.DeletionGrace
 		}
-		if _, pending := s.pendingDeletions[name]; !pending {
+		if update.Returned {
+			deleteAt = now + s.opts.ReturnGrace
+		}
+		if _, pending := s.pendingDeletions[name]; !pending || update.Returned {
 			s.pendingDeletions[name] = deleteAt
 		}
 	}
@@ -211,6 +228,10 @@
 	}
 	pause := s.backoff/2 + rand.N(s.backoff)
 	s.backoff = min(2*s.backoff, maxBackoff)
+	s.pause(ctx, pause)
+}
+
+func (s *Syncer) pause(ctx context.Context, pause time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-s.opts.Clock.After(pause):
@@ -220,7 +241,7 @@
 // fetch lists or watches a source.
 func (s *Syncer) fetch(ctx context.Context, source Source, isRelay bool) (Update, error) {
 	if !s.listed {
-		return s.list(ctx, source)
+		return s.list(ctx, source, isRelay)
 	}
 	wait := s.opts.StoreWatchWait
 	if isRelay {
@@ -229,10 +250,10 @@
 	for _, deleteAt := range s.pendingDeletions {
 		wait = max(time.Millisecond, min(wait, deleteAt-s.opts.Now()))
 	}
-	return s.watch(ctx, source, wait)
+	return s.watch(ctx, source, isRelay, wait)
 }
 
-func (s *Syncer) list(ctx context.Context, source Source) (Update, error) {
+func (s *Syncer) list(ctx context.Context, source Source, isRelay bool) (Update, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, s.opts.ListTimeout)
 	defer cancel()
 	sentAt := s.opts.Now()
@@ -241,16 +262,21 @@
 		return Update{}, err
 	}
 	s.recordFreshness(listing.Freshness)
+	if s.known && listing.Era < s.position.Era {
+		return s.ignoreEarlierEra(listing.Position, isRelay)
+	}
 	update := Update{Kind: s.opts.Kind, AsOf: s.answerAsOf(sentAt, listing.Freshness)}
-	if listing.Revision < s.revision {
-		// A relay with an older revision must not restore deleted objects.
+	if listing.Before(s.position) {
+		// A relay with an older copy must not restore deleted objects.
 		return update, nil
 	}
-	s.listed, s.revision = true, listing.Revision
+	update.Returned = s.known && listing.Era > s.position.Era
+	s.known, s.listed, s.position = true, true, listing.Position
 	listed := make(map[string]bool, len(listing.Objects))
 	for _, object := range listing.Objects {
 		listed[object.Name] = true
-		if knownRevision, found := s.revisions[object.Name]; !found || knownRevision != object.Revision || s.isPendingDeletion(object.Name) {
+		// After a return the store gives out revisions again.
+		if knownRevision, found := s.revisions[object.Name]; update.Returned || !found || knownRevision != object.Revision || s.isPendingDeletion(object.Name) {
 			update.Changed = append(update.Changed, object)
 		}
 	}
@@ -262,21 +288,39 @@
 	return update, nil
 }
 
+// ignoreEarlierEra drops an answer from before the last return of the store. That of a
+// relay does not confirm that the copy is current, so that the relay is bypassed if it
+// does not reach the era in time. The store itself has no reason to give such an answer.
+func (s *Syncer) ignoreEarlierEra(position Position, isRelay bool) (Update, error) {
+	s.opts.Log.V(1).Info("answer of an earlier store era ignored", "kind", s.opts.Kind, "era", s.position.Era, "answered_era", position.Era, "relay", isRelay)
+	if !isRelay {
+		return Update{}, errEarlierEra
+	}
+	return Update{Kind: s.opts.Kind, AsOf: s.asOf, ignored: true}, nil
+}
+
 func (s *Syncer) isPendingDeletion(name string) bool {
 	_, found := s.pendingDeletions[name]
 	return found
 }
 
-func (s *Syncer) watch(ctx context.Context, source Source, wait time.Duration) (Update, error) {
+func (s *Syncer) watch(ctx context.Context, source Source, isRelay bool, wait time.Duration) (Update, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, wait+s.opts.WatchMargin)
 	defer cancel()
 	sentAt := s.opts.Now()
-	changes, err := source.Watch(ctx, s.opts.Kind, s.revision, wait)
+	changes, err := source.Watch(ctx, s.opts.Kind, s.position, wait)
 	if err != nil {
 		return Update{}, err
 	}
 	s.recordFreshness(changes.Freshness)
-	s.revision = max(s.revision, changes.Revision)
+	switch {
+	case changes.Era > s.position.Era:
+		return Update{}, ErrEraChanged
+	case changes.Era < s.position.Era:
+		return s.ignoreEarlierEra(changes.Position, isRelay)
+	case s.position.Before(changes.Position):
+		s.position = changes.Position
+	}
 	update := Update{Kind: s.opts.Kind, AsOf: s.answerAsOf(sentAt, changes.Freshness)}
 	lastEvent := make(map[string]int, len(changes.Events))
 	for i, event := range changes.Events {
--- a/pkg/storesync/syncer_test.go
+++ b/pkg/storesync/syncer_test.go
@@ -54,7 +54,7 @@
 	return next.listing, err
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (storesync.Changes, error) {
+func (s *scriptedSource) Watch(ctx context.Context, _ string, _ storesync.Position, _ time.Duration) (storesync.Changes, error) {
 	next, err := s.next(ctx, "watch")
 	return next.changes, err
 }
@@ -98,10 +98,11 @@
 	t.Helper()
 	f := &fixture{GomegaWithT: NewWithT(t), clock: &manualClock{now: time.Minute}, store: &scriptedSource{responses: responses},
 		updates: make(chan storesync.Update, 16), storeFailures: make(chan error, 16)}
+	f.store.clock = f.clock
 	f.copied = storesync.NewCopy(f.clock.Now)
 	opts := storesync.Options{
 		Store: f.store, Kind: "servers", StoreWatchWait: time.Hour, RelayWatchWait: time.Hour, WatchMargin: time.Hour, ListTimeout: time.Hour,
-		MaxRelayAge: func() time.Duration { return 3 * time.Second }, DirectRetryInterval: 3 * time.Second, MaxDirectRetryInterval: 12 * time.Second, DeletionGrace: 2 * time.Second,
+		MaxRelayAge: func() time.Duration { return 3 * time.Second }, DirectRetryInterval: 3 * time.Second, MaxDirectRetryInterval: 12 * time.Second, DeletionGrace: 2 * time.Second, ReturnGrace: 2 * time.Second,
 		Copy: f.copied, Now: f.clock.Now, Clock: clockwork.NewRealClock(), Log: logr.Discard(),
 		OnUpdate:       func(update storesync.Update) { f.updates <- update },
 		OnStoreCall:    func(error) {},
@@ -141,9 +142,9 @@
 // objects again.
 func TestListAfterCompactionDeliversDifference(t *testing.T) {
 	f := startSyncer(t, nil,
-		response{listing: storesync.Listing{Revision: 5, Objects: []storesync.Object{object("a", 1), object("b", 2), object("c", 3)}}},
+		response{listing: storesync.Listing{Position: storesync.Position{Revision: 5}, Objects: []storesync.Object{object("a", 1), object("b", 2), object("c", 3)}}},
 		response{err: storesync.ErrCompacted},
-		response{listing: storesync.Listing{Revision: 9, Objects: []storesync.Object{object("a", 1), object("b", 8)}}})
+		response{listing: storesync.Listing{Position: storesync.Position{Revision: 9}, Objects: []storesync.Object{object("a", 1), object("b", 8)}}})
 	f.Expect(f.nextUpdate().Changed).To(HaveLen(3))
 	update := f.nextUpdate()
 	f.Expect(update.Changed).To(Equal([]storesync.Object{object("b", 8)}))
@@ -156,9 +157,9 @@
 // and against an age measured from the arrival of the answer.
 func TestListAfterFailedWatch(t *testing.T) {
 	f := startSyncer(t, nil,
-		response{listing: storesync.Listing{Revision: 5, Objects: []storesync.Object{object("a", 1)}}},
+		response{listing: storesync.Listing{Position: storesync.Position{Revision: 5}, Objects: []storesync.Object{object("a", 1)}}},
 		response{err: errUnavailable},
-		response{listing: storesync.Listing{Revision: 5, Objects: []storesync.Object{object("a", 1)}}})
+		response{listing: storesync.Listing{Position: storesync.Position{Revision: 5}, Objects: []storesync.Object{object("a", 1)}}})
 	f.Expect(f.nextUpdate().AsOf).To(Equal(time.Minute))
 	f.Eventually(f.storeFailures, "20s").Should(Receive())
 	update := f.nextUpdate()
@@ -179,8 +180,8 @@
 		return storesync.Event{Object: object(name, revision)}
 	}
 	f := startSyncer(t, nil,
-		response{listing: storesync.Listing{Revision: 5, Objects: []storesync.Object{object("a", 1), object("b", 2), object("c", 3)}}},
-		response{changes: storesync.Changes{Revision: 20, Events: []storesync.Event{
+		response{listing: storesync.Listing{Position: storesync.Position{Revision: 5}, Objects: []storesync.Object{object("a", 1), object("b", 2), object("c", 3)}}},
+		response{changes: storesync.Changes{Position: storesync.Position{Revision: 20}, Events: []storesync.Event{
 			changed("a", 6), changed("a", 7),
 			changed("b", 8), deleted("b", 9),
 			changed("c", 10), deleted("c", 11), changed("c", 12),
@@ -192,7 +193,7 @@
 	listing, _ := f.copied.List(context.Background())
 	f.Expect(listing.Objects).To(ConsistOf(object("a", 7), object("c", 12)))
 	// Followers of the copy get the same events.
-	followed, err := f.copied.Watch(context.Background(), 5)
+	followed, err := f.copied.Watch(context.Background(), storesync.Position{Revision: 5})
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(followed.Events).To(Equal([]storesync.Event{
 		changed("a", 6), changed("a", 7), changed("b", 8), changed("c", 10), changed("c", 12),
@@ -205,10 +206,10 @@
 // are not.
 func TestObjectsExpiredDuringOutageAreKeptForGracePeriod(t *testing.T) {
 	f := startSyncer(t, nil,
-		response{listing: storesync.Listing{Revision: 5, Objects: []storesync.Object{object("a", 1), object("b", 2)}}},
+		response{listing: storesync.Listing{Position: storesync.Position{Revision: 5}, Objects: []storesync.Object{object("a", 1), object("b", 2)}}},
 		response{err: errUnavailable},
-		response{listing: storesync.Listing{Revision: 7}},
-		response{changes: storesync.Changes{Revision: 8, Events: []storesync.Event{{Object: object("a", 8)}}}})
+		response{listing: storesync.Listing{Position: storesync.Position{Revision: 7}}},
+		response{changes: storesync.Changes{Position: storesync.Position{Revision: 8}, Events: []storesync.Event{{Object: object("a", 8)}}}})
 	f.nextUpdate()
 	f.Expect(f.nextUpdate().Deleted).To(BeEmpty())
 	f.Expect(f.nextUpdate().Deleted).To(BeEmpty())
@@ -224,9 +225,9 @@
 // an age that is too small.
 func TestStaleRelayListIsIgnored(t *testing.T) {
 	relay := &scriptedSource{responses: []response{
-		{listing: storesync.Listing{Revision: 9, Objects: []storesync.Object{object("a", 1)}, Freshness: storesync.Freshness{Age: time.Second}}},
+		{listing: storesync.Listing{Position: storesync.Position{Revision: 9}, Objects: []storesync.Object{object("a", 1)}, Freshness: storesync.Freshness{Age: time.Second}}},
 		{err: storesync.ErrCompacted},
-		{listing: storesync.Listing{Revision: 4, Objects: []storesync.Object{object("a", 1), object("gone", 2)}, Freshness: storesync.Freshness{Age: 2 * time.Second}}},
+		{listing: storesync.Listing{Position: storesync.Position{Revision: 4}, Objects: []storesync.Object{object("a", 1), object("gone", 2)}, Freshness: storesync.Freshness{Age: 2 * time.Second}}},
 	}}
 	f := startSyncer(t, relay)
 	f.Expect(f.nextUpdate().AsOf).To(Equal(time.Minute - time.Second))
@@ -241,9 +242,9 @@
 // keeping its outdated copy.
 func TestRelayWithOldCopyIsBypassed(t *testing.T) {
 	relay := &scriptedSource{responses: []response{
-		{listing: storesync.Listing{Revision: 9, Freshness: storesync.Freshness{Age: 4 * time.Second}}},
+		{listing: storesync.Listing{Position: storesync.Position{Revision: 9}, Freshness: storesync.Freshness{Age: 4 * time.Second}}},
 	}}
-	f := startSyncer(t, relay, response{changes: storesync.Changes{Revision: 10, Events: []storesync.Event{{Object: object("a", 10)}}}})
+	f := startSyncer(t, relay, response{changes: storesync.Changes{Position: storesync.Position{Revision: 10}, Events: []storesync.Event{{Object: object("a", 10)}}}})
 	f.nextUpdate()
 	f.Expect(f.nextUpdate().Changed).To(HaveLen(1))
 	f.Expect(f.store.recordedCalls()[0]).To(Equal("watch"))
@@ -251,15 +252,15 @@
 
 func TestCopyWatchReturnsChangesAfterRevision(t *testing.T) {
 	f := startSyncer(t, nil,
-		response{listing: storesync.Listing{Revision: 5, Objects: []storesync.Object{object("a", 1), object("b", 2)}}},
-		response{changes: storesync.Changes{Revision: 8, Events: []storesync.Event{{Object: object("a", 7)}, {Object: object("b", 8), Deleted: true}}}})
+		response{listing: storesync.Listing{Position: storesync.Position{Revision: 5}, Objects: []storesync.Object{object("a", 1), object("b", 2)}}},
+		response{changes: storesync.Changes{Position: storesync.Position{Revision: 8}, Events: []storesync.Event{{Object: object("a", 7)}, {Object: object("b", 8), Deleted: true}}}})
 	f.nextUpdate()
 	f.nextUpdate()
-	changes, err := f.copied.Watch(context.Background(), 5)
+	changes, err := f.copied.Watch(context.Background(), storesync.Position{Revision: 5})
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(changes.Events).To(HaveLen(2))
 	f.Expect(changes.Revision).To(BeEquivalentTo(8))
-	_, err = f.copied.Watch(context.Background(), 3)
+	_, err = f.copied.Watch(context.Background(), storesync.Position{Revision: 3})
 	f.Expect(err).To(MatchError(storesync.ErrCompacted))
 }
 
@@ -269,11 +270,11 @@
 func TestRelayWithFailingStoreIsBypassed(t *testing.T) {
 	failing := storesync.Freshness{StoreFailing: true}
 	relay := &scriptedSource{responses: []response{
-		{listing: storesync.Listing{Revision: 9}},
-		{changes: storesync.Changes{Revision: 9, Freshness: failing}},
-		{changes: storesync.Changes{Revision: 9, Freshness: failing}, at: time.Minute + time.Hour/2},
+		{listing: storesync.Listing{Position: storesync.Position{Revision: 9}}},
+		{changes: storesync.Changes{Position: storesync.Position{Revision: 9}, Freshness: failing}},
+		{changes: storesync.Changes{Position: storesync.Position{Revision: 9}, Freshness: failing}, at: time.Minute + time.Hour/2},
 	}}
-	f := startSyncer(t, relay, response{changes: storesync.Changes{Revision: 10, Events: []storesync.Event{{Object: object("a", 10)}}}})
+	f := startSyncer(t, relay, response{changes: storesync.Changes{Position: storesync.Position{Revision: 10}, Events: []storesync.Event{{Object: object("a", 10)}}}})
 	f.nextUpdate()
 	f.nextUpdate()
 	f.nextUpdate()
@@ -286,7 +287,7 @@
 // events.
 func TestWatchWaitDoesNotAgeTheAnswer(t *testing.T) {
 	relay := &scriptedSource{responses: []response{
-		{listing: storesync.Listing{Revision: 9, Freshness: storesync.Freshness{Age: 700 * time.Millisecond, Waited: 400 * time.Millisecond}}},
+		{listing: storesync.Listing{Position: storesync.Position{Revision: 9}, Freshness: storesync.Freshness{Age: 700 * time.Millisecond, Waited: 400 * time.Millisecond}}},
 	}}
 	f := startSyncer(t, relay)
 	// The test clock does not advance, so that the wait cannot make the answer newer.
