gateway: write own records and stages again when the store has returned

Cause: after a return of the store from an older copy the records of this instance and the stages of roll-outs may be gone, and were not written again. Their revisions were used as conditions of later writes, which may hold by accident.

Change: the control loop notes the first copy in a later era, logs "store returned from an older copy" and counts store.returns. The usage record is due at once and is read before it is written; an answer of an earlier era does not count as recorded. Each instance looks for its record within 4 s, and at each later reading of the list, and writes it if it is missing. A stage in force that is later than the recorded one is written again by the holder, also a final one; a smaller share of the same stage no longer takes a roll-out back.

--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -85,9 +85,11 @@
 	// written to the store.
 	usageCheckedAt time.Duration
 	usageWriting   atomic.Bool
-	// usageRevision is the revision of the usage record that this instance has written
-	// last; 0 if none.
-	usageRevision uint64
+	// usagePosition is that of the last change of the usage record by this instance, with
+	// revision 0 if it is to be read before it is written.
+	usagePosition storesync.Position
+	// storePosition is the latest position of the copies of the store.
+	storePosition storesync.Position
 }
 
 func newControlLoop(g *Gateway) *controlLoop {
@@ -341,6 +343,7 @@
 type storeUpdateMsg struct{ update storesync.Update }
 
 func (m storeUpdateMsg) apply(c *controlLoop) {
+	c.noteStorePosition(m.update)
 	switch m.update.Kind {
 	case c.g.objectKinds.Config:
 		c.applyConfigUpdate(m.update)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -45,7 +45,7 @@
 // Gateway is one gateway instance.
 type Gateway struct {
 	settings        Settings
-	store           storesync.Store
+	store           *storesync.Fenced
 	headerCodec     HeaderCodec
 	recordDecoder   RecordDecoder
 	rolloutCodec    RolloutCodec
@@ -93,8 +93,11 @@
 	// instancesListed is closed after the first attempt to read the instance list.
 	instancesListed     chan struct{}
 	instancesListedOnce sync.Once
-	dialer              *peer.Dialer
-	traffic             *peer.Traffic
+	// storeReturned holds an element if the store has returned from an older copy since the
+	// own record was last looked for.
+	storeReturned chan struct{}
+	dialer        *peer.Dialer
+	traffic       *peer.Traffic
 	// instanceCount is the number of known instances, including this one.
 	instanceCount  atomic.Int64
 	callerTimeouts callerTimeouts
@@ -142,8 +145,9 @@
 	}
 	opts.Log = opts.Log.WithValues("instance", opts.Settings.Instance.Name)
 	registry := metrics.NewRegistry()
+	store := storesync.NewFenced(opts.Store)
 	g := &Gateway{
-		settings: opts.Settings, store: opts.Store, headerCodec: opts.HeaderCodec, recordDecoder: opts.RecordDecoder, rolloutCodec: opts.RolloutCodec, objectKinds: opts.ObjectKinds,
+		settings: opts.Settings, store: store, headerCodec: opts.HeaderCodec, recordDecoder: opts.RecordDecoder, rolloutCodec: opts.RolloutCodec, objectKinds: opts.ObjectKinds,
 		log: opts.Log, requestLog: newRequestLog(opts.Log), panicLogs: newPanicLimiter(), clock: opts.Clock, now: opts.Now,
 		startedUnixNano: opts.Clock.Now().UnixNano(), socket: socket,
 		conns: connpool.NewPool(connpool.Options{
@@ -152,7 +156,8 @@
 		answerMemory: membudget.New(int64(float64(opts.Settings.Limits.MemoryMiB<<20) * answerMemoryShare)),
 		metrics:      newInstanceMetrics(registry), traffic: peer.NewTraffic(registry),
 		storeCopies:  map[string]*storesync.Copy{},
-		usageRecords: &usageRecords{store: opts.Store, kind: opts.ObjectKinds.Usage, now: opts.Now}, instancesListed: make(chan struct{}),
+		usageRecords: &usageRecords{store: store, kind: opts.ObjectKinds.Usage, now: opts.Now}, instancesListed: make(chan struct{}),
+		storeReturned: make(chan struct{}, 1),
 	}
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	// The configuration counts as outdated until the store has answered.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -58,6 +58,8 @@
 	rolloutsSucceeded   metrics.Counter
 	rolloutsRolledBack  metrics.Counter
 	rolloutWritesFailed metrics.Counter
+	// storeReturns counts the returns of the store from an older copy.
+	storeReturns metrics.Counter
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -82,6 +84,7 @@
 		answersUnsent: counter("answers.lost"), connectionsOpened: counter("connections.opened"), connectionsBroken: counter("connections.broken"),
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
 		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"), panics: counter("panics.contained"),
+		storeReturns:  counter("store.returns"),
 		poisonRefused: counter("poison.refused"), poisonBlocked: counter("poison.blocked"),
 		lateRefused:   counter("stops.refused"),
 		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
--- a/pkg/gateway/quota_usage.go
+++ b/pkg/gateway/quota_usage.go
@@ -186,17 +186,17 @@
 		return
 	}
 	record := usageRecord{WrittenUnixMs: c.g.clock.Now().UnixMilli(), Used: used}
-	revision := c.usageRevision
+	condition := c.usagePosition
 	go func() {
 		defer c.usageWriting.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		written, err := c.g.writeObject(ctx, c.g.objectKinds.Usage, c.g.settings.Instance.Domain, record, revision)
+		written, err := c.g.writeObject(ctx, c.g.objectKinds.Usage, c.g.settings.Instance.Domain, record, condition)
 		if err != nil {
 			c.g.log.Info("writing the quota usage to the store failed", "teams", len(used), "error", err.Error())
 			return
 		}
-		c.g.enqueueContext(ctx, usageWrittenMsg{at: now, used: used, revision: written})
+		c.g.enqueueContext(ctx, usageWrittenMsg{at: now, used: used, position: written})
 	}()
 }
 
@@ -204,10 +204,14 @@
 type usageWrittenMsg struct {
 	at       time.Duration
 	used     map[string][]float64
-	revision uint64
+	position storesync.Position
 }
 
 func (m usageWrittenMsg) apply(c *controlLoop) {
-	c.usageRevision = m.revision
+	if m.position.Era < c.storePosition.Era {
+		// The store has lost the record since.
+		return
+	}
+	c.usagePosition = m.position
 	c.quotas.MarkRecorded(m.at, m.used)
 }
--- a/pkg/gateway/registration.go
+++ b/pkg/gateway/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
@@ -55,6 +56,9 @@
 	relayDiscoveryWait = 250 * time.Millisecond
 	instanceListWait   = time.Second
 	relayDiscoveryPoll = 10 * time.Millisecond
+	// returnCheckSpread is the time over which the instances look for their records after
+	// the store has returned from an older copy, so that their calls do not exceed its rate.
+	returnCheckSpread = 4 * time.Second
 )
 
 // maintainRegistration writes this instance's record to the store and reads those
@@ -70,13 +74,18 @@
 			g.log.Info("reading the instance list or writing the own record failed", "error", err.Error())
 			pause = storeRetryInterval
 		} else {
-			syncRecords = g.refreshInstances
+			syncRecords = g.refreshOrRegister
 			g.enqueueContext(ctx, peerListReadMsg{})
 		}
 		g.instancesListedOnce.Do(func() { close(g.instancesListed) })
 		select {
 		case <-ctx.Done():
 		case <-g.clock.After(pause):
+		case <-g.storeReturned:
+			select {
+			case <-ctx.Done():
+			case <-g.clock.After(rand.N(returnCheckSpread)):
+			}
 		}
 	}
 }
@@ -90,7 +99,7 @@
 func (g *Gateway) registerAndList(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if _, err := g.writeObject(ctx, g.objectKinds.Instances, g.settings.Instance.Name, g.ownRecord(), 0); err != nil {
+	if _, err := g.writeObject(ctx, g.objectKinds.Instances, g.settings.Instance.Name, g.ownRecord(), storesync.Position{}); err != nil {
 		return err
 	}
 	_, err := g.readInstances(ctx, g.store.List)
@@ -101,19 +110,27 @@
 // the object, or if an earlier write of this instance has taken effect late.
 const maxWriteAttempts = 3
 
-// writeObject replaces an object of which revision is the last known revision, 0 if none is
-// known, and returns its new revision. Each call is conditional, so that one that takes
-// effect late does not replace what was written after it.
-func (g *Gateway) writeObject(ctx context.Context, kind, name string, spec any, revision uint64) (uint64, error) {
-	var object storesync.Written
+// writeObject replaces an object whose last known change is at condition, with revision 0 if
+// none is known, and returns the position of its new change. Each call is conditional, so
+// that one that takes effect late does not replace what was written after it.
+func (g *Gateway) writeObject(ctx context.Context, kind, name string, spec any, condition storesync.Position) (storesync.Position, error) {
 	var err error
 	for range maxWriteAttempts {
-		if object, err = g.store.Put(ctx, kind, name, spec, storesync.Position{Revision: revision}); !errors.Is(err, storesync.ErrConflict) {
-			break
+		var written storesync.Written
+		written, err = g.store.Put(ctx, kind, name, spec, condition)
+		switch {
+		case err == nil:
+			return written.Position(), nil
+		case errors.Is(err, storesync.ErrConflict):
+			condition = written.Position()
+		case errors.Is(err, storesync.ErrEraChanged):
+			// The conflict, if there is one, returns the object of the present era.
+			condition = storesync.Position{}
+		default:
+			return storesync.Position{}, err
 		}
-		revision = object.Revision
 	}
-	return object.Revision, err
+	return storesync.Position{}, err
 }
 
 // listAndRegister reads the records first, and writes this instance's record only
@@ -128,10 +145,20 @@
 	return g.registerAndList(ctx)
 }
 
-func (g *Gateway) refreshInstances(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+// refreshOrRegister reads the records cheaply, and writes that of this instance again if it
+// is missing or outdated. The store may have lost it, or have executed an earlier write
+// late, when it has returned from an older copy.
+func (g *Gateway) refreshOrRegister(ctx context.Context) error {
+	listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := g.readInstances(ctx, g.store.ListStale)
+	recorded, err := g.readInstances(listCtx, g.store.ListStale)
+	if err != nil || recorded {
+		return err
+	}
+	g.log.Info("own record is missing in the store or outdated, writing it again", "era", g.store.Era())
+	writeCtx, cancelWrite := context.WithTimeout(ctx, storeTimeout)
+	defer cancelWrite()
+	_, err = g.writeObject(writeCtx, g.objectKinds.Instances, g.settings.Instance.Name, g.ownRecord(), storesync.Position{})
 	return err
 }
 
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -39,10 +39,12 @@
 
 // rolloutState is what this instance knows of the roll-out of one service.
 type rolloutState struct {
-	order    rollout.Order
-	progress rollout.Progress
-	// revision is that of the object, under the condition of which its status is written.
-	revision uint64
+	order rollout.Order
+	// progress is in force, and recorded is what the status of the object holds. The store
+	// may lose stages that are in force; they are written again.
+	progress, recorded rollout.Progress
+	// position is that of the object, under the condition of which its status is written.
+	position storesync.Position
 	// seenAt is when the order was first seen here.
 	seenAt   time.Duration
 	selector *rollout.Selector
@@ -64,9 +66,15 @@
 	limits  rollout.Limits
 	states  map[string]*rolloutState
 	// currentAt is the last time at which the copy of the orders was known to be current,
-	// and revision the revision of the store that it shows; 0 before the first.
+	// and position the position of the store that it shows.
 	currentAt time.Duration
-	revision  uint64
+	position  storesync.Position
+	// holdUntil is the time until which upstreams of versions that were not used before are
+	// held back, whatever is known of the orders.
+	holdUntil time.Duration
+	// former holds, by order ID, the roll-outs that were replaced until holdUntil. The
+	// replacing order may be an older one, and the replaced one be written again.
+	former map[string]*rolloutState
 	// versionsInUse holds the versions of each service whose upstreams have been used.
 	// Upstreams of others are held back until the orders that precede them are known.
 	versionsInUse map[string]map[string]bool
@@ -76,19 +84,19 @@
 // heldUpstream is the record of an upstream that is held back.
 type heldUpstream struct {
 	info     admission.UpstreamInfo
-	revision uint64
+	position storesync.Position
 }
 
 func newRollouts(limits rollout.Limits) *rollouts {
 	return &rollouts{
 		enabled: limits.ExposureShare > 0, limits: limits, states: map[string]*rolloutState{},
-		versionsInUse: map[string]map[string]bool{}, held: map[string]heldUpstream{},
+		versionsInUse: map[string]map[string]bool{}, held: map[string]heldUpstream{}, former: map[string]*rolloutState{},
 	}
 }
 
 // mustHold reports whether an upstream is held back, since an order that precedes its
 // record may not be known yet.
-func (r *rollouts) mustHold(info admission.UpstreamInfo, revision uint64) bool {
+func (r *rollouts) mustHold(now time.Duration, info admission.UpstreamInfo, position storesync.Position) bool {
 	if !r.enabled {
 		return false
 	}
@@ -96,15 +104,40 @@
 		r.versionsInUse[info.Service] = map[string]bool{}
 	}
 	inUse := r.versionsInUse[info.Service]
-	inUse[info.Version] = inUse[info.Version] || revision <= r.revision
+	inUse[info.Version] = inUse[info.Version] || now >= r.holdUntil && !r.position.Before(position)
 	return !inUse[info.Version]
 }
 
+// holdNewVersions holds upstreams of versions that were not used before back for a while,
+// since the store has lost the orders that may precede their records.
+func (r *rollouts) holdNewVersions(now time.Duration) { r.holdUntil = now + orderReturnGrace }
+
+// keepFormer keeps a roll-out that is replaced shortly after a return of the store.
+func (r *rollouts) keepFormer(now time.Duration, state *rolloutState) {
+	if state != nil && now < r.holdUntil {
+		r.former[state.order.ID] = state
+	}
+}
+
+// takeFormer returns a roll-out that was replaced shortly after a return of the store, or
+// nil. An order that is given anew later starts anew.
+func (r *rollouts) takeFormer(now time.Duration, orderID string) *rolloutState {
+	if now >= r.holdUntil {
+		clear(r.former)
+	}
+	state := r.former[orderID]
+	if state != nil {
+		delete(r.former, orderID)
+		state.writing, state.leader = false, nil
+	}
+	return state
+}
+
 // applyRolloutUpdate applies changed and withdrawn orders.
 func (c *controlLoop) applyRolloutUpdate(update storesync.Update) {
 	now := c.g.now()
 	for _, object := range update.Changed {
-		c.setRollout(now, object)
+		c.setRollout(now, object, storesync.Position{Era: update.Era, Revision: object.Revision})
 	}
 	for _, name := range update.Deleted {
 		if state := c.rollouts.states[name]; state != nil {
@@ -113,18 +146,21 @@
 			c.g.log.Info("roll-out withdrawn", "service", name, "version", state.order.Version, "stage", state.progress.Stage.String())
 		}
 	}
-	c.rollouts.currentAt, c.rollouts.revision = update.AsOf, max(c.rollouts.revision, update.Revision)
+	c.rollouts.currentAt = update.AsOf
+	if c.rollouts.position.Before(update.Position) {
+		c.rollouts.position = update.Position
+	}
 	c.g.rolloutsKnown.Store(true)
 	for id, held := range c.rollouts.held {
-		if held.revision <= c.rollouts.revision {
+		if !c.rollouts.mustHold(now, held.info, held.position) {
 			delete(c.rollouts.held, id)
-			c.useUpstream(held.info, held.revision)
+			c.useUpstream(held.info, held.position)
 		}
 	}
 }
 
 // setRollout applies an order and its recorded progress.
-func (c *controlLoop) setRollout(now time.Duration, object storesync.Object) {
+func (c *controlLoop) setRollout(now time.Duration, object storesync.Object, position storesync.Position) {
 	var order rollout.Order
 	var progress rollout.Progress
 	err := decodeSpec(c.g, object, func([]byte) (err error) {
@@ -137,22 +173,30 @@
 	}
 	state := c.rollouts.states[order.Service]
 	if state == nil || state.order.ID != order.ID {
-		state = &rolloutState{
-			order: order, seenAt: now, selector: rollout.NewSelector(rand.Float64()),
-			own: rollout.NewEvidence(), reported: map[string]rollout.Evidence{},
+		c.rollouts.keepFormer(now, state)
+		if state = c.rollouts.takeFormer(now, order.ID); state == nil {
+			state = &rolloutState{
+				order: order, seenAt: now, selector: rollout.NewSelector(rand.Float64()),
+				own: rollout.NewEvidence(), reported: map[string]rollout.Evidence{},
+			}
 		}
 		c.rollouts.states[order.Service] = state
+		c.applyVersionRule(state)
 		c.g.log.Info("roll-out ordered", "service", order.Service, "version", order.Version, "duration_ms", order.Duration.Milliseconds(), "revision", object.Revision)
 	}
-	state.revision = object.Revision
+	if position.Before(state.position) {
+		// The answer to a write of this instance was newer.
+		return
+	}
+	state.position, state.recorded = position, progress
 	c.setProgress(now, state, progress)
 }
 
 // setProgress puts the recorded progress of a roll-out in force. A stage that is earlier
 // than the one in force is that of a store that has lost the later one.
 func (c *controlLoop) setProgress(now time.Duration, state *rolloutState, progress rollout.Progress) {
-	if progress.Stage < state.progress.Stage {
-		c.g.log.Info("earlier stage of the roll-out ignored", "service", state.order.Service, "stage", state.progress.Stage.String(), "recorded", progress.Stage.String())
+	if progress.Before(state.progress) {
+		c.g.log.Info("earlier stage of the roll-out ignored", "service", state.order.Service, "stage", state.progress.Stage.String(), "share", state.progress.Share, "recorded", progress.Stage.String(), "recorded_share", progress.Share)
 		return
 	}
 	if progress != state.progress {
@@ -260,7 +304,19 @@
 		return
 	}
 	for _, state := range c.rollouts.states {
-		if state.writing || now < state.writeAfter || now-state.steppedAt < rolloutStepInterval || state.progress.Stage.Final() {
+		if state.writing || now < state.writeAfter || now-state.steppedAt < rolloutStepInterval {
+			continue
+		}
+		if state.position.Era < c.g.store.Era() {
+			// The order was not read in the present era of the store.
+			continue
+		}
+		if state.lost() {
+			state.steppedAt = now
+			c.writeRollout(now, state, rollout.Step{Stage: state.progress.Stage, Share: state.progress.Share, Reason: "the store has lost the stage"})
+			continue
+		}
+		if state.progress.Stage.Final() {
 			continue
 		}
 		state.steppedAt = now
@@ -276,6 +332,12 @@
 	}
 }
 
+// lost reports whether the store no longer holds the stage in force. The operator may have
+// read it there.
+func (s *rolloutState) lost() bool {
+	return s.progress.OrderID != "" && (s.recorded.OrderID == "" || s.recorded.Before(s.progress))
+}
+
 func (c *controlLoop) observeRollout(now time.Duration, state *rolloutState, elapsed time.Duration) rollout.Observation {
 	pool := c.pool(state.order.Service)
 	view := c.quotas.FleetView(now)
@@ -301,18 +363,19 @@
 	if state.progress.Holder != next.Holder {
 		next.Epoch++
 	}
+	next.Epoch = max(next.Epoch, state.recorded.Epoch)
 	g.log.Info("roll-out decision", "service", state.order.Service, "version", state.order.Version, "stage", step.Stage.String(), "share", step.Share, "reason", step.Reason,
 		"elapsed_ms", state.elapsed(g, now).Milliseconds(), "epoch", next.Epoch, "results", state.pooledEvidence(true).Results(true))
 	if step.Stage == rollout.RolledBack {
 		c.pool(state.order.Service).SetVersionRule(admission.VersionRule{Candidate: state.order.Version, Strict: true})
 	}
 	state.writing = true
-	service, revision, orderID := state.order.Service, state.revision, state.order.ID
+	service, condition, orderID, again := state.order.Service, state.position, state.order.ID, state.lost()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		written, err := g.store.PutStatus(ctx, g.objectKinds.Rollouts, service, g.rolloutCodec.RolloutStatus(next), storesync.Position{Revision: revision})
-		g.enqueueContext(context.Background(), rolloutWrittenMsg{service: service, orderID: orderID, step: step, progress: next, revision: written.Revision, err: err})
+		written, err := g.store.PutStatus(ctx, g.objectKinds.Rollouts, service, g.rolloutCodec.RolloutStatus(next), condition)
+		g.enqueueContext(context.Background(), rolloutWrittenMsg{service: service, orderID: orderID, step: step, progress: next, position: written.Position(), again: again, err: err})
 	}()
 }
 
@@ -321,8 +384,10 @@
 	service, orderID string
 	step             rollout.Step
 	progress         rollout.Progress
-	revision         uint64
-	err              error
+	position         storesync.Position
+	// again is true if the store had lost the stage.
+	again bool
+	err   error
 }
 
 func (m rolloutWrittenMsg) apply(c *controlLoop) {
@@ -336,17 +401,25 @@
 		c.g.metrics.rolloutWritesFailed.Inc(1)
 		c.g.log.Info("roll-out stage not written", "service", m.service, "stage", m.step.Stage.String(), "conflict", errors.Is(m.err, storesync.ErrConflict), "error", m.err.Error())
 		state.writeAfter = now + rolloutWriteRetry
-		if errors.Is(m.err, storesync.ErrConflict) && m.revision > state.revision {
-			// The watch delivers what was written instead.
+		conflict := errors.Is(m.err, storesync.ErrConflict) && state.position.Before(m.position)
+		if conflict || errors.Is(m.err, storesync.ErrEraChanged) {
+			// The copy of the orders delivers what is written instead.
 			state.leader = nil
 		}
 		return
 	}
-	state.revision = max(state.revision, m.revision)
+	if state.position.Before(m.position) {
+		state.position, state.recorded = m.position, m.progress
+	}
+	// An acknowledged stage is in force also if the store has lost it meanwhile, since the
+	// operator may have read it. It is then written again.
 	if state.leader != nil {
 		state.leader.Written(m.step, state.elapsed(c.g, now))
 	}
 	c.setProgress(now, state, m.progress)
+	if m.again {
+		return
+	}
 	switch m.step.Stage {
 	case rollout.Succeeded:
 		c.g.metrics.rolloutsSucceeded.Inc(1)
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -10,6 +10,31 @@
 	"github.com/rosemarywing/rosemarywing/pkg/traffic"
 )
 
+// noteStorePosition records the position of a copy. If the store has returned from an older
+// copy, what this instance has written may be lost, and is written again. The copies of the
+// kinds notice a return one after the other; the first one counts.
+func (c *controlLoop) noteStorePosition(update storesync.Update) {
+	g, previous := c.g, c.storePosition
+	g.store.Observe(update.Era)
+	if !previous.Before(update.Position) {
+		return
+	}
+	c.storePosition = update.Position
+	if previous.Revision == 0 || update.Era == previous.Era {
+		return
+	}
+	g.metrics.storeReturns.Inc(1)
+	g.log.Info("store returned from an older copy", "kind", update.Kind, "old_era", previous.Era, "era", update.Era,
+		"old_revision", previous.Revision, "revision", update.Revision)
+	c.usagePosition = storesync.Position{}
+	c.quotas.ForgetRecorded()
+	c.rollouts.holdNewVersions(g.now())
+	select {
+	case g.storeReturned <- struct{}{}:
+	default:
+	}
+}
+
 // applyConfigUpdate puts a newer configuration in force and records when the one
 // in force was last known to be current.
 func (c *controlLoop) applyConfigUpdate(update storesync.Update) {
@@ -64,7 +89,7 @@
 		c.g.log.Info("dependency regained", "dependency", "store", "kind", update.Kind)
 	}
 	for _, object := range update.Changed {
-		c.setUpstream(object)
+		c.setUpstream(object, storesync.Position{Era: update.Era, Revision: object.Revision})
 	}
 	for _, name := range update.Deleted {
 		c.reportOrder.Remove(c.g.now(), name)
@@ -72,7 +97,7 @@
 	}
 	for _, info := range c.reportOrder.Confirm(c.g.now(), update.AsOf) {
 		c.g.log.Info("earlier upstream report is used, since no later one has replaced it", "upstream", info.ID, "incarnation", info.Incarnation, "sequence", info.Sequence)
-		c.useUpstream(info, 0)
+		c.useUpstream(info, storesync.Position{})
 	}
 }
 
@@ -85,7 +110,7 @@
 
 // setUpstream adds or replaces an upstream by its record. If the record is malformed, the
 // upstream is removed; if the upstream has made a later report, the record changes nothing.
-func (c *controlLoop) setUpstream(object storesync.Object) {
+func (c *controlLoop) setUpstream(object storesync.Object, position storesync.Position) {
 	var info admission.UpstreamInfo
 	err := decodeSpec(c.g, object, func(spec []byte) (err error) {
 		info, err = c.g.recordDecoder.Upstream(object.Name, spec)
@@ -101,7 +126,7 @@
 		c.ignoreEarlierReport(info, object.Revision)
 		return
 	}
-	c.useUpstream(info, object.Revision)
+	c.useUpstream(info, position)
 }
 
 // ignoreEarlierReport records that the entry of an upstream was overwritten by an earlier
@@ -118,10 +143,10 @@
 }
 
 // useUpstream adds or replaces an upstream by its latest report.
-func (c *controlLoop) useUpstream(info admission.UpstreamInfo, revision uint64) {
-	if c.rollouts.mustHold(info, revision) {
+func (c *controlLoop) useUpstream(info admission.UpstreamInfo, position storesync.Position) {
+	if c.rollouts.mustHold(c.g.now(), info, position) {
 		c.removeUpstream(info.ID, "orders that precede its version may not be known yet")
-		c.rollouts.held[info.ID] = heldUpstream{info: info, revision: revision}
+		c.rollouts.held[info.ID] = heldUpstream{info: info, position: position}
 		return
 	}
 	if oldService, known := c.services[info.ID]; known && oldService != info.Service {
@@ -133,7 +158,7 @@
 	c.applyLeaving(info.Process())
 	c.attributeLastWord(info)
 	c.g.log.Info("upstream entry", "upstream", info.ID, "service", info.Service, "address", info.Address,
-		"domain", info.Domain, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence, "revision", revision)
+		"domain", info.Domain, "leaving", info.Leaving, "incarnation", info.Incarnation, "sequence", info.Sequence, "revision", position.Revision)
 }
 
 func (c *controlLoop) removeUpstream(name, reason string) {
--- a/pkg/quota/records.go
+++ b/pkg/quota/records.go
@@ -56,6 +56,12 @@
 	return false
 }
 
+// ForgetRecorded states that the store may have lost the last record, so that the next one
+// is due at once.
+func (t *TeamQuotas) ForgetRecorded() {
+	t.recorded, t.recordedAt = map[string]float64{}, -recordInterval
+}
+
 // MarkRecorded keeps the sums and the time of a record that was written to the store;
 // RecordDue compares the next record with them.
 func (t *TeamQuotas) MarkRecorded(now time.Duration, record map[string][]float64) {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -79,6 +79,12 @@
 	Epoch         uint64
 }
 
+// Before reports whether a progress of the same order precedes another one: its stage is
+// earlier, or the share is smaller in the same stage.
+func (p Progress) Before(other Progress) bool {
+	return p.Stage < other.Stage || p.Stage == other.Stage && p.Share < other.Share
+}
+
 // Limits bound what a version may be sent before it is found to be good.
 type Limits struct {
 	// ExposureShare is the part of a service's requests, over the duration of the order,
