--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -61,6 +61,8 @@
 	// heldAtStart counts the requests that were served although they arrived before the
 	// configuration had been read.
 	heldAtStart metrics.Counter
+	// storeReturns counts the returns of the store from an older copy.
+	storeReturns metrics.Counter
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -85,6 +87,7 @@
 		answersUnsent: counter("answers.lost"), connectionsOpened: counter("connections.opened"), connectionsBroken: counter("connections.broken"),
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
 		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"), panics: counter("panics.contained"),
+		storeReturns:  counter("store.returns"),
 		poisonRefused: counter("poison.refused"), poisonBlocked: counter("poison.blocked"),
 		lateRefused: counter("stops.refused"), heldAtStart: counter("requests.held_at_start"),
 		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
