gateway: continue a roll-out from a write whose response was lost

Callers saw: nothing at once; the operator saw a sound version rolled back from full use at the end of the order.

Cause: a write of the holder that takes effect without a response is delivered by the watch, with the same holder, and the leader stays at the stage before. In the stage full it does not wait for the other upstreams to empty, and when the time of the order ends it rolls back as in the ramp.

Change: the leader is replaced by one that continues at the stored progress if that is not what it has written last.

Evidence: TestHolderContinuesFromItsWriteWithoutResponse wrote stage 5 (rolled_back) where 4 (succeeded) is right, before the change; it passes with -race since.

--- /dev/null
+++ b/pkg/gateway/rollout_steps_test.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosemarywing/rosemarywing/pkg/admission"
+	"github.com/rosemarywing/rosemarywing/pkg/rollout"
+	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+)
+
+// rolloutCodecStub stores orders and progress as they are.
+type rolloutCodecStub struct{}
+
+func (rolloutCodecStub) Rollout(_ string, object storesync.Object) (order rollout.Order, progress rollout.Progress, err error) {
+	if err = json.Unmarshal(object.Spec, &order); err == nil && len(object.Status) > 0 {
+		err = json.Unmarshal(object.Status, &progress)
+	}
+	return order, progress, err
+}
+
+func (rolloutCodecStub) RolloutStatus(progress rollout.Progress) any { return progress }
+
+// statusStore holds the order of service desk. While loseAnswers is true, writes take
+// effect and return an error.
+type statusStore struct {
+	storesync.Store
+	object      storesync.Object
+	written     []rollout.Progress
+	loseAnswers bool
+}
+
+func (s *statusStore) PutStatus(_ context.Context, _, _ string, status any, revision uint64) (storesync.Object, error) {
+	if revision != s.object.Revision {
+		return s.object, storesync.ErrConflict
+	}
+	progress, _ := status.(rollout.Progress)
+	s.written = append(s.written, progress)
+	s.object.Status, _ = json.Marshal(status)
+	s.object.Revision++
+	if s.loseAnswers {
+		return storesync.Object{}, errors.New("connection lost")
+	}
+	return s.object, nil
+}
+
+// rolloutFixture is the control loop of an instance that advances the roll-out of service
+// desk to v2, without goroutines of its own.
+type rolloutFixture struct {
+	*WithT
+	loop  *controlLoop
+	store *statusStore
+	clock *clockwork.FakeClock
+	now   time.Duration
+}
+
+func newRolloutFixture(t *testing.T, progress rollout.Progress) *rolloutFixture {
+	f := &rolloutFixture{WithT: NewWithT(t), store: &statusStore{}, now: time.Second}
+	f.loop = newTestControlLoop(t, &f.now, true)
+	f.clock, _ = f.loop.g.clock.(*clockwork.FakeClock)
+	f.loop.g.settings.Bounds.ExposureShare = 0.1
+	f.loop.g.store, f.loop.g.rolloutCodec = f.store, rolloutCodecStub{}
+	f.loop.rollouts = newRollouts(rollout.Limits{ExposureShare: 0.1})
+	for id, version := range map[string]string{"old": "v1", "new": "v2"} {
+		f.loop.pool("desk").SetUpstream(admission.UpstreamInfo{ID: id, Service: "desk", Slots: 8, Version: version})
+	}
+	f.order("v2", progress)
+	return f
+}
+
+// order replaces the object with the order to move to a version in 10 s.
+func (f *rolloutFixture) order(version string, progress rollout.Progress) {
+	spec, err := json.Marshal(rollout.Order{Service: "desk", Version: version, Duration: 10 * time.Second, ID: version})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.store.object = storesync.Object{Name: "desk", Revision: f.store.object.Revision + 1, Spec: spec}
+	if progress != (rollout.Progress{}) {
+		f.store.object.Status, err = json.Marshal(progress)
+		f.Expect(err).NotTo(HaveOccurred())
+	}
+	f.deliver()
+}
+
+// deliver delivers the object as a watch does.
+func (f *rolloutFixture) deliver() {
+	f.loop.applyRolloutUpdate(storesync.Update{Changed: []storesync.Object{f.store.object}, Revision: f.store.object.Revision, AsOf: f.now})
+}
+
+// step advances both clocks, lets the instance decide, and applies the result of a write.
+func (f *rolloutFixture) step(after time.Duration) {
+	f.now += after
+	f.clock.Advance(after)
+	f.loop.stepRollouts(f.now)
+	if f.state().writing {
+		(<-f.loop.inbox).apply(f.loop)
+	}
+}
+
+func (f *rolloutFixture) state() *rolloutState { return f.loop.rollouts.states["desk"] }
+
+func (f *rolloutFixture) lastWritten() rollout.Stage { return f.store.written[len(f.store.written)-1].Stage }
+
+// Failure: the response to a write of the holder is lost, and the watch delivers what was
+// written. Guards against a holder that continues from the stage before: it rolled back a
+// version in full use at the end of the order.
+func TestHolderContinuesFromItsWriteWithoutResponse(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Ramp, Share: 0.4, Holder: "a", Epoch: 1})
+	f.step(0)
+	f.store.loseAnswers = true
+	f.step(time.Second)
+	f.Expect(f.lastWritten()).To(Equal(rollout.Full))
+	f.deliver()
+	f.store.loseAnswers = false
+	f.step(8100 * time.Millisecond)
+	f.Expect(f.lastWritten()).To(Equal(rollout.Succeeded))
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -158,7 +158,9 @@
 	if progress != state.progress {
 		c.g.log.Info("roll-out stage", "service", state.order.Service, "version", state.order.Version, "stage", progress.Stage.String(), "share", progress.Share,
 			"holder", progress.Holder, "epoch", progress.Epoch, "elapsed_ms", state.elapsed(c.g, now).Milliseconds())
-		if state.leader != nil && progress.Holder != c.g.settings.Instance.Name {
+		if state.leader != nil && (progress.Holder != c.g.settings.Instance.Name || !state.leader.IsAt(progress)) {
+			// Another holder has advanced it, or a write of this one took effect although
+			// its response was lost.
 			state.leader = nil
 		}
 	}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -242,8 +242,10 @@
 	l.stage, l.share, l.stageSince = step.Stage, step.Share, elapsed
 }
 
-// Stage returns the stage as last written.
-func (l *Leader) Stage() Stage { return l.stage }
+// IsAt reports whether a stored progress is what the leader has written last.
+func (l *Leader) IsAt(progress Progress) bool {
+	return l.stage == progress.Stage && l.share == progress.Share
+}
 
 // Selector selects the requests of one instance that go to a version on trial. Each
 // instance keeps to its share by itself, so that the bound for all of them holds whatever
