gateway: an order that is given again starts anew

Callers saw: nothing; the operator saw an order without a status.

Cause: an order that is withdrawn and given again with equal content between two updates of the copy looks like the one before. Its missing status counted as an earlier stage and was ignored, and an ended roll-out takes no step. The result of a write for the former order was applied to the new one as well, since the two have the same ID.

Change: an object without a status, at a later revision than one with a status, starts the roll-out anew. The result of a write belongs to the state for which it was sent, not to an ID.

Evidence: before the change TestOrderGivenAgainStartsAnew saw stage 5 of the former order and no write, and TestResultOfWriteForEarlierOrderIsIgnored stage 4 (succeeded) for an order just given; both pass with -race since.

--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -103,7 +103,9 @@
 
 func (f *rolloutFixture) state() *rolloutState { return f.loop.rollouts.states["desk"] }
 
-func (f *rolloutFixture) lastWritten() rollout.Stage { return f.store.written[len(f.store.written)-1].Stage }
+func (f *rolloutFixture) lastWritten() rollout.Stage {
+	return f.store.written[len(f.store.written)-1].Stage
+}
 
 // Failure: the response to a write of the holder is lost, and the watch delivers what was
 // written. Guards against a holder that continues from the stage before: it rolled back a
@@ -119,3 +121,32 @@
 	f.step(8100 * time.Millisecond)
 	f.Expect(f.lastWritten()).To(Equal(rollout.Succeeded))
 }
+
+// Guards against a holder that takes an order which was withdrawn and given again, before
+// this instance saw that it was withdrawn, for the one that has ended: it got no status.
+func TestOrderGivenAgainStartsAnew(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.RolledBack, Holder: "a", Epoch: 1})
+	f.step(time.Second)
+	f.Expect(f.store.written).To(BeEmpty())
+	f.order("v2", rollout.Progress{})
+	f.Expect(f.state().progress).To(Equal(rollout.Progress{}))
+	f.step(time.Second)
+	f.Expect(f.store.written).NotTo(BeEmpty())
+}
+
+// Failure: the result of a write arrives after the order was withdrawn and given again.
+// Guards against taking its stage for one of the new order.
+func TestResultOfWriteForEarlierOrderIsIgnored(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Full, Holder: "a", Epoch: 1})
+	f.now += 8500 * time.Millisecond
+	f.loop.stepRollouts(f.now)
+	f.now += time.Second
+	f.loop.stepRollouts(f.now)
+	f.Expect(f.state().writing).To(BeTrue())
+	late := <-f.loop.inbox
+	f.loop.applyRolloutUpdate(storesync.Update{Deleted: []string{"desk"}, Revision: f.store.object.Revision + 1, AsOf: f.now})
+	f.store.object.Revision++
+	f.order("v2", rollout.Progress{})
+	late.apply(f.loop)
+	f.Expect(f.state().progress).To(Equal(rollout.Progress{}))
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -136,7 +136,7 @@
 		return
 	}
 	state := c.rollouts.states[order.Service]
-	if state == nil || state.order.ID != order.ID {
+	if state == nil || state.order.ID != order.ID || state.givenAgain(object) {
 		state = &rolloutState{
 			order: order, seenAt: now, selector: rollout.NewSelector(rand.Float64()),
 			own: rollout.NewEvidence(), reported: map[string]rollout.Evidence{},
@@ -148,6 +148,12 @@
 	c.setProgress(now, state, progress)
 }
 
+// givenAgain reports whether an object is another one than that of the state, with an equal
+// order: it has no status although that of the state had one, which nobody removes.
+func (s *rolloutState) givenAgain(object storesync.Object) bool {
+	return s.progress.OrderID != "" && len(object.Status) == 0 && object.Revision > s.revision
+}
+
 // setProgress puts the recorded progress of a roll-out in force. A stage that is earlier
 // than the one in force is that of a store that has lost the later one.
 func (c *controlLoop) setProgress(now time.Duration, state *rolloutState, progress rollout.Progress) {
@@ -309,34 +315,37 @@
 		c.pool(state.order.Service).SetVersionRule(admission.VersionRule{Candidate: state.order.Version, Strict: true})
 	}
 	state.writing = true
-	service, revision, orderID := state.order.Service, state.revision, state.order.ID
+	service, revision := state.order.Service, state.revision
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
 		written, err := g.store.PutStatus(ctx, g.objectKinds.Rollouts, service, g.rolloutCodec.RolloutStatus(next), revision)
-		g.enqueueContext(context.Background(), rolloutWrittenMsg{service: service, orderID: orderID, step: step, progress: next, revision: written.Revision, err: err})
+		g.enqueueContext(context.Background(), rolloutWrittenMsg{state: state, step: step, progress: next, revision: written.Revision, err: err})
 	}()
 }
 
 // rolloutWrittenMsg is the result of a write of a status.
 type rolloutWrittenMsg struct {
-	service, orderID string
-	step             rollout.Step
-	progress         rollout.Progress
-	revision         uint64
-	err              error
+	// state is that of the order whose status was written. It is used by the control loop
+	// only.
+	state    *rolloutState
+	step     rollout.Step
+	progress rollout.Progress
+	revision uint64
+	err      error
 }
 
 func (m rolloutWrittenMsg) apply(c *controlLoop) {
-	state := c.rollouts.states[m.service]
-	if state == nil || state.order.ID != m.orderID {
+	state, service := m.state, m.state.order.Service
+	if c.rollouts.states[service] != state {
+		// The order was withdrawn or replaced, possibly by an equal one.
 		return
 	}
 	now := c.g.now()
 	state.writing = false
 	if m.err != nil {
 		c.g.metrics.rolloutWritesFailed.Inc(1)
-		c.g.log.Info("roll-out stage not written", "service", m.service, "stage", m.step.Stage.String(), "conflict", errors.Is(m.err, storesync.ErrConflict), "error", m.err.Error())
+		c.g.log.Info("roll-out stage not written", "service", service, "stage", m.step.Stage.String(), "conflict", errors.Is(m.err, storesync.ErrConflict), "error", m.err.Error())
 		state.writeAfter = now + rolloutWriteRetry
 		if errors.Is(m.err, storesync.ErrConflict) && m.revision > state.revision {
 			// The watch delivers what was written instead.
