gateway: the wall clock does not end an order that was seen as it was given

Callers saw: nothing at once; the operator saw a sound version rolled back, or the old upstreams stopped while they had requests.

Cause: the time since an order was given is the larger one of the times by the steady clock and by the wall clock. A wall clock that is set forward ends the order at once.

Change: an instance that has seen the order before anything was recorded about it uses the steady clock only. The others, which started later, go on using the recorded wall clock time.

--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -122,6 +122,26 @@
 	f.Expect(f.lastWritten()).To(Equal(rollout.Succeeded))
 }
 
+// Failure: the wall clock of the holder is set forward by an hour. Guards against an order
+// whose time seems to have ended, so that a version on trial is rolled back.
+func TestSteppedWallClockDoesNotEndOrder(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{})
+	f.step(0)
+	f.step(200 * time.Millisecond)
+	f.Expect(f.lastWritten()).To(Equal(rollout.Trial))
+	f.clock.Advance(time.Hour)
+	f.step(time.Second)
+	f.Expect(f.lastWritten()).To(Equal(rollout.Trial))
+	f.Expect(f.state().elapsed(f.loop.g, f.now)).To(Equal(1200 * time.Millisecond))
+}
+
+// Guards against a holder that starts late and takes the order for a new one.
+func TestElapsedTimeOfRecordedOrderIsKnownAfterStart(t *testing.T) {
+	recorded := rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Trial, Share: 0.05, Holder: "b", StartedUnixMs: 1}
+	f := newRolloutFixture(t, recorded)
+	f.Expect(f.state().elapsed(f.loop.g, f.now)).To(Equal(10 * time.Second))
+}
+
 // Guards against a holder that takes an order which was withdrawn and given again, before
 // this instance saw that it was withdrawn, for the one that has ended: it got no status.
 func TestOrderGivenAgainStartsAnew(t *testing.T) {
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -43,8 +43,10 @@
 	progress rollout.Progress
 	// revision is that of the object, under the condition of which its status is written.
 	revision uint64
-	// seenAt is when the order was first seen here.
+	// seenAt is when the order was first seen here, and seenNew is true if no holder had
+	// recorded anything about it by then.
 	seenAt   time.Duration
+	seenNew  bool
 	selector *rollout.Selector
 	// own holds the results of this instance's requests, and reported those that other
 	// instances or the relays of other failure domains have reported, by peer.
@@ -138,7 +140,7 @@
 	state := c.rollouts.states[order.Service]
 	if state == nil || state.order.ID != order.ID || state.givenAgain(object) {
 		state = &rolloutState{
-			order: order, seenAt: now, selector: rollout.NewSelector(rand.Float64()),
+			order: order, seenAt: now, seenNew: progress.OrderID == "", selector: rollout.NewSelector(rand.Float64()),
 			own: rollout.NewEvidence(), reported: map[string]rollout.Evidence{},
 		}
 		c.rollouts.states[order.Service] = state
@@ -189,11 +191,12 @@
 	c.pool(state.order.Service).SetVersionRule(rule)
 }
 
-// elapsed returns the time since the order was given: since this instance has seen it, or
-// since a former holder had, by the wall clock.
+// elapsed returns the time since the order was given: since this instance has seen it or, if
+// it was recorded before, since a former holder had, by the wall clock. That clock may be
+// stepped and is not used otherwise.
 func (s *rolloutState) elapsed(g *Gateway, now time.Duration) time.Duration {
 	elapsed := now - s.seenAt
-	if s.progress.StartedUnixMs > 0 {
+	if !s.seenNew && s.progress.StartedUnixMs > 0 {
 		byWallClock := g.clock.Now().Sub(time.UnixMilli(s.progress.StartedUnixMs))
 		elapsed = max(elapsed, min(byWallClock, s.order.Duration))
 	}
