gateway: reports name the same number of cells for both sides of a roll-out

Callers saw: nothing; the operator would see a sound version of a service with many routes rolled back, or a faulty one found late.

Cause: the bound of 64 cells held for both sides together, and those of the candidate came first. With more routes than that nothing was left for the other versions, which then counted with assumed results, and each report named other routes.

Change: 40 cells for each side, those with the most results.

Evidence: before the change, with 100 routes, TestReportKeepsBothVersionsOfManyRoutes found 64 cells of the candidate and none of the others in a report; it passes since.

--- a/pkg/gateway/rollout_evidence.go
+++ b/pkg/gateway/rollout_evidence.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
@@ -11,8 +13,9 @@
 // the same peers. A faulty version is found within some tenths of a second.
 const rolloutReportInterval = 250 * time.Millisecond
 
-// maxReportedCells bounds the cells of evidence in a report: routes, by load and version.
-const maxReportedCells = 64
+// maxReportedCells bounds the cells of evidence about a service in a report, for the
+// candidate and for the other versions each: routes, by load and period.
+const maxReportedCells = 40
 
 // pooledEvidence returns the sum of this instance's evidence and that of its peers: of all,
 // or only of those in its own failure domain.
@@ -53,17 +56,22 @@
 	return exported
 }
 
+// appendCells appends the cells with the most results.
 func appendCells(encoded []loadshare.RolloutCell, cells map[rollout.Cell]rollout.Counts, candidate bool) []loadshare.RolloutCell {
+	first := len(encoded)
 	for cell, counts := range cells {
-		if len(encoded) >= maxReportedCells {
-			break
-		}
 		encoded = append(encoded, loadshare.RolloutCell{
 			Route: cell.Route, Busy: cell.Busy, Candidate: candidate, Results: counts.Results, Failures: counts.Failures,
 			Timed: counts.Timed, LogSum: float32(counts.LogSum), LogSquares: float32(counts.LogSquares), Period: uint8(cell.Period),
 		})
 	}
-	return encoded
+	if len(encoded)-first <= maxReportedCells {
+		return encoded
+	}
+	slices.SortFunc(encoded[first:], func(a, b loadshare.RolloutCell) int {
+		return cmp.Or(cmp.Compare(b.Results, a.Results), cmp.Compare(a.Route, b.Route))
+	})
+	return encoded[:first+maxReportedCells]
 }
 
 // applyRollouts replaces the evidence that a peer has reported before.
--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -190,3 +192,23 @@
 	f.loop.applyRollouts("b", exported)
 	f.Expect(f.state().reported["b"]).To(Equal(f.state().own))
 }
+
+// Failure: a service has more routes than a report may name. Guards against a report with
+// results of the version on trial only, which are then compared with assumed ones, and
+// against one that names other routes each time.
+func TestReportKeepsBothVersionsOfManyRoutes(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Trial, Share: 0.05, Holder: "b"})
+	for i := range uint32(100) {
+		cell := rollout.Cell{Route: strings.Repeat("r", 20) + strconv.Itoa(int(i))}
+		f.state().own.Add(true, cell, rollout.Counts{Results: i + 1})
+		f.state().own.Add(false, cell, rollout.Counts{Results: i + 1})
+	}
+	exported := f.loop.exportRollouts(f.now, &reportState{}, false)
+	f.loop.applyRollouts("b", exported)
+	reported := f.state().reported["b"]
+	f.Expect(reported.Candidate).To(HaveLen(maxReportedCells))
+	f.Expect(reported.Incumbent).To(Equal(reported.Candidate))
+	for _, counts := range reported.Candidate {
+		f.Expect(counts.Results).To(BeNumerically(">", 100-maxReportedCells), "routes with the most results are named")
+	}
+}
