gateway, admission: a version that was rolled back stays unused after its order

Callers saw: failures of a version that was already found to be faulty.

Cause: when another order replaces that of a faulty version while its upstreams still run, they count as upstreams of an other version than the new candidate and get ordinary requests; when the order is withdrawn, they get them as well. Their failures also count for the versions that the new one is compared with.

Change: versions that were rolled back get no requests as long as there is an upstream of another version, until they are ordered again. One entry an order, in the memory of the instance: an instance that starts after the order was replaced does not know it.

Tests of pkg/admission and the roll-out tests of the gateway pass with -race.

--- a/pkg/admission/version.go
+++ b/pkg/admission/version.go
@@ -1,5 +1,7 @@
 package admission
 
+import "slices"
+
 // Load pattern of versions: while a service moves to upstreams of another version, these
 // are idle, since few requests may go to them. They must not count as room for the others.
 
@@ -17,6 +19,9 @@
 	// Concentrate places trial requests at the busiest upstreams of the candidate that have
 	// a free slot, so that faults under load show although few requests go there.
 	Concentrate bool
+	// Faulty holds versions of former candidates that were found to be faulty. Requests go
+	// there only if there is no upstream of any other version.
+	Faulty []string
 }
 
 // SetVersionRule replaces the rule.
@@ -37,17 +42,27 @@
 func (p *Pool) countVersions() {
 	p.versions.candidates, p.versions.incumbents = 0, 0
 	for _, u := range p.sorted {
-		if u.info.Version == p.versions.rule.Candidate {
+		switch {
+		case u.info.Version == p.versions.rule.Candidate:
 			p.versions.candidates++
-		} else {
+		case !p.isFaulty(u):
 			p.versions.incumbents++
 		}
 	}
 }
 
+// isFaulty reports whether an upstream is of a version that an earlier order has shown to be
+// faulty.
+func (p *Pool) isFaulty(u *upstream) bool {
+	return u.info.Version != p.versions.rule.Candidate && slices.Contains(p.versions.rule.Faulty, u.info.Version)
+}
+
 // allows reports whether a request may be placed at an upstream by its version.
 func (p *Pool) allows(u *upstream, trial bool) bool {
 	rule := &p.versions.rule
+	if p.isFaulty(u) && p.versions.candidates+p.versions.incumbents > 0 {
+		return false
+	}
 	if rule.Candidate == "" {
 		return true
 	}
@@ -81,7 +96,7 @@
 func (p *Pool) VersionSlots() (candidate, incumbent int) {
 	for _, u := range p.sorted {
 		switch {
-		case u.info.Leaving || u.leaving:
+		case u.info.Leaving || u.leaving || p.isFaulty(u):
 		case u.info.Version != p.versions.rule.Candidate:
 			incumbent += u.slots
 		case u.info.Warmup == 0:
--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -212,3 +212,31 @@
 		f.Expect(counts.Results).To(BeNumerically(">", 100-maxReportedCells), "routes with the most results are named")
 	}
 }
+
+// Failure: an order to another version replaces one whose version was faulty, while the
+// faulty upstreams still run. Guards against requests at these, which are of another version
+// than the new candidate.
+func TestFaultyVersionOfFormerOrderGetsNothing(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.RolledBack, Holder: "b"})
+	place := func(count int) map[string]int {
+		at := map[string]int{}
+		for i := range count {
+			f.loop.pool("desk").Submit(&admission.Request{Key: uint64(i + 1), Service: "desk", SoftDeadline: f.now + time.Second, Deadline: f.now + 10*time.Second})
+		}
+		for _, decision := range f.loop.pool("desk").Schedule(f.now) {
+			at[decision.Upstream.ID]++
+			f.loop.pool("desk").Finish(f.now, decision.Upstream.ID, decision.Key, admission.Result{Outcome: admission.NotSent})
+		}
+		return at
+	}
+	f.order("v3", rollout.Progress{})
+	f.Expect(place(6)).To(Equal(map[string]int{"old": 6}))
+	f.loop.applyRolloutUpdate(storesync.Update{Deleted: []string{"desk"}, Revision: f.store.object.Revision + 1, AsOf: f.now})
+	f.Expect(place(6)).To(Equal(map[string]int{"old": 6}))
+	// Without another version it is better than nothing, unless it was just rolled back.
+	f.loop.pool("desk").RemoveUpstream("old")
+	f.Expect(place(6)).To(Equal(map[string]int{"new": 6}))
+	// Ordered again, it is tried again.
+	f.order("v2", rollout.Progress{})
+	f.Expect(f.loop.rollouts.faulty["desk"]).To(BeEmpty())
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
@@ -73,6 +74,9 @@
 	// Upstreams of others are held back until the orders that precede them are known.
 	versionsInUse map[string]map[string]bool
 	held          map[string]heldUpstream
+	// faulty holds, by service, the versions that were rolled back and not ordered again. As
+	// long as their upstreams run, they get no requests, whatever has become of the order.
+	faulty map[string][]string
 }
 
 // heldUpstream is the record of an upstream that is held back.
@@ -84,7 +88,7 @@
 func newRollouts(limits rollout.Limits) *rollouts {
 	return &rollouts{
 		enabled: limits.ExposureShare > 0, limits: limits, states: map[string]*rolloutState{},
-		versionsInUse: map[string]map[string]bool{}, held: map[string]heldUpstream{},
+		versionsInUse: map[string]map[string]bool{}, held: map[string]heldUpstream{}, faulty: map[string][]string{},
 	}
 }
 
@@ -111,7 +115,7 @@
 	for _, name := range update.Deleted {
 		if state := c.rollouts.states[name]; state != nil {
 			delete(c.rollouts.states, name)
-			c.pool(name).SetVersionRule(admission.VersionRule{})
+			c.pool(name).SetVersionRule(admission.VersionRule{Faulty: c.rollouts.faulty[name]})
 			c.g.log.Info("roll-out withdrawn", "service", name, "version", state.order.Version, "stage", state.progress.Stage.String())
 		}
 	}
@@ -144,6 +148,7 @@
 			own: rollout.NewEvidence(), reported: map[string]rollout.Evidence{},
 		}
 		c.rollouts.states[order.Service] = state
+		c.rollouts.setFaulty(order.Service, order.Version, false)
 		c.g.log.Info("roll-out ordered", "service", order.Service, "version", order.Version, "duration_ms", order.Duration.Milliseconds(), "revision", object.Revision)
 	}
 	state.revision = object.Revision
@@ -176,8 +181,20 @@
 	c.applyVersionRule(state)
 }
 
+// setFaulty records whether a version of a service was rolled back.
+func (r *rollouts) setFaulty(service, version string, faulty bool) {
+	others := slices.DeleteFunc(slices.Clone(r.faulty[service]), func(known string) bool { return known == version })
+	if faulty {
+		others = append(others, version)
+	}
+	r.faulty[service] = others
+}
+
 func (c *controlLoop) applyVersionRule(state *rolloutState) {
-	rule := admission.VersionRule{Candidate: state.order.Version}
+	if state.progress.Stage == rollout.RolledBack {
+		c.rollouts.setFaulty(state.order.Service, state.order.Version, true)
+	}
+	rule := admission.VersionRule{Candidate: state.order.Version, Faulty: c.rollouts.faulty[state.order.Service]}
 	switch state.progress.Stage {
 	case rollout.Waiting:
 	case rollout.Trial:
@@ -232,7 +249,7 @@
 		return
 	}
 	period, counted := state.progress.Stage.Period()
-	if !counted {
+	if !counted || slices.Contains(c.rollouts.faulty[m.service], m.version) {
 		return
 	}
 	m.cell.Period = period
@@ -320,7 +337,7 @@
 	g.log.Info("roll-out decision", "service", state.order.Service, "version", state.order.Version, "stage", step.Stage.String(), "share", step.Share, "reason", step.Reason,
 		"elapsed_ms", state.elapsed(g, now).Milliseconds(), "epoch", next.Epoch, "results", state.pooledEvidence(true).Results(true))
 	if step.Stage == rollout.RolledBack {
-		c.pool(state.order.Service).SetVersionRule(admission.VersionRule{Candidate: state.order.Version, Strict: true})
+		c.pool(state.order.Service).SetVersionRule(admission.VersionRule{Candidate: state.order.Version, Strict: true, Faulty: c.rollouts.faulty[state.order.Service]})
 	}
 	state.writing = true
 	service, revision := state.order.Service, state.revision
