quota: a refund leaves the window with its charge

Cause: a refund was a negative amount at the time of the refund. Once the charge had left the window and the refund had not, the window showed less than was charged within it and ran. A refund also went to the team that held the key at the time of the refund, which may not be the one that was charged.

Change: the window takes an amount back from the bucket in which it was counted, or not at all if that has left the window. A request keeps its charge: team, amount and time. The window shows at least what was counted within it and not taken back, and at most what was within a bucket more.

--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -314,12 +314,9 @@
 }
 
 // refundQuotaMsg refunds the charge of a request that did not run.
-type refundQuotaMsg struct {
-	team   string
-	amount float64
-}
+type refundQuotaMsg struct{ charge quota.Charge }
 
-func (m refundQuotaMsg) apply(c *controlLoop) { c.quotas.Refund(c.g.now(), m.team, m.amount) }
+func (m refundQuotaMsg) apply(c *controlLoop) { c.quotas.Refund(c.g.now(), m.charge) }
 
 // countRequestMsg counts a request towards the retry budget of its service.
 type countRequestMsg struct{ service string }
--- a/pkg/gateway/error_answer.go
+++ b/pkg/gateway/error_answer.go
@@ -47,12 +47,17 @@
 	panic(http.ErrAbortHandler)
 }
 
+// refundQuota takes back the charge of a request that has not run.
+func (x *exchange) refundQuota() {
+	if !x.mayHaveRun && x.charge.Amount > 0 {
+		x.g.enqueue(refundQuotaMsg{charge: x.charge})
+	}
+}
+
 // fail ends a request that got no complete answer from an upstream, and refunds
 // the quota if the request has not run.
 func (x *exchange) fail(err *errkind.Error, retryAfter time.Duration) {
-	if !x.mayHaveRun && x.chargedTokens > 0 {
-		x.g.enqueue(refundQuotaMsg{team: x.teamName(), amount: x.chargedTokens})
-	}
+	x.refundQuota()
 	x.logFailed(err, retryAfter)
 	if x.answerStarted || err.Kind == errkind.CallerGone {
 		x.abortAnswer()
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -35,8 +35,9 @@
 	// traits are what the request has in common with others.
 	traits  []poison.Trait
 	request *admission.Request
-	// chargedTokens is the amount charged to the team's quota.
-	chargedTokens float64
+	// charge is what was charged to the quota of a team. It keeps its team, which may differ
+	// from that in a newer configuration.
+	charge quota.Charge
 
 	// mayHaveRun is true once a byte of the request may have reached an upstream
 	// that did not state that it has not run the request.
@@ -184,7 +185,7 @@
 		return x.unanswered(err), 0
 	}
 	if verdict.Allowed {
-		x.chargedTokens = amount
+		x.charge = quota.Charge{Team: x.team.Name, Amount: amount, At: verdict.At}
 		return nil, 0
 	}
 	x.g.metrics.quotaRefused.Inc(1)
--- a/pkg/gateway/quota_usage_test.go
+++ b/pkg/gateway/quota_usage_test.go
@@ -9,7 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosemarywing/rosemarywing/pkg/peer"
+	"github.com/rosemarywing/rosemarywing/pkg/quota"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
+	"github.com/rosemarywing/rosemarywing/pkg/traffic"
 )
 
 // fakeSource counts its List calls and fails while err is set.
@@ -48,3 +50,19 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(source.calls).To(Equal(2), "the records change while teams use their quotas")
 }
+
+// Failure: the key of a request moves to another team while the request is queued, and the
+// request does not run. Guards against a refund to a team that was not charged.
+func TestRefundGoesToTeamThatWasCharged(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	c := newTestControlLoop(t, &now, true)
+	limit := quota.Limit{PerSecond: 100}
+	for _, team := range []string{"desk", "lab"} {
+		c.quotas.Charge(now, team, limit, 50)
+	}
+	x := &exchange{g: c.g, team: &traffic.Team{Name: "lab"}, charge: quota.Charge{Team: "desk", Amount: 50, At: now}}
+	x.refundQuota()
+	(<-c.inbox).apply(c)
+	g.Expect(c.quotas.OwnUsage(now)).To(Equal(map[string]float64{"lab": 50}))
+}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -246,7 +246,7 @@
 	g := NewWithT(t)
 	teams := quota.NewTeamQuotas(rules, 0, false)
 	exhaust(teams, 0)
-	teams.Refund(0, "desk", 100)
+	teams.Refund(0, quota.Charge{Team: "desk", Amount: 100})
 	g.Expect(teams.Charge(0, "desk", limit, 100).Allowed).To(BeTrue())
 	g.Expect(teams.Charge(0, "desk", limit, 100).Allowed).To(BeFalse())
 }
--- a/pkg/quota/teams.go
+++ b/pkg/quota/teams.go
@@ -101,6 +101,8 @@
 	// Unreachable is the number of instances without a recent report that may still
 	// be serving.
 	Unreachable int
+	// At is when the amount was checked and, if it was admitted, charged.
+	At time.Duration
 }
 
 // Charge checks an amount against the limit, and counts it if it is admitted.
@@ -113,9 +115,17 @@
 	return verdict
 }
 
-// Refund takes back an amount whose request did not run.
-func (t *TeamQuotas) Refund(now time.Duration, team string, amount float64) {
-	t.own.window(team, t.rules.Window).Add(now, -amount)
+// Charge is an amount that was counted for a team.
+type Charge struct {
+	Team   string
+	Amount float64
+	// At is when it was counted.
+	At time.Duration
+}
+
+// Refund takes back a charge whose request did not run.
+func (t *TeamQuotas) Refund(now time.Duration, charge Charge) {
+	t.own.window(charge.Team, t.rules.Window).TakeBack(now, charge.At, charge.Amount)
 }
 
 func (t *TeamQuotas) verdict(now time.Duration, team string, limit Limit, amount float64) Verdict {
@@ -124,6 +134,7 @@
 	total := float64(reachable + unreachable)
 	reserve := windowLimit*t.rules.Overage + t.rules.Slack
 	v := Verdict{
+		At:          now,
 		Used:        t.estimatedUsage(now, team, windowLimit, total),
 		Allowance:   (windowLimit + reserve*usableReserve) * float64(reachable) / total,
 		Unreachable: unreachable,
--- a/pkg/quota/window.go
+++ b/pkg/quota/window.go
@@ -8,7 +8,8 @@
 // longer than the nominal one.
 const buckets = 32
 
-// Window is a sum over a sliding time window.
+// Window is a sum over a sliding time window. It shows at least what was counted within the
+// window and not taken back, and at most what was within a bucket more.
 type Window struct {
 	bucketLength time.Duration
 	amounts      [buckets + 1]float64
@@ -22,13 +23,29 @@
 	return &Window{bucketLength: length / buckets}
 }
 
-// Add counts an amount; a negative one takes back an earlier amount.
+// Add counts an amount.
 func (w *Window) Add(now time.Duration, amount float64) {
 	w.advance(now)
 	w.amounts[w.newestBucket%(buckets+1)] += amount
 	w.sum += amount
 }
 
+// TakeBack takes back an amount that was counted at a time. It leaves the window with the
+// count that it takes back: if it stayed longer, the window would show less than was counted
+// since. It returns the part that was still in the window.
+func (w *Window) TakeBack(now, countedAt time.Duration, amount float64) float64 {
+	w.advance(now)
+	bucket := int64(countedAt / w.bucketLength)
+	if bucket < 0 || bucket > w.newestBucket || w.newestBucket-bucket > buckets {
+		return 0
+	}
+	slot := &w.amounts[bucket%(buckets+1)]
+	removed := min(*slot, amount)
+	*slot -= removed
+	w.sum -= removed
+	return removed
+}
+
 // Sum returns the sum over the window that ends now.
 func (w *Window) Sum(now time.Duration) float64 {
 	w.advance(now)
