quota: usage that was taken back does not hide later usage of a peer

Callers saw: nothing directly; after a peer or all instances had stopped, a team could use more than its quota.

Cause: usage of a peer, and the totals over time for the usage records, are kept as increases of a reported sum. When the sum fell because of a refund the known usage stayed, and the next usage of the same amount was taken for the one known already, with its earlier time. It left the window too early once the peer had stopped or the instances had started again.

Change: what a peer reports about itself lowers its known usage, from the oldest on. Refunds of this instance and of its peers lower the totals in the same way. Sums of other failure domains lower nothing, since they also fall when an instance cannot be reached.

Not covered: a refund and a charge between two reports of a peer that then stops, and refunds in other failure domains.

--- a/pkg/quota/peer.go
+++ b/pkg/quota/peer.go
@@ -86,8 +86,9 @@
 
 // applyReport applies a report of the peer. The amounts in a report are sums over the
 // sender's window. Only the part above the sum known here counts as new usage, so
-// that the next report makes up for a lost one.
-func (p *peerUsage) applyReport(now, window time.Duration, report UsageReport) {
+// that the next report makes up for a lost one. It returns the usage that the peer has taken
+// back, by team.
+func (p *peerUsage) applyReport(now, window time.Duration, report UsageReport) (takenBack map[string]float64) {
 	// The start time of a peer is lower than before if its clock was set back. The oldest
 	// one of a failure domain is also lower once an older instance can be reached again.
 	generation := report.generation()
@@ -100,6 +101,9 @@
 	} else if p.generation == 0 {
 		p.generation = report.OldestStartTime
 	}
+	if !report.RemoteDomain {
+		takenBack = p.lowerCurrent(now, report)
+	}
 	for team, amount := range report.Used {
 		w := p.current.window(team, window)
 		w.Add(now, max(0, amount-w.Sum(now)))
@@ -117,6 +121,23 @@
 	}
 	p.reported, p.latest = now, report
 	p.expectedInstances = max(report.ExpectedInstances, report.CoveredInstances)
+	return takenBack
+}
+
+// lowerCurrent lowers the usage of a peer to what it reports about itself, and returns the
+// differences by team. Otherwise usage that was taken back would hide later usage of the
+// same amount. The oldest usage is removed, so that what remains is not too old. The sum of
+// a failure domain is lower also when one of its instances cannot be reached.
+func (p *peerUsage) lowerCurrent(now time.Duration, report UsageReport) map[string]float64 {
+	lowered := map[string]float64{}
+	for team, w := range p.current {
+		amount, reported := report.Used[team]
+		if difference := w.Sum(now) - amount; difference > 0 && (reported || !report.Partial) {
+			w.setSum(now, amount)
+			lowered[team] = difference
+		}
+	}
+	return lowered
 }
 
 // applyTotals stores the total usage of all instances that the peer reports. observed
--- a/pkg/quota/records.go
+++ b/pkg/quota/records.go
@@ -30,11 +30,15 @@
 		windowLimit := limit.perWindow(t.rules.Window)
 		used := t.estimatedUsage(now, team, windowLimit, float64(reachable+unreachable))
 		usage := t.totals.window(team, t.rules.Window)
+		if amount := t.takenBack[team]; amount > 0 {
+			usage.setSum(now, max(0, usage.Sum(now)-amount))
+		}
 		usage.Add(now, max(0, used-usage.Sum(now)))
 		if used >= recordThreshold*windowLimit {
 			record[team] = usage.partSums(now, recordParts)
 		}
 	}
+	clear(t.takenBack)
 	return record
 }
 
--- a/pkg/quota/teams.go
+++ b/pkg/quota/teams.go
@@ -41,6 +41,9 @@
 	// records that were read after a restart.
 	totals   teamWindows
 	restored map[string][]expiringAmount
+	// takenBack is the usage of each team, of this instance and of its peers, that was taken
+	// back since totals was updated.
+	takenBack map[string]float64
 	// recorded is the usage of each team in the newest record in the store, and
 	// recordedAt the time of that record.
 	recorded   map[string]float64
@@ -66,7 +69,7 @@
 // may have run before.
 func NewTeamQuotas(rules Rules, now time.Duration, restarted bool) *TeamQuotas {
 	t := &TeamQuotas{rules: rules, own: teamWindows{}, peers: map[string]*peerUsage{}, observing: true, startedAt: now,
-		limits: map[string]Limit{}, totals: teamWindows{}, restored: map[string][]expiringAmount{}}
+		limits: map[string]Limit{}, totals: teamWindows{}, restored: map[string][]expiringAmount{}, takenBack: map[string]float64{}}
 	if restarted {
 		t.firstWindowEnd, t.restoring = now+rules.Window, true
 	}
@@ -125,7 +128,7 @@
 
 // Refund takes back a charge whose request did not run.
 func (t *TeamQuotas) Refund(now time.Duration, charge Charge) {
-	t.own.window(charge.Team, t.rules.Window).TakeBack(now, charge.At, charge.Amount)
+	t.takenBack[charge.Team] += t.own.window(charge.Team, t.rules.Window).TakeBack(now, charge.At, charge.Amount)
 }
 
 func (t *TeamQuotas) verdict(now time.Duration, team string, limit Limit, amount float64) Verdict {
@@ -322,7 +325,9 @@
 // ApplyReport applies a usage report of a peer.
 func (t *TeamQuotas) ApplyReport(now time.Duration, peer string, report UsageReport) {
 	p := t.entry(peer)
-	p.applyReport(now, t.rules.Window, report)
+	for team, amount := range p.applyReport(now, t.rules.Window, report) {
+		t.takenBack[team] += amount
+	}
 	if t.LacksUsageHistory(now) && report.UsageSource != SourceUnknown && !report.Partial {
 		p.applyTotals(now, t.rules.Window, report, t.observedUsageByTeam(now))
 	}
--- a/pkg/quota/window_property_test.go
+++ b/pkg/quota/window_property_test.go
@@ -65,3 +65,77 @@
 		}
 	})
 }
+
+// Guards against a peer that shows less than it charged and ran, at the moment at which it
+// stops: what was taken back must not hide later charges.
+func TestUsageOfStoppedPeerIsAtLeastWhatRan(t *testing.T) {
+	rules := Rules{Window: 8 * time.Second, ReportTimeout: time.Second, PeerExpiry: time.Minute}
+	limit := Limit{PerSecond: 1e6}
+	rapid.Check(t, func(t *rapid.T) {
+		peer, observer := NewTeamQuotas(rules, 0, false), NewTeamQuotas(rules, 0, false)
+		var charges []modelCharge
+		now := time.Second
+		report := func() {
+			observer.ApplyReport(now, "peer", UsageReport{StartTime: 1, OldestStartTime: 1, CoveredInstances: 1, Used: peer.OwnUsage(now)})
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += drawPause(t, rules.Window/4)
+			report()
+			if open := len(charges); open > 0 && rapid.Bool().Draw(t, "refund") {
+				c := &charges[rapid.IntRange(0, open-1).Draw(t, "charge")]
+				peer.Refund(now, Charge{Team: "desk", Amount: c.amount - c.refund, At: c.at})
+				c.refund = c.amount
+			} else {
+				amount := float64(rapid.IntRange(1, 1000).Draw(t, "amount"))
+				peer.Charge(now, "desk", limit, amount)
+				charges = append(charges, modelCharge{at: now, amount: amount})
+			}
+			report()
+		}
+		observer.MarkStopped(now, "peer")
+		now += drawPause(t, rules.Window)
+		used := observer.TotalUsage(now)["desk"]
+		if ran := ranWithin(charges, now, rules.Window); used < ran-1e-6 {
+			t.Fatalf("at %s the stopped peer shows %g, %g ran", now, used, ran)
+		}
+	})
+}
+
+// Guards against a record of usage whose newest charges count as older ones that were taken
+// back: after a restart they would leave the window too early.
+func TestRecordHoldsAtLeastWhatRan(t *testing.T) {
+	rules := Rules{Window: 8 * time.Second, ReportTimeout: time.Second, PeerExpiry: time.Minute}
+	limit := Limit{PerSecond: 1e6}
+	rapid.Check(t, func(t *rapid.T) {
+		teams := NewTeamQuotas(rules, 0, false)
+		var charges []modelCharge
+		now := time.Second
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += drawPause(t, rules.Window/4)
+			if open := len(charges); open > 0 && rapid.Bool().Draw(t, "refund") {
+				c := &charges[rapid.IntRange(0, open-1).Draw(t, "charge")]
+				teams.Refund(now, Charge{Team: "desk", Amount: c.amount - c.refund, At: c.at})
+				c.refund = c.amount
+			} else {
+				// Above the threshold of a record.
+				amount := float64(rapid.IntRange(1, 10).Draw(t, "amount")) * limit.perWindow(rules.Window) / 100
+				if teams.Charge(now, "desk", limit, amount).Allowed {
+					charges = append(charges, modelCharge{at: now, amount: amount})
+				}
+			}
+			teams.Record(now)
+		}
+		record := teams.Record(now)
+		if len(record) == 0 {
+			return
+		}
+		restarted := NewTeamQuotas(rules, now, true)
+		restarted.Restore(now, 0, record)
+		restarted.FinishRestore()
+		now += drawPause(t, rules.Window)
+		used := restarted.Charge(now, "desk", limit, 0).Used
+		if ran := ranWithin(charges, now, rules.Window); used < ran-1e-3 {
+			t.Fatalf("at %s the restarted instance shows %g, %g ran", now, used, ran)
+		}
+	})
+}
