storesync: bound the history of a copy by bytes

Cause: the history for followers keeps 1,024 events with their whole objects, whatever their size, at every instance. Events that were dropped stayed referenced by the array behind the slice.

Change: the history holds at most 4 MiB beside the bound of the count, and at least the latest event. A follower that is further behind lists again, as before. Dropped events are cleared.

Evidence: before the change TestHistoryIsBoundedByBytes found 208,800,000 bytes after 240 changes of 870,000 bytes; at most 4,194,304 since, with -race.

--- a/pkg/storesync/copy.go
+++ b/pkg/storesync/copy.go
@@ -6,19 +6,24 @@
 	"time"
 )
 
-// maxHistoryEvents bounds the history of a Copy. Followers that are further behind
-// have to list again.
-const maxHistoryEvents = 1024
+// maxHistoryEvents and maxHistoryBytes bound the history of a Copy. Followers that are
+// further behind have to list again. The latest event is kept whatever its size.
+const (
+	maxHistoryEvents = 1024
+	maxHistoryBytes  = 4 << 20
+)
 
 // Copy is an instance's copy of one kind of objects. It serves List and Watch calls of
 // the instances that follow it, and is safe for concurrent use.
 type Copy struct {
 	now func() time.Duration
 
-	mu       sync.Mutex
-	objects  map[string]Object
-	history  []historyEvent
-	revision uint64
+	mu      sync.Mutex
+	objects map[string]Object
+	history []historyEvent
+	// historyBytes is the size of the objects in history.
+	historyBytes int
+	revision     uint64
 	// compactedRevision is the revision up to which the history was dropped.
 	compactedRevision uint64
 	asOf              time.Duration
@@ -87,12 +92,19 @@
 
 func (c *Copy) appendHistory(event Event, revision uint64) {
 	c.history = append(c.history, historyEvent{event: event, revision: revision})
-	for len(c.history) > maxHistoryEvents {
+	c.historyBytes += event.Object.bytes()
+	for len(c.history) > maxHistoryEvents || (len(c.history) > 1 && c.historyBytes > maxHistoryBytes) {
 		c.compactedRevision = c.history[0].revision
+		c.historyBytes -= c.history[0].event.Object.bytes()
+		// The array behind the slice keeps the event until it is replaced.
+		c.history[0] = historyEvent{}
 		c.history = c.history[1:]
 	}
 }
 
+// bytes returns the size of the contents of an object.
+func (o Object) bytes() int { return len(o.Name) + len(o.Spec) + len(o.Status) }
+
 // List returns all objects. Before the first update it waits; it returns false if the
 // context ends first.
 func (c *Copy) List(ctx context.Context) (Listing, bool) {
--- a/pkg/storesync/copy_test.go
+++ b/pkg/storesync/copy_test.go
@@ -55,3 +55,45 @@
 	g.Expect(known).To(BeTrue())
 	g.Expect(listing.Revision).To(BeEquivalentTo(5))
 }
+
+// Load pattern: a configuration of nearly 1 MB changes at each update. Guards against a
+// history whose memory grows with the size of the objects, and against followers that miss
+// what was dropped from it.
+func TestHistoryIsBoundedByBytes(t *testing.T) {
+	g := NewWithT(t)
+	kept := NewCopy(fixedNow)
+	const updates, objectBytes = 240, 870_000
+	for revision := range uint64(updates) {
+		kept.apply(Update{Revision: revision + 1, Changed: []Object{{Name: "main", Revision: revision + 1, Spec: make([]byte, objectBytes)}}}, 0)
+	}
+	heldBytes := 0
+	for _, e := range kept.history[:cap(kept.history)] {
+		heldBytes += len(e.event.Object.Spec)
+	}
+	g.Expect(heldBytes).To(BeNumerically("<=", maxHistoryBytes), "dropped events are not referenced any more")
+	changes, _, err := kept.changesSince(updates - 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changes.Events).To(HaveLen(1))
+	_, _, err = kept.changesSince(updates / 2)
+	g.Expect(err).To(MatchError(ErrCompacted))
+	listing, _, _ := kept.snapshot()
+	g.Expect(listing.Objects).To(HaveLen(1))
+}
+
+// Guards against a bound that drops an object larger than itself before any follower has it,
+// and against one that shortens the history of small objects.
+func TestHistoryKeepsLargestAndManySmallObjects(t *testing.T) {
+	g := NewWithT(t)
+	kept := NewCopy(fixedNow)
+	kept.apply(Update{Revision: 1}, 0)
+	kept.apply(Update{Revision: 2, Changed: []Object{{Name: "main", Revision: 2, Status: make([]byte, 2*maxHistoryBytes)}}}, 0)
+	changes, _, err := kept.changesSince(1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changes.Events).To(HaveLen(1))
+	for revision := range uint64(maxHistoryEvents) {
+		kept.apply(Update{Revision: revision + 3, Changed: []Object{{Name: "s", Revision: revision + 3, Spec: make([]byte, 300)}}}, 0)
+	}
+	changes, _, err = kept.changesSince(2)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changes.Events).To(HaveLen(maxHistoryEvents))
+}
