gateway: a budget for the bytes of request bodies in progress

Cause: only the number of requests in progress was bounded, at 0.1 MiB each, while each body may be 40 times as long.

Change: bodies share an eighth of the memory limit, beyond 32 KiB of each, which memoryPerRequestMiB covers. A stated length is counted before the first byte is read, other bodies as they arrive. Beyond the budget a request is refused as not run (429 overloaded, Retry-After), on a connection that is closed, since the server would otherwise read up to 256 KiB of the body before it answers. A stated length over max_body_bytes is refused before it is read as well. A body of a stated length is read into a buffer of just that size. The metrics page shows bodies_held_bytes, bodies_budget_bytes and bodies_refused.

The copy of a body while it is sent (pkg/connpool) is not counted.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -32,6 +32,8 @@
 	service  string
 	team     *traffic.Team
 	body     []byte
+	// releaseBody returns the memory of the body to the budget; nil if there is none.
+	releaseBody func()
 	// traits are what the request has in common with others.
 	traits  []poison.Trait
 	request *admission.Request
@@ -102,8 +104,17 @@
 		x.fail(err, jitter(stopRetryAfter))
 		return
 	}
+	defer func() {
+		if x.releaseBody != nil {
+			x.releaseBody()
+		}
+	}()
 	if err := x.readBody(); err != nil {
-		x.fail(err, 0)
+		retryAfter := time.Duration(0)
+		if err.Kind == errkind.Overloaded {
+			retryAfter = jitter(defaultRetryAfter)
+		}
+		x.fail(err, retryAfter)
 		return
 	}
 	if err, retryAfter := x.chargeQuota(); err != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -60,8 +60,12 @@
 	conns           *connpool.Pool
 	// answerMemory is the memory for what is held of upstreams' answers.
 	answerMemory *membudget.Budget
-	metrics      *instanceMetrics
-	control      *controlLoop
+	// bodyMemory is the memory for the bodies of requests in progress beyond freeBodyBytes of
+	// each, of bodyMemoryBytes.
+	bodyMemory      *membudget.Budget
+	bodyMemoryBytes int64
+	metrics         *instanceMetrics
+	control         *controlLoop
 	// table is the configuration in force; nil until the first one is read.
 	table atomic.Pointer[traffic.Table]
 	// configCurrentAt is the last time, on the clock Options.Now, at which the
@@ -124,7 +128,10 @@
 	requestMemoryShare = 0.5
 	// answerMemoryShare is the part of the memory for what is held of upstreams' answers
 	// beyond firstAnswerBytes of each.
-	answerMemoryShare  = 0.125
+	answerMemoryShare = 0.125
+	// bodyMemoryShare is the part of the memory for the bodies of requests beyond
+	// freeBodyBytes of each. A body is copied once more while it is sent.
+	bodyMemoryShare    = 0.125
 	dialTimeout        = 400 * time.Millisecond
 	upstreamAckTimeout = 2 * time.Second
 	maxIdlePerUpstream = 8
@@ -154,6 +161,8 @@
 		storeCopies:  map[string]*storesync.Copy{},
 		usageRecords: &usageRecords{store: opts.Store, kind: opts.ObjectKinds.Usage, now: opts.Now}, instancesListed: make(chan struct{}),
 	}
+	g.bodyMemoryBytes = int64(float64(opts.Settings.Limits.MemoryMiB<<20) * bodyMemoryShare)
+	g.bodyMemory = membudget.New(g.bodyMemoryBytes)
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	// The configuration counts as outdated until the store has answered.
 	g.configCurrentAt.Store(int64(g.now() - time.Hour))
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -58,6 +58,9 @@
 	rolloutsSucceeded   metrics.Counter
 	rolloutsRolledBack  metrics.Counter
 	rolloutWritesFailed metrics.Counter
+	// bodiesRefused counts the requests that were refused since the bodies in progress used
+	// all of the memory for them.
+	bodiesRefused metrics.Counter
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -83,7 +86,7 @@
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
 		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"), panics: counter("panics.contained"),
 		poisonRefused: counter("poison.refused"), poisonBlocked: counter("poison.blocked"),
-		lateRefused:   counter("stops.refused"),
+		lateRefused: counter("stops.refused"), bodiesRefused: counter("bodies.refused"),
 		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
 		rolloutsRolledBack: counter("rollouts.rolled_back"), rolloutWritesFailed: counter("rollouts.unwritten"),
 		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
@@ -123,6 +126,8 @@
 	})
 	lines = append(lines,
 		fmt.Sprintf("rosemarywing_requests_held %d", g.inFlight.Load()),
+		fmt.Sprintf("rosemarywing_bodies_held_bytes %d", g.bodyMemoryBytes-g.bodyMemory.FreeBytes()),
+		fmt.Sprintf("rosemarywing_bodies_budget_bytes %d", g.bodyMemoryBytes),
 		fmt.Sprintf("rosemarywing_config_age_ms %d", g.configAge().Milliseconds()),
 		fmt.Sprintf("rosemarywing_instances_known %d", g.instanceCount.Load()),
 		fmt.Sprintf("rosemarywing_log_lines_omitted %d", g.requestLog.omitted.Load()))
--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/membudget"
 )
 
 // readBody reads the whole body, since a retry sends it again.
@@ -19,9 +20,19 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultBodyBytes
 	}
+	if x.r.ContentLength > maxBytes {
+		return errkind.New(errkind.BodyTooLarge, "the body has %d bytes, more than %d", x.r.ContentLength, maxBytes)
+	}
 	body, err := x.readAll(maxBytes)
 	var tooLarge *http.MaxBytesError
+	if errors.Is(err, errBodyMemory) || errors.As(err, &tooLarge) {
+		// Otherwise the server waits for a part of the rest of the body before it answers.
+		x.w.Header().Set("Connection", "close")
+	}
 	switch {
+	case errors.Is(err, errBodyMemory):
+		x.g.metrics.bodiesRefused.Inc(1)
+		return errkind.New(errkind.Overloaded, "the bodies in progress use all of the memory for them, %d bytes", x.g.bodyMemoryBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded) && x.g.graceOver.Err() != nil:
 		return errkind.Wrap(errkind.ShuttingDown, err, "the body did not arrive before the instance stopped")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -38,13 +49,43 @@
 	return nil
 }
 
+// freeBodyBytes is the part of each body that is not taken from Gateway.bodyMemory, so that
+// small requests are served while large ones use it up. memoryPerRequestMiB covers it.
+const freeBodyBytes = 32 << 10
+
+// errBodyMemory means that Gateway.bodyMemory is used up.
+var errBodyMemory = errors.New("no memory for the body")
+
+// readWithin reads a body whose memory is taken from Gateway.bodyMemory until releaseBody: for
+// a stated length before the first byte is read, and otherwise as the bytes arrive.
+func (x *exchange) readWithin(source io.Reader, maxBytes int64) ([]byte, error) {
+	if x.r.ContentLength < 0 {
+		// One byte more than the limit, so that a buffer that cannot grow is out of memory.
+		buffer := membudget.NewBuffer(x.g.bodyMemory, freeBodyBytes, int(maxBytes)+1)
+		x.releaseBody = buffer.Release
+		complete, err := buffer.ReadAll(source)
+		if err == nil && !complete {
+			err = errBodyMemory
+		}
+		return buffer.Bytes(), err
+	}
+	share := membudget.NewShare(x.g.bodyMemory, freeBodyBytes)
+	if !share.Resize(int(x.r.ContentLength)) {
+		return nil, errBodyMemory
+	}
+	x.releaseBody = share.Release
+	body := make([]byte, x.r.ContentLength)
+	_, err := io.ReadFull(source, body)
+	return body, err
+}
+
 // readAll reads the body until its end, the deadline of the request or the size limit.
 func (x *exchange) readAll(maxBytes int64) ([]byte, error) {
 	// Connections without deadlines occur in tests only.
 	controller := http.NewResponseController(x.w)
 	limited := controller.SetReadDeadline(time.Now().Add(x.deadline-x.g.now())) == nil
 	detach := context.AfterFunc(x.g.graceOver, func() { _ = controller.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
+	body, err := x.readWithin(http.MaxBytesReader(x.w, x.r.Body, maxBytes), maxBytes)
 	if !detach() {
 		// The read deadline may have expired, or is about to.
 		return nil, os.ErrDeadlineExceeded
