admission: trial requests leave an upstream of the candidate that fails

Callers saw: nothing; the operator saw a sound version rolled back because of one failing upstream.

Cause: trial requests go to the busiest upstream of the version, so that faults under load show, whatever its failure rate. With few requests at once that is always the same one. If it fails a part of its requests, as single upstreams of any version do, all results of the version are those of this upstream.

Change: an upstream counts as one with more free slots in proportion to its failure rate. If all upstreams of a version fail alike, the order hardly changes.

Evidence: with one of two upstreams failing half of its requests, it got 60 of 60 trial requests before the change (TestTrialRequestsLeaveFailingUpstream), and fewer than the other one since. Tests of pkg/admission pass with -race. Slow upstreams are not covered.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -151,7 +151,7 @@
 			cost += missedDeadlineCostMs
 		}
 		if p.concentrates(r) {
-			cost = p.trialCost(u, inFlight)
+			cost = p.trialCost(now, u, inFlight)
 		} else {
 			cost *= 1 + p.tuning.CostJitter*p.random.Float64()
 		}
--- a/pkg/admission/version.go
+++ b/pkg/admission/version.go
@@ -1,6 +1,9 @@
 package admission
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Load pattern of versions: while a service moves to upstreams of another version, these
 // are idle, since few requests may go to them. They must not count as room for the others.
@@ -86,9 +89,11 @@
 // concentrates reports whether a request is placed at the busiest upstream.
 func (p *Pool) concentrates(r *Request) bool { return r.Trial && p.versions.rule.Concentrate }
 
-// trialCost ranks the upstreams for a trial request: the busiest first.
-func (p *Pool) trialCost(u *upstream, inFlight int) float64 {
-	return p.distancePenaltyMs(u) + float64(u.slots-inFlight)
+// trialCost ranks the upstreams for a trial request: the busiest first. An upstream that fails
+// counts as one with more free slots, so that a single failing one does not get all trial
+// requests and make a sound version look faulty. If all of them fail, it changes little.
+func (p *Pool) trialCost(now time.Duration, u *upstream, inFlight int) float64 {
+	return p.distancePenaltyMs(u) + float64(u.slots-inFlight) + u.currentFailureRate(now)*float64(u.slots)
 }
 
 // VersionSlots returns the slots of the usable upstreams of the candidate that have warmed
--- a/pkg/admission/version_test.go
+++ b/pkg/admission/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -119,3 +120,25 @@
 	candidate, incumbent := f.pool.VersionSlots()
 	f.Expect([]int{candidate, incumbent}).To(Equal([]int{16, 16}))
 }
+
+// Failure: one of the candidate's upstreams fails half of its requests while it is healthy
+// otherwise. Guards against a trial in which it gets all requests, so that a sound version
+// looks faulty.
+func TestTrialRequestsLeaveFailingUpstream(t *testing.T) {
+	f := newVersionFixture(t)
+	f.pool.SetVersionRule(admission.VersionRule{Candidate: "v2", Concentrate: true})
+	at := map[string]int{}
+	for i := range 60 {
+		now := time.Duration(i) * 20 * time.Millisecond
+		f.submitTrial()
+		for _, decision := range f.pool.Schedule(now) {
+			at[decision.Upstream.ID]++
+			outcome := admission.Answered
+			if decision.Upstream.ID == "c0" && at["c0"]%2 == 0 {
+				outcome = admission.Failed
+			}
+			f.pool.Finish(now, decision.Upstream.ID, decision.Key, admission.Result{Outcome: outcome})
+		}
+	}
+	f.Expect(at["c0"]).To(BeNumerically("<", at["c1"]), "%v", at)
+}
