placement: learned limits of upstreams behind learn_limits

Change: [placement] learn_limits, off by default. Pools limit the requests at an engine by worklimit and learn the prefill rate; evidence and limits pass in the load reports, and the relay of the upstream's failure domain decides. Reports and views have one more field, of one byte while the setting is off: instances of this and earlier code do not read each other's reports.

The new tests pass with -race.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -25,6 +25,7 @@
 	oldest := p.expirePeers(now)
 	p.expireGrants(now)
 	p.penalizeOverdue(now)
+	p.stepLimits(now)
 	if len(p.queue) == 0 {
 		return nil
 	}
@@ -131,6 +132,7 @@
 func (p *Pool) place(now time.Duration, r *Request) (Decision, bool) {
 	var best *upstream
 	var chosen Decision
+	var basis firstOutputBasis
 	bestCost := 0.0
 	for _, u := range p.sorted {
 		if !u.usable(now) || !u.accepts(now, r) || !p.allows(u, r.Trial) || slices.Contains(r.ExcludedUpstreams, u.info.ID) {
@@ -158,6 +160,7 @@
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, ExpectedFirstOutput: expected, InFlight: inFlight}
+			basis = u.firstOutputBasis(r, inFlight, pendingPrefillTokens)
 		}
 	}
 	if best == nil {
@@ -176,7 +179,7 @@
 			best.backoffUntil = now + probeInterval
 		}
 	} else {
-		best.requests = append(best.requests, runningRequest{key: r.Key, promptTokens: r.PromptTokens, placedAt: now, expectedFirstOutput: chosen.ExpectedFirstOutput})
+		best.requests = append(best.requests, runningRequest{key: r.Key, promptTokens: r.PromptTokens, placedAt: now, expectedFirstOutput: chosen.ExpectedFirstOutput, basis: basis})
 	}
 	return chosen, true
 }
@@ -186,9 +189,9 @@
 // the upstream's domain, which receive each other's reports sooner.
 func (p *Pool) maxInFlight(u *upstream) int {
 	if u.info.Domain == p.location.Domain {
-		return u.slots + p.tuning.ExtraSlots
+		return p.learnedLimit(u, u.slots+p.tuning.ExtraSlots)
 	}
-	return max(1, u.slots+p.tuning.ExtraSlots-p.tuning.RemoteDomainReservedSlots)
+	return p.learnedLimit(u, max(1, u.slots+p.tuning.ExtraSlots-p.tuning.RemoteDomainReservedSlots))
 }
 
 func (p *Pool) distancePenaltyMs(u *upstream) float64 {
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/worklimit"
 )
 
 // Service describes the service whose requests a pool schedules.
@@ -46,6 +48,9 @@
 	versions   versionState
 	// overdue lists the upstreams of requests that became overdue.
 	overdue []string
+	// calibration and limitMoves are used if limits are learned.
+	calibration worklimit.Calibration
+	limitMoves  []LimitMove
 }
 
 // PeerState is the load and the demand that a peer reports, for itself or as the
@@ -344,6 +349,7 @@
 		u.failedAttempts = 0
 		u.observeFailure(now, false)
 		p.updateEstimates(u, running, result)
+		p.learnFromAnswer(now, u, result)
 	case Failed:
 		u.failedAttempts = 0
 		u.observeFailure(now, true)
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -185,6 +185,10 @@
 	MaxAllocationInterval time.Duration
 	// ReportTimeout is the age above which the report of a peer is ignored.
 	ReportTimeout time.Duration
+	// LearnLimits lowers the number of requests at an engine to what it takes well, as
+	// found from its answers, and replaces PrefillTokensPerMs and FirstOutputOverheadMs by
+	// learned values.
+	LearnLimits bool
 }
 
 // DefaultTuning returns the parameters for the users' engines.
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -54,6 +54,7 @@
 	expectedFirstOutput time.Duration
 	hasOutput           bool
 	overdue             bool
+	basis               firstOutputBasis
 }
 
 // upstream holds the state of one upstream.
@@ -84,6 +85,7 @@
 	quietUntil         time.Duration
 	failureRate        float64
 	failureRateUpdated time.Duration
+	learned            learning
 }
 
 // loadSum is the sum of loads at one upstream. Each speed is weighted by its
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -88,6 +88,7 @@
 	// usageRevision is the revision of the usage record that this instance has written
 	// last; 0 if none.
 	usageRevision uint64
+	limits        limitLog
 }
 
 func newControlLoop(g *Gateway) *controlLoop {
@@ -188,6 +189,7 @@
 	c.g.isHighestRanked.Store(c.peers.IsHighestRanked())
 	c.writeUsage(now)
 	c.stepRollouts(now)
+	c.logLimits(now)
 	c.sendDueReports(now)
 	c.sendDueReplies(now)
 }
@@ -221,7 +223,7 @@
 	pool := c.pools[name]
 	if pool == nil {
 		location := admission.Location{Domain: c.g.settings.Instance.Domain, Regions: c.g.settings.Regions}
-		pool = admission.NewPool(c.serviceSpec(name), location, admission.DefaultTuning(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		pool = admission.NewPool(c.serviceSpec(name), location, c.tuning(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		c.pools[name] = pool
 	}
 	return pool
@@ -283,6 +285,7 @@
 }
 
 func (m firstOutputMsg) apply(c *controlLoop) {
+	c.pool(m.service).LearnFirstOutput(c.g.now(), m.upstream, m.key)
 	c.pool(m.service).RecordFirstOutput(m.upstream, m.key)
 	c.markReportsChanged()
 }
--- a/pkg/gateway/delegation.go
+++ b/pkg/gateway/delegation.go
@@ -303,6 +303,7 @@
 			pool.CollectLoads(loads, admission.FleetLoad)
 		}
 		view.Upstreams = encodeLoads(loads)
+		view.Limits = c.limitsForView()
 	}
 	return view
 }
@@ -396,6 +397,7 @@
 	}
 	if view.Upstreams != nil && !c.peers.IsObserver() {
 		c.applyLoadView(now, view)
+		c.applyLimitView(now, reply.Instance, view)
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -107,6 +107,8 @@
 	rolloutsKnown atomic.Bool
 	// watchedFingerprints holds what poison.Detector.Watched returned last.
 	watchedFingerprints atomic.Pointer[map[poison.Fingerprint]struct{}]
+	// upstreamLimits holds the learned limits by upstream; nil if limits are not learned.
+	upstreamLimits atomic.Pointer[map[string]int]
 }
 
 // Limits that are derived from the settings of the instance, and limits of its
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -58,6 +58,8 @@
 	rolloutsSucceeded   metrics.Counter
 	rolloutsRolledBack  metrics.Counter
 	rolloutWritesFailed metrics.Counter
+	// limitMoves counts the changes of the learned limits of upstreams.
+	limitMoves metrics.Counter
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -86,6 +88,7 @@
 		lateRefused:   counter("stops.refused"),
 		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
 		rolloutsRolledBack: counter("rollouts.rolled_back"), rolloutWritesFailed: counter("rollouts.unwritten"),
+		limitMoves:       counter("limits.moved"),
 		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
 		earlierReports:     counter("upstreams.earlier_reports"),
 		poisonFingerprints: metrics.NewRegisteredGauge("poison.fingerprints", registry),
@@ -126,6 +129,11 @@
 		fmt.Sprintf("rosemarywing_config_age_ms %d", g.configAge().Milliseconds()),
 		fmt.Sprintf("rosemarywing_instances_known %d", g.instanceCount.Load()),
 		fmt.Sprintf("rosemarywing_log_lines_omitted %d", g.requestLog.omitted.Load()))
+	if limits := g.upstreamLimits.Load(); limits != nil {
+		for upstream, limit := range *limits {
+			lines = append(lines, fmt.Sprintf("rosemarywing_upstream_limit{upstream=%q} %d", upstream, limit))
+		}
+	}
 	sort.Strings(lines)
 	// An error means that the client has disconnected.
 	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n")
--- a/pkg/gateway/reports.go
+++ b/pkg/gateway/reports.go
@@ -63,6 +63,8 @@
 	rolloutsSentAt time.Duration
 	// results holds the results of requests since the last report.
 	results []loadshare.UpstreamResult
+	// limits marks what was sent of the limits of upstreams.
+	limits limitCursor
 }
 
 // maxReportedResults bounds the results in a report.
@@ -239,6 +241,7 @@
 	report.LeavingUpstreams = c.leaving.export(now, &state.leaving, !report.Partial)
 	report.Retries = encodeRetries(state.changedRetries(c.retryBudget.Counts(now, retryScope), report.Partial))
 	report.Rollouts = c.exportRollouts(now, state, wholeDomain)
+	report.Limits = c.exportLimits(now, state, wholeDomain)
 	totals, source := c.quotas.ReportableTotal(now)
 	report.UsageSource = uint8(source)
 	if report.Partial {
@@ -336,6 +339,7 @@
 	c.mergeSuspicions(now, name, report.Suspicions)
 	c.mergeLeaving(now, name, report.LeavingUpstreams)
 	c.applyRollouts(name, report.Rollouts)
+	c.applyLimits(now, remoteDomain, report)
 	if !remoteDomain && c.peers.Large() {
 		c.applyFollowerReport(now, report)
 	}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -19,6 +19,8 @@
 	Store    StoreSettings    `ini:"store"`
 	Limits   LimitSettings    `ini:"limits"`
 	Bounds   BoundSettings    `ini:"bounds"`
+	// Placement are settings of the choice of upstreams.
+	Placement PlacementSettings `ini:"placement"`
 	// Regions maps each failure domain to its region. It is read from section
 	// [domains].
 	Regions map[string]string `ini:"-"`
@@ -57,6 +59,14 @@
 	ProcessorShare float64 `ini:"processor_share"`
 }
 
+// PlacementSettings choose between ways to place requests. All instances should have the
+// same.
+type PlacementSettings struct {
+	// LearnLimits lowers the number of requests at an engine to what it takes well, as
+	// found from its answers.
+	LearnLimits bool `ini:"learn_limits"`
+}
+
 // BoundSettings are limits that hold for all instances together. Units and meaning
 // are described in docs/gateway-settings.md.
 type BoundSettings struct {
--- a/pkg/gateway/settings_test.go
+++ b/pkg/gateway/settings_test.go
@@ -43,6 +43,10 @@
 	g.Expect(settings.Limits.ProcessorShare).To(Equal(0.192))
 	g.Expect(settings.Limits.Descriptors).To(Equal(defaultSettings().Limits.Descriptors))
 	g.Expect(settings.Bounds).To(Equal(defaultSettings().Bounds))
+	g.Expect(settings.Placement.LearnLimits).To(BeFalse())
+	settings, err = loadSettings(t, validSettings+"[placement]\nlearn_limits = true\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(settings.Placement.LearnLimits).To(BeTrue())
 }
 
 // Guards against a typo in the settings file that makes an instance start with a
@@ -55,6 +59,7 @@
 		"domain without region": {"north = r1", "south = r1"},
 		"address without port":  {"10.0.0.1:3", "10.0.0.1"},
 		"zero processor share":  {"0.192", "0"},
+		"malformed switch":      {"[store]", "[placement]\nlearn_limits = perhaps\n[store]"},
 		"malformed number":      {"0.192", "much"},
 		"too little memory":     {"[limits]", "[limits]\nmemory_mib = 8"},
 		"zero window":           {"[limits]", "[bounds]\nquota_window_s = 0\n[limits]"},
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -89,6 +89,31 @@
 	// Rollouts hold the evidence about versions on trial, of the instances that the report
 	// covers, since the order was given. They replace those of the last report that had any.
 	Rollouts []RolloutEvidence
+	// Limits hold the evidence for the limits of upstreams that has changed, of the
+	// instances that the report covers; empty if limits are not learned.
+	Limits []UpstreamLimit
+}
+
+// UpstreamLimit is what the sender knows about the number of concurrent requests that an
+// upstream takes well: 9 bytes at most, and 26 for each cell.
+type UpstreamLimit struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	// Upstream is the short hash of the upstream's ID.
+	Upstream uint32
+	// Limit is the limit in force at the sender.
+	Limit uint16
+	// Cells hold the sums over the answers since the start of the sender. Those without
+	// new answers may be missing.
+	Cells []LoadCell
+}
+
+// LoadCell is a worklimit.Counts.
+type LoadCell struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
+	Cell     uint8
+	Answers  uint32
+	Load     float64
+	LogStep  float64
 }
 
 // RolloutEvidence holds the results of requests at upstreams of the versions of a service
--- a/pkg/loadshare/reply.go
+++ b/pkg/loadshare/reply.go
@@ -114,6 +114,9 @@
 	LeavingUpstreams []LeavingUpstream
 	// Retries are the sums over all instances.
 	Retries []RetryCount
+	// Limits are the limits in force at the sender, without evidence; nil if the view
+	// contains no loads, or limits are not learned.
+	Limits []UpstreamLimit
 }
 
 // PeerRef names an instance of the local failure domain.
