docs: size of a limit in reports is 10 bytes

Cause: the array of cells has a header of its own, which was not counted.

Change: 10 bytes instead of 9, counted from the encoding; the bound of a report of 1.1 KB was right.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -95,7 +95,7 @@
 }
 
 // UpstreamLimit is what the sender knows about the number of concurrent requests that an
-// upstream takes well: 9 bytes at most, and 26 for each cell.
+// upstream takes well: 10 bytes at most, and 26 for each cell.
 type UpstreamLimit struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // selects the encoding
 	// Upstream is the short hash of the upstream's ID.
