admission: preview of a placement

Cause: operators cannot see why an upstream would not get a request before one is sent.

Change: the body of Pool.place that considers an upstream is a function of its own, which names the reason for which the upstream is out.

Result: the tests of the package pass unchanged with -race.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -118,8 +118,7 @@
 	if end, quiet := p.quietEnd(now); quiet && !r.Delegated {
 		return p.waitForQuiet(now, r, end)
 	}
-	maxWait := time.Duration(float64(r.Deadline-r.Arrived) * p.tuning.MaxQueueFraction)
-	if now-r.Arrived >= maxWait {
+	if now-r.Arrived >= p.maxWait(r) {
 		return p.refuse(now, r, p.noCapacityReason()), true
 	}
 	return Decision{}, false
@@ -135,41 +134,26 @@
 	var basis firstOutputBasis
 	bestCost := 0.0
 	for _, u := range p.sorted {
-		if !u.usable(now) || !u.accepts(now, r) || !p.allows(u, r.Trial) || slices.Contains(r.ExcludedUpstreams, u.info.ID) {
+		c := p.consider(now, r, u)
+		if c.out != "" {
 			continue
 		}
-		inFlight, pendingPrefillTokens := u.load()
-		if inFlight >= p.maxInFlight(u) || (!r.Trial && !p.mayAllocate(now, u)) || (r.Trial && inFlight >= u.slots) {
-			continue
-		}
-		expected := u.expectFirstOutput(&p.tuning, r.PromptTokens, inFlight, pendingPrefillTokens, p.slotTimeMs)
-		if inFlight >= u.slots && now+expected > r.SoftDeadline {
-			// The request would wait at the upstream for a slot that a newer
-			// request can use in time.
-			continue
-		}
-		cost := toMs(expected) + p.distancePenaltyMs(u) + u.currentFailureRate(now)*failureCostMs
-		if now+expected+u.expectDecoding(&p.tuning, r.OutputTokens) > r.Deadline {
-			cost += missedDeadlineCostMs
-		}
+		cost := c.cost
 		if p.concentrates(r) {
-			cost = p.trialCost(u, inFlight)
+			cost = p.trialCost(u, c.inFlight)
 		} else {
 			cost *= 1 + p.tuning.CostJitter*p.random.Float64()
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
-			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, ExpectedFirstOutput: expected, InFlight: inFlight}
-			basis = u.firstOutputBasis(r, inFlight, pendingPrefillTokens)
+			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, ExpectedFirstOutput: c.expected, InFlight: c.inFlight}
+			basis = u.firstOutputBasis(r, c.inFlight, c.pendingPrefillTokens)
 		}
 	}
 	if best == nil {
 		return Decision{}, false
 	}
-	chosen.Reason = "lowest expected time"
-	if now+chosen.ExpectedFirstOutput > r.SoftDeadline {
-		chosen.Reason = "past the latency target, capacity is available"
-	}
+	chosen.Reason = placementReason(now, r, chosen.ExpectedFirstOutput)
 	if !r.Trial {
 		p.allocate(now, best)
 	}
--- a/pkg/quota/teams.go
+++ b/pkg/quota/teams.go
@@ -118,6 +118,11 @@
 	t.own.window(team, t.rules.Window).Add(now, -amount)
 }
 
+// Preview checks an amount against the limit without counting it.
+func (t *TeamQuotas) Preview(now time.Duration, team string, limit Limit, amount float64) Verdict {
+	return t.verdict(now, team, limit, amount)
+}
+
 func (t *TeamQuotas) verdict(now time.Duration, team string, limit Limit, amount float64) Verdict {
 	windowLimit := limit.perWindow(t.rules.Window)
 	reachable, unreachable := t.countInstances(now)
