gateway: where a request would go now, without sending it

Cause: 'rosemarywing explain' tells from logs what has happened to a request, but not what would happen to one.

Change: GET /placement on the admin address, answered by the control loop, and 'rosemarywing placement' as text and JSON.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -77,7 +77,7 @@
 	switch c := command.(type) {
 	case *validateCommand:
 		return c.Offline
-	case *explainCommand:
+	case *explainCommand, *placementCommand:
 		return true
 	}
 	return false
@@ -98,6 +98,7 @@
 		{"list", "list records", &listCommand{app: a}},
 		{"describe", "show one record", &describeCommand{app: a}},
 		{"inforce", "show the configuration in effect on each instance", &inforceCommand{app: a}},
+		{"placement", "show where a request would go now, and why, without sending it", &placementCommand{app: a}},
 		{"explain", "show from the logs of gateway instances what happened to a request", &explainCommand{app: a}},
 	}
 	for _, c := range commands {
--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -57,6 +57,7 @@
 type instance struct {
 	callers string
 	ready   string
+	admin   string
 	stop    context.CancelFunc
 	done    chan error
 }
@@ -154,11 +155,11 @@
 
 func (c *testCluster) startInstanceOn(name, callers string) *instance {
 	c.t.Helper()
-	started := &instance{callers: callers, ready: reserveAddress(c.t), done: make(chan error, 1)}
+	started := &instance{callers: callers, ready: reserveAddress(c.t), admin: reserveAddress(c.t), done: make(chan error, 1)}
 	g, err := gateway.New(gateway.Options{
 		Settings: gateway.Settings{
 			Instance: gateway.InstanceSettings{Name: name, Domain: "north", FirstStart: true},
-			Listen:   gateway.ListenSettings{Callers: started.callers, Ready: started.ready, Peers: reserveAddress(c.t), Admin: reserveAddress(c.t)},
+			Listen:   gateway.ListenSettings{Callers: started.callers, Ready: started.ready, Peers: reserveAddress(c.t), Admin: started.admin},
 			Store:    gateway.StoreSettings{Address: c.storeAddress},
 			Limits:   gateway.LimitSettings{MemoryMiB: c.memoryMiB, Descriptors: 4096},
 			Bounds: gateway.BoundSettings{ConfigFreshMs: 5000, StopGraceSeconds: c.stopGraceSeconds, LeaveNoticeSeconds: 0.2, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 50,
--- a/pkg/gateway/lifecycle.go
+++ b/pkg/gateway/lifecycle.go
@@ -266,6 +266,7 @@
 func (g *Gateway) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", g.serveMetrics)
+	mux.HandleFunc("GET /placement", g.servePlacementPreview)
 	return mux
 }
 
--- a/pkg/traffic/table.go
+++ b/pkg/traffic/table.go
@@ -75,6 +75,16 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Route returns the route with the given name, or nil.
+func (t *Table) Route(name string) *Route {
+	for i := range t.config.Routes {
+		if t.config.Routes[i].Name == name {
+			return &t.config.Routes[i]
+		}
+	}
+	return nil
+}
+
 // KeysRequired reports whether requests on routes that are not public need a key.
 func (t *Table) KeysRequired() bool { return len(t.config.Teams) > 0 }
 
