--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -25,6 +25,7 @@
 	oldest := p.expirePeers(now)
 	p.expireGrants(now)
 	p.penalizeOverdue(now)
+	p.stepLimits(now)
 	if len(p.queue) == 0 {
 		return nil
 	}
@@ -146,42 +147,29 @@
 func (p *Pool) place(now time.Duration, r *Request) (Decision, bool) {
 	var best *upstream
 	var chosen Decision
+	var basis firstOutputBasis
 	bestCost := 0.0
 	for _, u := range p.sorted {
-		if !u.usable(now) || !u.accepts(now, r) || !p.allows(u, r.Trial) || slices.Contains(r.ExcludedUpstreams, u.info.ID) {
+		c := p.consider(now, r, u)
+		if c.out != "" {
 			continue
 		}
-		inFlight, pendingPrefillTokens := u.load()
-		if inFlight >= p.maxInFlight(u) || (!r.Trial && !p.mayAllocate(now, u)) || (r.Trial && inFlight >= u.slots) {
-			continue
-		}
-		expected := u.expectFirstOutput(&p.tuning, r.PromptTokens, inFlight, pendingPrefillTokens, p.slotTimeMs)
-		if inFlight >= u.slots && now+expected > r.SoftDeadline {
-			// The request would wait at the upstream for a slot that a newer
-			// request can use in time.
-			continue
-		}
-		cost := toMs(expected) + p.distancePenaltyMs(u) + u.currentFailureRate(now)*failureCostMs
-		if now+expected+u.expectDecoding(&p.tuning, r.OutputTokens) > r.Deadline {
-			cost += missedDeadlineCostMs
-		}
+		cost := c.cost
 		if p.concentrates(r) {
-			cost = p.trialCost(now, u, inFlight)
+			cost = p.trialCost(now, u, c.inFlight)
 		} else {
 			cost *= 1 + p.tuning.CostJitter*p.random.Float64()
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
-			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, ExpectedFirstOutput: expected, InFlight: inFlight}
+			chosen = Decision{Key: r.Key, Action: Place, Upstream: u.info, ExpectedFirstOutput: c.expected, InFlight: c.inFlight}
+			basis = u.firstOutputBasis(r, c.inFlight, c.pendingPrefillTokens)
 		}
 	}
 	if best == nil {
 		return Decision{}, false
 	}
-	chosen.Reason = "lowest expected time"
-	if now+chosen.ExpectedFirstOutput > r.SoftDeadline {
-		chosen.Reason = "past the latency target, capacity is available"
-	}
+	chosen.Reason = placementReason(now, r, chosen.ExpectedFirstOutput)
 	p.recordUse(now, r)
 	if !r.Trial {
 		p.allocate(now, best)
@@ -192,7 +180,7 @@
 			best.backoffUntil = now + probeInterval
 		}
 	} else {
-		best.requests = append(best.requests, runningRequest{key: r.Key, promptTokens: r.PromptTokens, placedAt: now, expectedFirstOutput: chosen.ExpectedFirstOutput})
+		best.requests = append(best.requests, runningRequest{key: r.Key, promptTokens: r.PromptTokens, placedAt: now, expectedFirstOutput: chosen.ExpectedFirstOutput, basis: basis})
 	}
 	return chosen, true
 }
@@ -202,9 +190,9 @@
 // the upstream's domain, which receive each other's reports sooner.
 func (p *Pool) maxInFlight(u *upstream) int {
 	if u.info.Domain == p.location.Domain {
-		return u.slots + p.tuning.ExtraSlots
+		return p.learnedLimit(u, u.slots+p.tuning.ExtraSlots)
 	}
-	return max(1, u.slots+p.tuning.ExtraSlots-p.tuning.RemoteDomainReservedSlots)
+	return p.learnedLimit(u, max(1, u.slots+p.tuning.ExtraSlots-p.tuning.RemoteDomainReservedSlots))
 }
 
 func (p *Pool) distancePenaltyMs(u *upstream) float64 {
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/rosemarywing/rosemarywing/pkg/worklimit"
 )
 
 // Service describes the service whose requests a pool schedules.
@@ -50,6 +52,9 @@
 	overShare map[string]bool
 	// overdue lists the upstreams of requests that became overdue.
 	overdue []string
+	// calibration and limitMoves are used if limits are learned.
+	calibration worklimit.Calibration
+	limitMoves  []LimitMove
 }
 
 // PeerState is the load and the demand that a peer reports, for itself or as the
@@ -347,6 +352,7 @@
 	case Answered:
 		u.recordAnswer(now)
 		p.updateEstimates(u, running, result)
+		p.learnFromAnswer(now, u, result)
 	case Failed:
 		p.recordFailedAnswer(now, u)
 	case Rejected:
