--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -94,6 +94,7 @@
 	// storePosition is the latest position of the copies of the store.
 	storePosition storesync.Position
 	limits        limitLog
+	ejections     ejectionLog
 }
 
 func newControlLoop(g *Gateway) *controlLoop {
@@ -194,6 +195,7 @@
 	c.g.isHighestRanked.Store(c.peers.IsHighestRanked())
 	c.writeUsage(now)
 	c.stepRollouts(now)
+	c.reportEjections(now)
 	c.logLimits(now)
 	c.sendDueReports(now)
 	c.sendDueReplies(now)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -68,6 +68,8 @@
 	bodiesRefused metrics.Counter
 	// limitMoves counts the changes of the learned limits of upstreams.
 	limitMoves metrics.Counter
+	// upstreamsEjected is the number of upstreams that get no requests for failed answers.
+	upstreamsEjected metrics.Gauge
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -97,6 +99,7 @@
 		lateRefused: counter("stops.refused"), heldAtStart: counter("requests.held_at_start"), bodiesRefused: counter("bodies.refused"),
 		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
 		rolloutsRolledBack: counter("rollouts.rolled_back"), rolloutWritesFailed: counter("rollouts.unwritten"),
+		upstreamsEjected: metrics.NewRegisteredGauge("upstreams.ejected", registry),
 		limitMoves:       counter("limits.moved"),
 		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
 		earlierReports:     counter("upstreams.earlier_reports"),
