gateway: the refusal of a body reaches a caller that still sends it

Callers saw: a reset connection instead of 413 or 429, when a body was refused before it was read.

Cause: the connection was closed with bytes unread, which resets it.

Change: the answer is sent at once and with a length, and the rest of the body is dropped as it arrives, 8 MiB and 2 s at most. The connection stays usable if the whole body arrives in that time.

--- a/pkg/gateway/body_memory_test.go
+++ b/pkg/gateway/body_memory_test.go
@@ -131,3 +131,17 @@
 	go func() { _, _ = fmt.Fprintf(over, "%x\r\n%sx", 2<<20, body) }()
 	cluster.Expect(over.status(answerWait)).To(Equal(http.StatusRequestEntityTooLarge))
 }
+
+// Guards against a connection that is reset before the caller, which still sends its body,
+// has read that its request was refused.
+func TestRefusalReachesCallerThatSendsItsBody(t *testing.T) {
+	cluster := newSmallCluster(t)
+	large := func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2<<20))), 2<<20
+	}
+	for range 20 {
+		got := cluster.post("/once/over", large)
+		cluster.Expect(got.err).NotTo(HaveOccurred())
+		cluster.Expect(got.status).To(Equal(http.StatusRequestEntityTooLarge))
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -110,11 +110,7 @@
 		}
 	}()
 	if err := x.readBody(); err != nil {
-		retryAfter := time.Duration(0)
-		if err.Kind == errkind.Overloaded {
-			retryAfter = jitter(defaultRetryAfter)
-		}
-		x.fail(err, retryAfter)
+		x.refuseBody(err)
 		return
 	}
 	if err, retryAfter := x.chargeQuota(); err != nil {
--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,10 +26,6 @@
 	}
 	body, err := x.readAll(maxBytes)
 	var tooLarge *http.MaxBytesError
-	if errors.Is(err, errBodyMemory) || errors.As(err, &tooLarge) {
-		// Otherwise the server waits for a part of the rest of the body before it answers.
-		x.w.Header().Set("Connection", "close")
-	}
 	switch {
 	case errors.Is(err, errBodyMemory):
 		x.g.metrics.bodiesRefused.Inc(1)
@@ -79,6 +76,43 @@
 	return body, err
 }
 
+const (
+	// maxDiscardedBytes and maxDiscardTime bound the rest of a body that is read and dropped
+	// after its request was refused. A connection that is closed before is reset, which can
+	// keep the caller from reading the answer.
+	maxDiscardedBytes = 8 << 20
+	maxDiscardTime    = 2 * time.Second
+)
+
+// refuseBody ends a request whose body was not read to its end, or not at all. The answer is
+// sent at once, without waiting for the rest.
+func (x *exchange) refuseBody(err *errkind.Error) {
+	retryAfter := time.Duration(0)
+	if err.Kind == errkind.Overloaded {
+		retryAfter = jitter(defaultRetryAfter)
+	}
+	if err.Kind != errkind.Overloaded && err.Kind != errkind.BodyTooLarge {
+		x.fail(err, retryAfter)
+		return
+	}
+	if x.releaseBody != nil {
+		x.releaseBody()
+	}
+	controller := http.NewResponseController(x.w)
+	// Otherwise the server reads up to 256 KiB of the rest before it answers.
+	duplexErr := controller.EnableFullDuplex()
+	// With a length the answer is complete before the rest of the body has been read.
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(err.Kind)+len("\n")))
+	x.fail(err, retryAfter)
+	if errors.Join(duplexErr, controller.Flush(), controller.SetReadDeadline(time.Now().Add(maxDiscardTime))) != nil {
+		// The connection is closed.
+		return
+	}
+	if _, discardErr := io.CopyN(io.Discard, x.r.Body, maxDiscardedBytes); discardErr == nil {
+		x.g.log.V(1).Info("the rest of a refused body is too long to be read", "request", x.requestInfo.RequestID)
+	}
+}
+
 // readAll reads the body until its end, the deadline of the request or the size limit.
 func (x *exchange) readAll(maxBytes int64) ([]byte, error) {
 	// Connections without deadlines occur in tests only.
