admission: a single lost answer does not stop an upstream that answers others

Cause: a broken connection stops an upstream for 0.15 s and more, and then lets one request through. An instance sees few of them; a relay learns of those of all its followers.

Change: the first broken connection since an answer less than 0.25 s ago counts towards the failure rate only. When an upstream ends, others break with it.

--- a/pkg/admission/ejection.go
+++ b/pkg/admission/ejection.go
@@ -41,6 +41,7 @@
 // recordAnswer ends an ejection.
 func (u *upstream) recordAnswer(now time.Duration) {
 	u.failedAttempts, u.failuresInRow = 0, 0
+	u.answered, u.lossSinceAnswer, u.lastAnswer = true, false, now
 	u.observeFailure(now, false)
 }
 
--- a/pkg/admission/ejection_test.go
+++ b/pkg/admission/ejection_test.go
@@ -127,3 +127,19 @@
 	}
 	f.Expect(f.pool.Ejected(0)).To(BeEmpty())
 }
+
+// Upstreams lose a few answers while they answer all others. Guards against a relay that stops
+// an upstream for all instances at each lost answer, and against one that goes on sending
+// requests to an upstream that has ended.
+func TestIsolatedLossDoesNotStopUpstream(t *testing.T) {
+	f := newFixture(t, 1)
+	f.pool.ObservePeerResult(0, "e0", admission.Result{Outcome: admission.Answered})
+	f.pool.ObservePeerResult(100*time.Millisecond, "e0", admission.Result{Outcome: admission.Broken})
+	for range 3 {
+		f.submit(100*time.Millisecond, 1, 100)
+	}
+	f.Expect(placed(f.pool.Schedule(100 * time.Millisecond))["e0"]).To(HaveLen(3))
+	f.pool.ObservePeerResult(110*time.Millisecond, "e0", admission.Result{Outcome: admission.Broken})
+	f.submit(110*time.Millisecond, 1, 100)
+	f.Expect(placed(f.pool.Schedule(110 * time.Millisecond))).To(BeEmpty())
+}
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -359,6 +359,9 @@
 		u.fullUntil = now + rejectionBackoff
 	case Unreachable, Broken:
 		u.observeFailure(now, true)
+		if result.Outcome == Broken && u.isolatedLoss(now) {
+			return
+		}
 		u.backOff(now)
 	case Overdue:
 		u.observeOverdue()
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -83,6 +83,10 @@
 	failuresInRow    int
 	lastFailedAnswer time.Duration
 	fullUntil        time.Duration
+	// answered is true once the upstream has answered a request, last at lastAnswer.
+	// lossSinceAnswer is true if a connection has broken since.
+	answered, lossSinceAnswer bool
+	lastAnswer                time.Duration
 	// leaving is true once the upstream itself has said that it leaves. quietUntil is the
 	// end of the time for which it wants no request of this instance.
 	leaving            bool
@@ -196,6 +200,19 @@
 	u.failureRate, u.failureRateUpdated = rate, now
 }
 
+// isolatedLossTime is the time since the last answer of an upstream within which a single
+// broken connection says nothing about its other requests. A relay learns of those of all
+// its followers; without this it would stop the upstream for all of them at each lost answer.
+const isolatedLossTime = 250 * time.Millisecond
+
+// isolatedLoss reports whether a broken connection is the first since an answer of a moment
+// ago. When an upstream ends, the connections of its other requests break as well.
+func (u *upstream) isolatedLoss(now time.Duration) bool {
+	isolated := u.answered && !u.lossSinceAnswer && now-u.lastAnswer < isolatedLossTime
+	u.lossSinceAnswer = true
+	return isolated
+}
+
 // backOff blocks new requests for a time that doubles with each failure in a row.
 func (u *upstream) backOff(now time.Duration) {
 	u.backoffUntil = now + min(maxBackoff, minBackoff<<min(u.failedAttempts, 6))
