--- a/pkg/loadshare/roles.go
+++ b/pkg/loadshare/roles.go
@@ -10,7 +10,7 @@
 const (
 	// maxDirectInstances is the size of a failure domain up to which all instances
 	// report to each other. Above it, reports go to observerCount instances only.
-	maxDirectInstances = 16
+	maxDirectInstances = 8
 	observerCount      = 3
 	// discoveryTime is how long an instance of a large failure domain waits for an
 	// answer of another one that it knows from the instance list only.
