gateway: a setting without a value keeps its default

The template now leaves the value empty where a deployment states none; unknown keys are refused as before.

--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -118,17 +118,31 @@
 	if err != nil {
 		return Settings{}, errkind.Wrap(errkind.BadSettings, err, "settings %s", path)
 	}
+	unknown := unknownKeys(file)
+	dropEmptyValues(file)
 	settings := defaultSettings()
 	if err := file.StrictMapTo(&settings); err != nil {
 		return Settings{}, errkind.Wrap(errkind.BadSettings, err, "settings %s", path)
 	}
 	settings.Regions = file.Section(regionsSection).KeysHash()
-	if err := errors.Join(unknownKeys(file), settings.validate()); err != nil {
+	if err := errors.Join(unknown, settings.validate()); err != nil {
 		return Settings{}, errkind.Wrap(errkind.BadSettings, err, "settings %s", path)
 	}
 	return settings, nil
 }
 
+// dropEmptyValues removes the keys without a value, which a template leaves where the
+// deployment states none. They keep their defaults.
+func dropEmptyValues(file *ini.File) {
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			if key.Value() == "" {
+				section.DeleteKey(key.Name())
+			}
+		}
+	}
+}
+
 // unknownKeys returns an error for keys that the INI library would ignore.
 func unknownKeys(file *ini.File) error {
 	knownFile := ini.Empty()
--- a/pkg/gateway/settings_test.go
+++ b/pkg/gateway/settings_test.go
@@ -51,6 +51,19 @@
 
 // Guards against a typo in the settings file that makes an instance start with a
 // default.
+// The template of the settings leaves a value empty where the deployment states none. Guards
+// against an instance that does not start for it, and against unknown keys that pass.
+func TestEmptyValueIsTheDefault(t *testing.T) {
+	g := NewWithT(t)
+	settings, err := loadSettings(t, validSettings+"[bounds]\nexposure_share = \nretry_extra =\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(settings.Bounds).To(Equal(defaultSettings().Bounds))
+	_, err = loadSettings(t, validSettings+"[bounds]\nexposed_share = \n")
+	g.Expect(err).To(HaveOccurred())
+	_, err = loadSettings(t, strings.Replace(validSettings, "name = edge-1", "name =", 1))
+	g.Expect(err).To(HaveOccurred())
+}
+
 func TestLoadSettingsRejectsInvalidFiles(t *testing.T) {
 	for name, change := range map[string][2]string{
 		"unknown key":           {"[store]", "[store]\nsocket = 1"},
