admission: ejections of several instances leave half of a service in use

Cause: the bound of one half was checked only when an instance ejected an upstream itself. Peers that eject at the same moment do not know of each other, so that the reports of two peers could bar all upstreams of a service from a third one, and one peer the only upstream. Upstreams that leave, or that a roll-out keeps from ordinary requests, counted as remaining ones, so that all upstreams in use could be ejected.

Change: each pass takes at most half of the upstreams that ordinary requests may use as ejected, its own ejections first, then those that most peers report. The bound for own ejections counts the same upstreams.

Evidence: the new tests fail on (0 of 8 requests placed while two peers eject all four upstreams; 0 of 1 with one upstream; 4 of 4 upstreams in use ejected beside 4 that leave or are of a new version) and pass now.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -29,6 +29,7 @@
 	if len(p.queue) == 0 {
 		return nil
 	}
+	p.applyPeerEjections(now)
 	p.updateShares(now)
 	p.sortQueue(now)
 	var decisions []Decision
--- a/pkg/admission/ejection.go
+++ b/pkg/admission/ejection.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Load pattern of failing upstreams: an upstream that answers each request with a failure
 // at once is idle and has the shortest expected time. Under overload, when all others are
@@ -13,8 +17,9 @@
 	// ejectionMemory is how long an ejection holds without a further failure. An instance
 	// that has no request to try the upstream with must not keep the others away from it.
 	ejectionMemory = 3 * time.Second
-	// maxEjectedShare is the largest part of a service's upstreams that are ejected. If
-	// more of them fail, the requests are the more likely cause.
+	// maxEjectedShare is the largest part of the upstreams for ordinary requests that are
+	// ejected, by this instance and its peers together. If more of them fail, the requests
+	// are the more likely cause.
 	maxEjectedShare = 0.5
 )
 
@@ -23,7 +28,7 @@
 func (p *Pool) recordFailedAnswer(now time.Duration, u *upstream) {
 	u.observeFailure(now, true)
 	u.failuresInRow++
-	if u.failuresInRow < ejectAfter || (!u.ejected(now) && p.ejectedCount(now) >= int(maxEjectedShare*float64(len(p.sorted)))) {
+	if u.failuresInRow < ejectAfter || (!u.ejected(now) && !p.mayEject(now, u)) {
 		if !u.ejected(now) {
 			// The upstream has answered, so that its connections work.
 			u.failedAttempts = 0
@@ -49,14 +54,56 @@
 	return u.failuresInRow >= ejectAfter && u.failedAttempts > 0 && now-u.lastFailedAnswer < ejectionMemory
 }
 
-func (p *Pool) ejectedCount(now time.Duration) int {
-	count := 0
+// takesOrdinary reports whether ordinary requests may be placed at the upstream while it
+// does not fail. Those that leave, or that a roll-out keeps free, are no replacement for
+// ejected ones.
+func (p *Pool) takesOrdinary(u *upstream) bool {
+	return !u.info.Leaving && !u.leaving && p.allows(u, false)
+}
+
+// mayEject reports whether one more upstream may be ejected beside u's like.
+func (p *Pool) mayEject(now time.Duration, u *upstream) bool {
+	ordinary := p.takesOrdinary(u)
+	total, ejected := 0, 0
+	for _, other := range p.sorted {
+		if ordinary && !p.takesOrdinary(other) {
+			continue
+		}
+		total++
+		if other.ejected(now) || other.peerLoad.ejections > 0 {
+			ejected++
+		}
+	}
+	return ejected < int(maxEjectedShare*float64(total))
+}
+
+// applyPeerEjections determines which upstreams this instance leaves alone since peers have
+// ejected them. Peers that eject at the same moment do not know of each other, and each may
+// eject maxEjectedShare. Of too many, those count that most peers report.
+func (p *Pool) applyPeerEjections(now time.Duration) {
+	total, own := 0, 0
+	var reported []*upstream
 	for _, u := range p.sorted {
-		if u.ejected(now) || u.peerLoad.ejections > 0 {
-			count++
+		u.avoided = u.peerLoad.ejections > 0 && !u.ejected(now)
+		if !p.takesOrdinary(u) {
+			continue
+		}
+		total++
+		switch {
+		case u.avoided:
+			reported = append(reported, u)
+		case u.ejected(now):
+			own++
 		}
 	}
-	return count
+	allowed := max(0, int(maxEjectedShare*float64(total))-own)
+	if len(reported) <= allowed {
+		return
+	}
+	slices.SortStableFunc(reported, func(a, b *upstream) int { return cmp.Compare(b.peerLoad.ejections, a.peerLoad.ejections) })
+	for _, u := range reported[allowed:] {
+		u.avoided = false
+	}
 }
 
 // Ejected returns the upstreams that this instance has ejected, or that its peers report
--- a/pkg/admission/ejection_test.go
+++ b/pkg/admission/ejection_test.go
@@ -117,6 +117,59 @@
 	f.Expect(f.pool.Ejected(0)).To(HaveLen(2))
 }
 
+// Guards against a service without usable upstreams: each of two peers has ejected another
+// half before it knew of the other's ejections.
+func TestEjectionsOfPeersLeaveHalfOfTheUpstreams(t *testing.T) {
+	f := newFixture(t, 4)
+	ejected := admission.Load{Ejected: true}
+	f.pool.SetPeer(0, "a", admission.PeerState{Loads: map[string]admission.Load{"e0": ejected, "e1": ejected}})
+	f.pool.SetPeer(0, "b", admission.PeerState{Loads: map[string]admission.Load{"e1": ejected, "e2": ejected, "e3": ejected}})
+	for range 8 {
+		f.submit(0, 1, 100)
+	}
+	at := placed(f.pool.Schedule(0))
+	f.Expect(count(at)).To(Equal(8))
+	f.Expect(at).To(HaveLen(2))
+	f.Expect(at).NotTo(HaveKey("e1"), "both peers have ejected it")
+}
+
+// Guards against the same by the view of one peer of a service with one upstream.
+func TestOnlyUpstreamIsNotAvoided(t *testing.T) {
+	f := newFixture(t, 1)
+	f.pool.SetPeer(0, "a", admission.PeerState{Loads: map[string]admission.Load{"e0": {Ejected: true}}})
+	f.submit(0, 1, 100)
+	f.Expect(count(placed(f.pool.Schedule(0)))).To(Equal(1))
+}
+
+// Guards against counting upstreams that ordinary requests may not use as room: while four
+// of eight upstreams are of a new version, or leave, only two of the others are ejected.
+func TestEjectionsCountOnlyUpstreamsInUse(t *testing.T) {
+	for name, change := range map[string]func(f *fixture, info admission.UpstreamInfo){
+		"new version": func(f *fixture, info admission.UpstreamInfo) {
+			info.Version = "v2"
+			f.pool.SetUpstream(info)
+			f.pool.SetVersionRule(admission.VersionRule{Candidate: "v2"})
+		},
+		"leaving": func(f *fixture, info admission.UpstreamInfo) {
+			info.Leaving = true
+			f.pool.SetUpstream(info)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 8)
+			for i := 4; i < 8; i++ {
+				change(f, admission.UpstreamInfo{ID: fmt.Sprintf("e%d", i), Service: "llm", Address: fmt.Sprintf("a%d", i), Domain: "north", Slots: 8})
+			}
+			for range 10 {
+				for i := range 4 {
+					f.pool.ObservePeerResult(0, fmt.Sprintf("e%d", i), admission.Result{Outcome: admission.Failed})
+				}
+			}
+			f.Expect(f.pool.Ejected(0)).To(HaveLen(2))
+		})
+	}
+}
+
 // Guards against ejecting an upstream for single failures between answers.
 func TestOccasionalFailuresDoNotEject(t *testing.T) {
 	f := newFixture(t, 4)
--- a/pkg/admission/preview.go
+++ b/pkg/admission/preview.go
@@ -100,7 +100,7 @@
 		return outBackoff
 	case now < u.fullUntil:
 		return outRejected
-	case u.peerLoad.ejections > 0 && !u.ejected(now):
+	case u.avoided:
 		return outEjected
 	}
 	return outOneAtATime
@@ -151,6 +151,7 @@
 		// The next interval begins with a new share.
 		p.allocation.limited = false
 	}
+	p.applyPeerEjections(now)
 	preview := Preview{QueueLength: len(p.queue), FreeCapacity: p.freeCapacity(now), MaxWait: p.maxWait(r)}
 	for _, report := range p.peers {
 		if age := now - report.reported; age <= p.tuning.ReportTimeout {
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -83,6 +83,8 @@
 	failuresInRow    int
 	lastFailedAnswer time.Duration
 	fullUntil        time.Duration
+	// avoided is true if peers have ejected the upstream and this instance leaves it alone.
+	avoided bool
 	// leaving is true once the upstream itself has said that it leaves. quietUntil is the
 	// end of the time for which it wants no request of this instance.
 	leaving            bool
@@ -209,7 +211,7 @@
 	if u.info.Leaving || u.leaving || now < u.backoffUntil || now < u.fullUntil {
 		return false
 	}
-	if u.peerLoad.ejections > 0 && !u.ejected(now) {
+	if u.avoided {
 		// The instances that have ejected it also try it again.
 		return false
 	}
