admission: short requests count towards a team's share

Cause: each pass with queued requests forgot teams with less than 20 ms of engine time. A team that sends one short request after the other (6 ms each) never had any use, whatever its number, and was never over its share. The same pass computed the decay of all teams, twice.

Change: a team is forgotten below 0.5 ms. All teams are gone through every 100 ms; in between, a total is kept, and only teams with queued requests are compared with it.

Evidence: TestShortRequestsAddUp fails on (a team with two thirds of the use goes first) and passes now.

--- a/pkg/admission/fairness_test.go
+++ b/pkg/admission/fairness_test.go
@@ -98,3 +98,33 @@
 	f.Expect(decisions).To(HaveLen(1))
 	f.Expect(decisions[0].Action).To(Equal(admission.Refuse))
 }
+
+// One team sends a short request every 5 ms, two others a longer one every 100 ms. Guards
+// against forgetting each short request before the next one adds to it, so that the team
+// with most of the use has none.
+func TestShortRequestsAddUp(t *testing.T) {
+	f := newFixture(t, 4)
+	now := time.Duration(0)
+	for ; now < 2*second; now += 5 * time.Millisecond {
+		f.submitFor(now, "short", 100, 10)
+		if now%(100*time.Millisecond) == 0 {
+			f.submitFor(now, "even", 1000, 50)
+			f.submitFor(now, "other", 1000, 50)
+		}
+		for id, keys := range placed(f.pool.Schedule(now)) {
+			for _, key := range keys {
+				f.pool.Finish(now, id, key, admission.Result{Outcome: admission.NotSent})
+			}
+		}
+	}
+	f.pool.SetPeer(now, "peer", admission.PeerState{Loads: map[string]admission.Load{
+		"e0": {InFlight: capacity - 1}, "e1": {InFlight: capacity}, "e2": {InFlight: capacity}, "e3": {InFlight: capacity},
+	}})
+	for range 3 {
+		f.submitFor(now, "short", 100, 10)
+	}
+	even := f.submitFor(now, "even", 100, 10)
+	decisions := f.pool.Schedule(now)
+	f.Expect(decisions).To(HaveLen(1))
+	f.Expect(decisions[0].Key).To(Equal(even))
+}
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -46,10 +46,7 @@
 	quietUntil map[Process]time.Duration
 	allocation allocation
 	versions   versionState
-	// teams holds the recent use of each team, and overShare those that use more than their
-	// share.
-	teams     map[string]teamUse
-	overShare map[string]bool
+	shares     teamShares
 	// overdue lists the upstreams of requests that became overdue.
 	overdue []string
 	// calibration and limitMoves are used if limits are learned.
@@ -79,7 +76,7 @@
 // NewPool returns a pool without upstreams. random must be seeded differently at
 // each instance.
 func NewPool(service Service, location Location, tuning Tuning, random *rand.Rand) *Pool {
-	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerRecord{}, quietUntil: map[Process]time.Duration{}, teams: map[string]teamUse{}, overShare: map[string]bool{}, slotTimeMs: initialSlotTimeMs}
+	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerRecord{}, quietUntil: map[Process]time.Duration{}, shares: newTeamShares(), slotTimeMs: initialSlotTimeMs}
 }
 
 // SetService updates the description of the service.
