gateway: the relay ejects by all results, not by the view of one follower

Cause: observers of a large failure domain learn the result of each request, but also took over the ejections that followers derive from their own few. The relay left an upstream alone for up to 3 s because one follower had three failures in a row there, whatever the others got from it. The follower could not end this with an answer, since the relay places its requests.

Change: observers ignore the ejections in the reports of their own failure domain's followers, as they do the speeds. The view then returns no follower's ejection to it either.

Evidence: TestRelayJudgesUpstreamsByAllResults fails with the parent's reports.go (no request of 60 at the upstream, which has answered another follower since, while the others are full) and passes now; failures of three followers, one each, still eject.

--- a/pkg/gateway/reports.go
+++ b/pkg/gateway/reports.go
@@ -381,9 +381,10 @@
 		}
 		load := decodeLoad(upstreamLoad)
 		if !remoteDomain && c.peers.Large() {
-			// Observers estimate the speeds from the results in reports. The estimates of
-			// followers, each from few requests, would outweigh theirs for minutes.
-			load.Speed, load.Samples = 0, 0
+			// Observers estimate the speeds, and eject, from the results in reports. The
+			// estimates of followers, each from few requests, would outweigh theirs for
+			// minutes. A follower that has ejected an upstream gets no request to try it with.
+			load.Speed, load.Samples, load.Ejected = 0, 0, false
 		}
 		loads[service][id] = load
 	}
