soak: roll-outs of versions, and returns of the store from an older copy

TestRollouts orders a service to move to another version, which is sound or fails half of its requests, while instances are killed and the store is silent or loses answers. It checks the exposure of a faulty version, the status after the order's time, and that no request is lost when the replaced upstreams stop.

checkResults also fails if a key gets status 401 more than 5 s after it was last published. TestSoak draws the same faults as before; its steps moved to functions that the new tests use.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -28,6 +28,9 @@
 	instances, upstreams, slots int
 	leaveNotice, stopGrace      float64
 	routeTimeout                time.Duration
+	// candidates is the number of upstreams that do not run at first, and have the version
+	// candidateVersion. Roll-outs are turned on if there are any.
+	candidates int
 }
 
 // defaultLayout is the deployment into which faults are injected.
@@ -91,7 +94,14 @@
 	keys          []string
 	// revokedAt holds the time at which each key was revoked.
 	revokedAt map[string]time.Time
-	words     upstreamWords
+	// formerKeys holds the revoked keys, and publishedAt the time at which each key was last
+	// written to the store, or written again.
+	formerKeys  []string
+	publishedAt map[string]time.Time
+	words       upstreamWords
+	// states holds the state in the record of each upstream; empty if it does not run.
+	states  []string
+	rollout *rolloutRecord
 }
 
 func newDeployment(t *testing.T, binary string) *deployment {
@@ -100,8 +110,11 @@
 
 func newDeploymentOf(t *testing.T, binary string, size layout) *deployment {
 	d := &deployment{t: t, layout: size, store: objectstore.NewServer(), binary: binary, executions: map[string]*execution{}, slotsInUse: make([]int, size.upstreams),
-		keys: []string{"key-0"}, revokedAt: map[string]time.Time{},
+		keys: []string{"key-0"}, revokedAt: map[string]time.Time{}, publishedAt: map[string]time.Time{}, states: make([]string, size.upstreams),
 		words: upstreamWords{sentTo: map[string]int{}, sentAt: map[string]time.Time{}}}
+	if size.candidates > 0 {
+		d.rollout = &rolloutRecord{}
+	}
 	storeServer := httptest.NewServer(d.store)
 	t.Cleanup(storeServer.Close)
 	t.Cleanup(storeServer.CloseClientConnections)
@@ -116,7 +129,9 @@
 		t.Cleanup(server.Close)
 		t.Cleanup(server.CloseClientConnections)
 		t.Cleanup(link.Close)
-		d.registerUpstream(i, "ready")
+		if i < size.upstreams-size.candidates {
+			d.registerUpstream(i, "ready")
+		}
 	}
 	for i := range size.instances {
 		link, err := testbed.NewLink(strings.TrimPrefix(storeServer.URL, "http://"))
@@ -140,6 +155,11 @@
 // publishConfig writes the next version of the configuration.
 func (d *deployment) publishConfig() {
 	d.configVersion++
+	d.writeConfig()
+}
+
+// writeConfig writes the present version of the configuration.
+func (d *deployment) writeConfig() {
 	route := func(name, kind string, resumable bool, attempts int) map[string]any {
 		return map[string]any{"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "service": "desk",
 			"timeout_ms": d.layout.routeTimeout.Milliseconds(), "target_latency_ms": 500, "max_attempts": attempts, "priority": 1, "resumable": resumable}
@@ -153,18 +173,29 @@
 			map[string]any{"name": "busy", "api_keys": []string{overQuotaKey}, "rate_per_s": quotaRate, "burst": quotaRate},
 		},
 	})
+	d.publishedAt[d.keys[0]] = time.Now()
 }
 
 func (d *deployment) registerUpstream(upstream int, state string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.writeUpstream(upstream, state)
+}
+
+// writeUpstream writes the record of an upstream. The caller holds mu.
+func (d *deployment) writeUpstream(upstream int, state string) {
+	d.states[upstream] = state
 	d.store.Put("servers", fmt.Sprintf("u%d", upstream), d.upstreamRecord(upstream, state))
 }
 
 func (d *deployment) upstreamRecord(upstream int, state string) map[string]any {
-	return map[string]any{
+	record := map[string]any{
 		"service": "desk", "address": d.upstreamLinks[upstream].Address(), "zone": "north", "slots": d.layout.slots, "state": state, "born": d.words.born[upstream],
 	}
+	if d.layout.candidates > 0 {
+		record["version"] = d.versionOf(upstream)
+	}
+	return record
 }
 
 // rotateKey replaces the API key that the clients use by a new one, and records when
@@ -175,7 +206,7 @@
 	old := d.keys[0]
 	d.keys = []string{fmt.Sprintf("key-%d", d.configVersion)}
 	d.publishConfig()
-	d.revokedAt[old] = time.Now()
+	d.revokedAt[old], d.formerKeys = time.Now(), append(d.formerKeys, old)
 }
 
 func (d *deployment) currentKey() string {
@@ -200,6 +231,10 @@
 			return
 		}
 		defer d.endExecution(upstream, id)
+		if d.rollout.fails(d.versionOf(upstream), id) {
+			rw.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		if broken := brokenAnswerTo(id); broken != "" {
 			d.breakAnswer(rw, broken, id)
 			return
@@ -296,6 +331,7 @@
 		d.executions[id] = observed
 	}
 	observed.runs++
+	d.rollout.count(d.versionOf(upstream), id)
 	from := 0
 	if lastEventID != "" {
 		_, _ = fmt.Sscan(lastEventID, &from)
@@ -346,8 +382,8 @@
 quota_window_s = %g
 quota_overage = %g
 quota_slack = %d
-`, instance, domain, callers, reserveAddress(d.t), reserveAddress(d.t), reserveAddress(d.t), d.storeLinks[instance].Address(),
-		d.layout.leaveNotice, d.layout.stopGrace, quotaWindow.Seconds(), quotaOverage, quotaSlack)
+%s`, instance, domain, callers, reserveAddress(d.t), reserveAddress(d.t), reserveAddress(d.t), d.storeLinks[instance].Address(),
+		d.layout.leaveNotice, d.layout.stopGrace, quotaWindow.Seconds(), quotaOverage, quotaSlack, d.layout.rolloutSettings())
 	path := filepath.Join(d.t.TempDir(), fmt.Sprintf("edge-%d.ini", instance))
 	d.requireNoError(os.WriteFile(path, []byte(text), 0o600))
 	return path
--- a/test/soak/rolling_stop_test.go
+++ b/test/soak/rolling_stop_test.go
@@ -41,8 +41,8 @@
 type rollingRequest struct {
 	clientRequest
 	instance, events int
-	// writtenAt is when the last byte was sent, and endedAt when the outcome was known.
-	writtenAt, endedAt time.Time
+	// writtenAt is when the last byte was sent.
+	writtenAt time.Time
 }
 
 // Failure: the instances are stopped in turn while callers send streams that may not be
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -47,17 +47,19 @@
 	// revokedKeyLimit is how long a revoked key may still be accepted: five
 	// seconds, the default of the setting config_fresh_ms.
 	revokedKeyLimit = 5 * time.Second
+	// configLimit is how long after its publication a configuration may not be in force yet.
+	configLimit = 5 * time.Second
 	// requestTimeout is how long a caller waits for a response.
 	requestTimeout = 4 * time.Second
 )
 
-// clientRequest is a request that a client sent, and its outcome.
+// clientRequest is a request that a client sent, and its outcome, which was known at endedAt.
 type clientRequest struct {
-	id, route, key string
-	sentAt         time.Time
-	status         int
-	body           string
-	err            error
+	id, route, key  string
+	sentAt, endedAt time.Time
+	status          int
+	body            string
+	err             error
 }
 
 func TestSoak(t *testing.T) {
@@ -77,10 +79,24 @@
 	}
 }
 
-// runSeed runs clients against a deployment while faults are injected, then checks
-// that requests are served again and that all outcomes were correct.
+// runSeed injects the faults of a seed into a deployment of the default size.
 func runSeed(t *testing.T, binary string, seed uint64) {
 	d := newDeployment(t, binary)
+	d.run(seed, func(chan<- clientRequest) { d.disturb(seed) })
+}
+
+// disturb changes what upstreams say and injects the faults of a seed.
+func (d *deployment) disturb(seed uint64) {
+	var words sync.WaitGroup
+	words.Go(func() { d.speak(rand.New(rand.NewPCG(seed, 2)), time.Now().Add(*faultDuration)) })
+	d.injectFaults(rand.New(rand.NewPCG(seed, 1)))
+	words.Wait()
+}
+
+// run runs clients against a deployment while disturb injects faults, then checks that
+// requests are served again and that all outcomes were correct. disturb may add requests of
+// its own to the results.
+func (d *deployment) run(seed uint64, disturb func(results chan<- clientRequest)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	results := make(chan clientRequest, 1<<16)
@@ -92,10 +108,7 @@
 		defer d.mu.Unlock()
 		return len(d.executions)
 	}
-	var words sync.WaitGroup
-	words.Go(func() { d.speak(rand.New(rand.NewPCG(seed, 2)), time.Now().Add(*faultDuration)) })
-	d.injectFaults(rand.New(rand.NewPCG(seed, 1)))
-	words.Wait()
+	disturb(results)
 	d.clearFaults()
 	// Requests must be served again after the faults.
 	before, deadline := executionCount(), time.Now().Add(20*time.Second)
@@ -111,7 +124,7 @@
 		failures = append(failures, "no requests are served within 20 s after the faults")
 	}
 	for _, failure := range failures {
-		t.Error(failure)
+		d.t.Error(failure)
 	}
 	if len(failures) > 0 {
 		d.saveLogs(seed)
@@ -132,6 +145,7 @@
 		instance := rng.IntN(instanceCount)
 		d.recordSent(request.id, instance)
 		d.send(httpClient, d.callerAddresses[instance], &request)
+		request.endedAt = time.Now()
 		results <- request
 		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
 	}
@@ -283,7 +297,11 @@
 	for i, link := range d.upstreamLinks {
 		link.SetDelay(0)
 		link.SetCut(testbed.CutNone)
-		d.registerUpstream(i, "ready")
+		d.mu.Lock()
+		if d.states[i] != "" {
+			d.writeUpstream(i, "ready")
+		}
+		d.mu.Unlock()
 	}
 	for _, link := range d.storeLinks {
 		link.SetCut(testbed.CutNone)
@@ -316,6 +334,12 @@
 		if request.err == nil && request.status == http.StatusNotFound {
 			fail("%s %s got status 404: the gateway knew no route", request.route, request.id)
 		}
+		if published := d.publishedAt[request.key]; request.err == nil && request.status == http.StatusUnauthorized && !published.IsZero() && d.revokedAt[request.key].IsZero() && request.sentAt.Sub(published) > configLimit {
+			fail("%s %s was sent %s after its key was published, but got status 401", request.route, request.id, request.sentAt.Sub(published))
+		}
+		if lost := d.rollout.lost(request, d.words.sentTo[request.id]); lost != "" {
+			fail("%s %s got status %d, error %v: %s", request.route, request.id, request.status, request.err, lost)
+		}
 		if revoked, isRevoked := d.revokedAt[request.key]; isRevoked && observed.runs > 0 && request.sentAt.Sub(revoked) > revokedKeyLimit {
 			fail("%s %s was sent %s after its key was revoked, but ran", request.route, request.id, request.sentAt.Sub(revoked))
 		}
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -87,7 +87,7 @@
 	w.leaving[upstream] = false
 	w.born[upstream] = time.Now().UnixMilli()
 	w.toldLeave[upstream], w.toldQuiet[upstream] = [maxInstances]time.Time{}, [maxInstances]*told{}
-	d.store.Put("servers", fmt.Sprintf("u%d", upstream), d.upstreamRecord(upstream, "ready"))
+	d.writeUpstream(upstream, "ready")
 }
 
 // disturbed reports whether a fault after a time excuses an instance at an upstream. A fault
