admission: ejections among the upstreams of a version on trial leave half of them

TestLateStatusIsNotApplied took 19.7 s and TestWithdrawnAndReplacedOrders timed out after 20 s: the only upstream of a faulty version was ejected after three failures and tried once in two seconds, so that the 15 failures that show the fault took 20 s and more.

Cause: the half that stays in use was counted over the upstreams of all versions. Change: it is counted among those that take the same requests.

TestPlacementPreviewOfARunningInstance expected the former longest wait of 720 ms; it is the latency target of 500 ms less the time to an answer now. A failed check in it no longer waits for ever for the answers that it holds.

--- a/pkg/admission/ejection.go
+++ b/pkg/admission/ejection.go
@@ -62,12 +62,14 @@
 	return !u.info.Leaving && !u.leaving && p.allows(u, false)
 }
 
-// mayEject reports whether one more upstream may be ejected beside u's like.
+// mayEject reports whether one more upstream may be ejected of those that take the same
+// requests as u: ordinary ones, or those of a roll-out. A version on trial that fails
+// everywhere must go on failing, or nothing is learned about it.
 func (p *Pool) mayEject(now time.Duration, u *upstream) bool {
 	ordinary := p.takesOrdinary(u)
 	total, ejected := 0, 0
 	for _, other := range p.sorted {
-		if ordinary && !p.takesOrdinary(other) {
+		if p.takesOrdinary(other) != ordinary {
 			continue
 		}
 		total++
--- a/pkg/admission/ejection_test.go
+++ b/pkg/admission/ejection_test.go
@@ -196,3 +196,15 @@
 	f.submit(110*time.Millisecond, 1, 100)
 	f.Expect(placed(f.pool.Schedule(110 * time.Millisecond))).To(BeEmpty())
 }
+
+// The only upstream of a version on trial fails each request. Guards against ejecting it, so
+// that the roll-out learns nothing more about the version.
+func TestOnlyUpstreamOnTrialIsNotEjected(t *testing.T) {
+	f := newVersionFixture(t)
+	f.pool.RemoveUpstream("c1")
+	f.pool.SetVersionRule(admission.VersionRule{Candidate: "v2"})
+	for range 10 {
+		f.pool.ObservePeerResult(0, "c0", admission.Result{Outcome: admission.Failed})
+	}
+	f.Expect(f.pool.Ejected(0)).To(BeEmpty())
+}
--- a/pkg/gateway/placement_preview_test.go
+++ b/pkg/gateway/placement_preview_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,6 +43,9 @@
 	c.Expect(c.previewPlacement("--route", "once", "--team", "team-a").Decision).To(Equal("refused"), "no upstream")
 
 	release := make(chan struct{})
+	// Without it a failed check would wait for the answers that are held.
+	endHold := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(endHold)
 	busy := c.startUpstreamWithSlots("u-busy", 1, func(w http.ResponseWriter, _ *http.Request) {
 		<-release
 		w.WriteHeader(http.StatusOK)
@@ -70,7 +74,8 @@
 	c.Eventually(func() string { return c.previewPlacement(request...).Decision }, eventuallyTimeout).Should(Equal("waits"))
 	full := c.previewPlacement(request...)
 	c.Expect(full.Candidates[0].Out).To(Equal("it has no room"))
-	c.Expect(full.MaxWaitMs).To(Equal(int64(720)))
+	// Its latency target of 500 ms less the time to an answer.
+	c.Expect(full.MaxWaitMs).To(Equal(int64(455)))
 	c.startUpstream("u-free", answerWith("sound"))
 	free := c.previewPlacement(request...)
 	c.Expect(free.Upstream).To(Equal("u-free"))
@@ -79,7 +84,7 @@
 	c.Expect(code).To(BeZero())
 	c.Expect(text).To(And(ContainSubstring("placed at u-free: lowest expected time"), ContainSubstring("it has no room"), ContainSubstring("quota of team team-a has room"), ContainSubstring("configuration ")))
 	c.Expect(c.post("/once/y", nil).body).To(Equal("sound"), "the request goes where the answer said")
-	close(release)
+	endHold()
 	for range 2 {
 		<-done
 	}
