--- a/pkg/admission/fairness.go
+++ b/pkg/admission/fairness.go
@@ -43,7 +43,7 @@
 	total     teamUse
 	active    int
 	scannedAt time.Duration
-	// over tells for each team with queued requests whether it uses more than its share.
+	// over states for each team with queued requests whether it uses more than its share.
 	over map[string]bool
 }
 
--- a/pkg/admission/learned_limit.go
+++ b/pkg/admission/learned_limit.go
@@ -24,7 +24,7 @@
 	worklimit.Move
 }
 
-// maxLimitMoves bounds the list that TakeLimitMoves returns, which nobody may take.
+// maxLimitMoves bounds the list that TakeLimitMoves returns, for when it is not called.
 const maxLimitMoves = 64
 
 // LimitEvidence is what an instance reports on the limit of an upstream.
--- a/pkg/admission/preview.go
+++ b/pkg/admission/preview.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// unusableReason tells why an upstream is not usable.
+// unusableReason returns why an upstream is not usable.
 func (u *upstream) unusableReason(now time.Duration) string {
 	switch {
 	case u.info.Leaving || u.leaving:
@@ -106,7 +106,7 @@
 	return outOneAtATime
 }
 
-// placementReason tells why a request is placed.
+// placementReason returns why a request is placed.
 func placementReason(now time.Duration, r *Request, expected time.Duration) string {
 	if now+expected > r.SoftDeadline {
 		return "past the latency target, capacity is available"
@@ -125,7 +125,7 @@
 	CostMs          float64
 }
 
-// Preview tells where a request would go now.
+// Preview states where a request would go now.
 type Preview struct {
 	// Candidates are ordered by cost, those that may get the request first. The jitter of
 	// the cost lets one of the next ones win now and then.
--- a/pkg/admission/version.go
+++ b/pkg/admission/version.go
@@ -8,7 +8,7 @@
 // Load pattern of versions: while a service moves to upstreams of another version, these
 // are idle, since few requests may go to them. They must not count as room for the others.
 
-// VersionRule tells which upstreams requests may be placed at while a service moves to
+// VersionRule determines which upstreams requests may be placed at while a service moves to
 // another version. The zero value allows all.
 type VersionRule struct {
 	// Candidate is the version that the service moves to; empty if it does not move.
--- a/pkg/gateway/placement_preview.go
+++ b/pkg/gateway/placement_preview.go
@@ -14,7 +14,7 @@
 	"github.com/rosemarywing/rosemarywing/pkg/traffic"
 )
 
-// PlacementPreview tells where a request would go now, and why.
+// PlacementPreview states where a request would go now, and why.
 type PlacementPreview struct {
 	Instance string `json:"instance"`
 	Route    string `json:"route"`
--- a/pkg/worklimit/limiter.go
+++ b/pkg/worklimit/limiter.go
@@ -29,9 +29,9 @@
 	halfLife  = 20 * time.Second
 	// minCompared is the weight below which a cell is not compared with others.
 	minCompared = 0.5
-	// guessWeight is the weight of a cell's step time once the speed has changed, or once it
+	// outdatedWeight is the weight of a cell's step time once the speed has changed, or once it
 	// is to be found anew.
-	guessWeight = 0.9
+	outdatedWeight = 0.9
 	// significance is the number of standard errors by which a gain must be too small.
 	// Each cell is compared with up to seven others.
 	significance = 2.5
@@ -109,7 +109,7 @@
 	return c.weight * math.Exp2(-float64(max(0, now-c.updated))/float64(halfLife))
 }
 
-// Reason tells why a limit has moved.
+// Reason states why a limit has moved.
 type Reason string
 
 // Reasons.
@@ -332,7 +332,7 @@
 	}
 	c.weight, c.updated = min(maxWeight, weight+n), now
 	if now < l.settledAt {
-		c.weight = min(c.weight, guessWeight)
+		c.weight = min(c.weight, outdatedWeight)
 	}
 }
 
@@ -344,11 +344,11 @@
 }
 
 // changeLevel follows a sudden change of the upstream's speed. The shape of the curve is
-// kept as a guess with little weight, and a load that was too high is tried again soon.
+// kept with little weight, and a load that was too high is tried again soon.
 func (l *Limiter) changeLevel(now time.Duration, logFactor float64) {
 	l.shiftLevel(logFactor)
 	for i := range l.cells {
-		l.cells[i].weight = min(l.cells[i].weightAt(now), guessWeight)
+		l.cells[i].weight = min(l.cells[i].weightAt(now), outdatedWeight)
 		l.cells[i].updated = now
 	}
 	l.nextDip, l.settledAt = now, now+l.duration
@@ -393,7 +393,7 @@
 	case l.needsDip(now):
 		l.dip = max(1, int(float64(l.allowed)*dipShare))
 		l.dipUntil, l.nextDip = now+max(minDip, min(maxDip, dipDurations*l.duration)), now+dipInterval
-		l.cells[l.dip-1].weight = min(l.cells[l.dip-1].weight, guessWeight)
+		l.cells[l.dip-1].weight = min(l.cells[l.dip-1].weight, outdatedWeight)
 		move.Reason = Dip
 	case l.mayTryMore(now):
 		move.Reason = l.tryMore()
