--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -135,7 +135,7 @@
 // and waits for its whole part of the time.
 func (p *Pool) maxWait(r *Request) time.Duration {
 	wait := time.Duration(float64(r.Deadline-r.Arrived) * p.tuning.MaxQueueFraction)
-	if target := r.SoftDeadline - r.Arrived; target > 0 {
+	if target := r.SoftDeadline - r.Arrived; p.tuning.RefuseEarly && target > 0 {
 		wait = min(wait, max(target/2, target-fromMs(p.tuning.FirstOutputOverheadMs+p.engineTimeMs(r))))
 	}
 	return wait
--- a/pkg/admission/ejection.go
+++ b/pkg/admission/ejection.go
@@ -28,7 +28,7 @@
 func (p *Pool) recordFailedAnswer(now time.Duration, u *upstream) {
 	u.observeFailure(now, true)
 	u.failuresInRow++
-	if u.failuresInRow < ejectAfter || (!u.ejected(now) && !p.mayEject(now, u)) {
+	if !p.tuning.EjectFailing || u.failuresInRow < ejectAfter || (!u.ejected(now) && !p.mayEject(now, u)) {
 		if !u.ejected(now) {
 			// The upstream has answered, so that its connections work.
 			u.failedAttempts = 0
@@ -87,7 +87,7 @@
 	total, own := 0, 0
 	var reported []*upstream
 	for _, u := range p.sorted {
-		u.avoided = u.peerLoad.ejections > 0 && !u.ejected(now)
+		u.avoided = p.tuning.EjectFailing && u.peerLoad.ejections > 0 && !u.ejected(now)
 		if !p.takesOrdinary(u) {
 			continue
 		}
--- a/pkg/admission/fairness.go
+++ b/pkg/admission/fairness.go
@@ -115,7 +115,7 @@
 		s.scan(now)
 	}
 	clear(s.over)
-	if s.active < 2 {
+	if !p.tuning.ShareTeams || s.active < 2 {
 		return
 	}
 	limit := maxShareRatio * s.total.at(now) / float64(s.active)
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -193,6 +193,11 @@
 	// found from its answers, and replaces PrefillTokensPerMs and FirstOutputOverheadMs by
 	// learned values.
 	LearnLimits bool
+	// EjectFailing, ShareTeams and RefuseEarly switch on the rules of ejection.go,
+	// fairness.go and maxWait.
+	EjectFailing bool
+	ShareTeams   bool
+	RefuseEarly  bool
 }
 
 // DefaultTuning returns the parameters for the users' engines.
@@ -203,5 +208,6 @@
 		ExtraSlots: 1, MaxQueueFraction: 0.08, CostJitter: 1,
 		MinAllocationInterval: 60 * time.Millisecond, MaxAllocationInterval: 200 * time.Millisecond,
 		ReportTimeout: time.Second,
+		EjectFailing:  true, ShareTeams: true, RefuseEarly: true,
 	}
 }
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -125,6 +125,7 @@
 func newPeers(g *Gateway) *loadshare.Peers {
 	peers := loadshare.NewPeers(g.settings.Instance.Name, g.settings.Instance.Domain, g.cpuPercent(), g.startedUnixNano)
 	peers.SetOwnAddress(g.socket.LocalAddress())
+	peers.SetRelayFrom(g.settings.Placement.RelayFromInstances)
 	return peers
 }
 
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -9,6 +9,7 @@
 	"gopkg.in/ini.v1"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/loadshare"
 )
 
 // Settings are the start-up settings of a gateway instance, read from an INI
@@ -65,6 +66,15 @@
 	// LearnLimits lowers the number of requests at an engine to what it takes well, as
 	// found from its answers.
 	LearnLimits bool `ini:"learn_limits"`
+	// EjectFailing, ShareTeams and RefuseEarly switch the rules of docs/design/competition.md
+	// on: for upstreams that fail each request, for teams that use more than their share, and
+	// for requests that can no longer begin in time.
+	EjectFailing bool `ini:"eject_failing"`
+	ShareTeams   bool `ini:"share_teams"`
+	RefuseEarly  bool `ini:"refuse_early"`
+	// RelayFromInstances is the size of a failure domain from which a relay places the
+	// requests of all its instances.
+	RelayFromInstances int `ini:"relay_from_instances"`
 }
 
 // BoundSettings are limits that hold for all instances together. Units and meaning
@@ -105,6 +115,7 @@
 			RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 50,
 			QuotaWindowSeconds: 8, QuotaOverage: 0.1, QuotaSlack: 140_000,
 		},
+		Placement: PlacementSettings{EjectFailing: true, ShareTeams: true, RefuseEarly: true, RelayFromInstances: loadshare.DefaultRelayFrom},
 	}
 }
 
@@ -194,6 +205,9 @@
 	if bounds.LeaveNoticeSeconds < 0 || bounds.RetryRatio < 0 || bounds.RetryExtra < 0 || bounds.QuotaOverage < 0 || bounds.QuotaSlack < 0 || bounds.ExposureShare < 0 {
 		problems = append(problems, errors.New("bounds: no value may be negative"))
 	}
+	if s.Placement.RelayFromInstances < 2 {
+		problems = append(problems, errors.New("placement.relay_from_instances must be at least 2"))
+	}
 	if bounds.ExposureShare > 1 {
 		problems = append(problems, errors.New("bounds.exposure_share must not be above 1"))
 	}
--- a/pkg/gateway/settings_test.go
+++ b/pkg/gateway/settings_test.go
@@ -47,6 +47,9 @@
 	settings, err = loadSettings(t, validSettings+"[placement]\nlearn_limits = true\n")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(settings.Placement.LearnLimits).To(BeTrue())
+	settings, err = loadSettings(t, validSettings+"[placement]\neject_failing = false\nshare_teams = false\nrefuse_early = false\nrelay_from_instances = 16\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(settings.Placement).To(Equal(PlacementSettings{RelayFromInstances: 16}))
 }
 
 // Guards against a typo in the settings file that makes an instance start with a
@@ -73,6 +76,7 @@
 		"address without port":  {"10.0.0.1:3", "10.0.0.1"},
 		"zero processor share":  {"0.192", "0"},
 		"malformed switch":      {"[store]", "[placement]\nlearn_limits = perhaps\n[store]"},
+		"relay of one":          {"[store]", "[placement]\nrelay_from_instances = 1\n[store]"},
 		"malformed number":      {"0.192", "much"},
 		"too little memory":     {"[limits]", "[limits]\nmemory_mib = 8"},
 		"zero window":           {"[limits]", "[bounds]\nquota_window_s = 0\n[limits]"},
--- a/pkg/gateway/upstream_limits.go
+++ b/pkg/gateway/upstream_limits.go
@@ -53,7 +53,9 @@
 // tuning returns the parameters of the placement with the settings of the instance.
 func (c *controlLoop) tuning() admission.Tuning {
 	tuning := admission.DefaultTuning()
-	tuning.LearnLimits = c.g.settings.Placement.LearnLimits
+	placement := c.g.settings.Placement
+	tuning.LearnLimits, tuning.EjectFailing = placement.LearnLimits, placement.EjectFailing
+	tuning.ShareTeams, tuning.RefuseEarly = placement.ShareTeams, placement.RefuseEarly
 	return tuning
 }
 
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -2,7 +2,7 @@
 // holds the sender's load on each upstream and the quota usage of its teams.
 // Partial reports hold only changes; periodic full reports replace lost ones.
 //
-// In a failure domain of up to maxDirectInstances instances, each reports to all
+// In a failure domain of up to DefaultRelayFrom instances, each reports to all
 // others. In a larger one, each reports only to the observers: the relay and its
 // standbys, which replace it when it is lost. The relay places the requests of the
 // other instances, its followers, and answers their reports with its decisions and its
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -84,6 +84,8 @@
 	// first; valid unless relayStale is set.
 	highest    []string
 	relayStale bool
+	// relayFrom is the size of a large failure domain; see SetRelayFrom.
+	relayFrom int
 	// ownAddress is the address that other instances send reports to.
 	ownAddress string
 	// viewed is true if a relay has sent a view of a large failure domain, last at
@@ -99,6 +101,10 @@
 // SetLeaving states that this instance shuts down, so that another one becomes the relay.
 func (p *Peers) SetLeaving() { p.leaving, p.relayStale = true, true }
 
+// SetRelayFrom sets the number of instances up to which all of a failure domain report to
+// each other. It must be the same at all instances.
+func (p *Peers) SetRelayFrom(instances int) { p.relayFrom = instances }
+
 // SetOwnAddress sets the address that other instances send reports to.
 func (p *Peers) SetOwnAddress(address string) { p.ownAddress = address }
 
@@ -111,7 +117,7 @@
 // NewPeers returns an empty table for the instance named own, with its CPU limit in
 // percent of a core and the start time of its process in Unix nanoseconds.
 func NewPeers(own, ownDomain string, cpuPercent uint16, startTime int64) *Peers {
-	return &Peers{own: own, ownDomain: ownDomain, ownCPUPercent: cpuPercent, ownStartTime: startTime, localPeers: map[string]*peer{}, remoteDomains: map[string]*remoteDomain{}, relayStale: true}
+	return &Peers{own: own, ownDomain: ownDomain, ownCPUPercent: cpuPercent, ownStartTime: startTime, localPeers: map[string]*peer{}, remoteDomains: map[string]*remoteDomain{}, relayStale: true, relayFrom: DefaultRelayFrom}
 }
 
 // PeerInfo is the failure domain, address and CPU limit of an instance.
--- a/pkg/loadshare/roles.go
+++ b/pkg/loadshare/roles.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// maxDirectInstances is the size of a failure domain up to which all instances
-	// report to each other. Above it, reports go to observerCount instances only.
-	maxDirectInstances = 8
-	observerCount      = 3
+	// DefaultRelayFrom is the size of a failure domain up to which all instances report to
+	// each other, unless SetRelayFrom states another one. Above it, reports go to
+	// observerCount instances only.
+	DefaultRelayFrom = 8
+	observerCount    = 3
 	// discoveryTime is how long an instance of a large failure domain waits for an
 	// answer of another one that it knows from the instance list only.
 	discoveryTime = UnreachableAfter + 100*time.Millisecond
@@ -23,7 +24,7 @@
 
 // Large reports whether the local failure domain is so large that reports go to
 // observers only.
-func (p *Peers) Large() bool { return p.viewed || len(p.localPeers) >= maxDirectInstances }
+func (p *Peers) Large() bool { return p.viewed || len(p.localPeers) >= p.relayFrom }
 
 // available reports whether a peer counts as reachable when roles are assigned. In a
 // large failure domain most instances never receive a report of each other, so those
--- a/pkg/loadshare/roles_test.go
+++ b/pkg/loadshare/roles_test.go
@@ -236,3 +236,15 @@
 	d.run(8 * time.Second)
 	d.Expect(d.relays()).To(Equal(map[string]int{"edge-47": 50}))
 }
+
+// Guards against a threshold of relays that the operator's setting does not change.
+func TestRelayFromIsSet(t *testing.T) {
+	p := loadshare.NewPeers("b", "north", 40, 5)
+	for i := range 9 {
+		_, err := p.Add(0, fmt.Sprint("peer-", i), loadshare.PeerInfo{Domain: "north", Address: "127.0.0.1:9"})
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	}
+	NewWithT(t).Expect(p.Large()).To(BeTrue())
+	p.SetRelayFrom(16)
+	NewWithT(t).Expect(p.Large()).To(BeFalse())
+}
