--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -181,10 +181,11 @@
 	started := &instance{callers: callers, ready: reserveAddress(c.t), admin: reserveAddress(c.t), done: make(chan error, 1)}
 	g, err := gateway.New(gateway.Options{
 		Settings: gateway.Settings{
-			Instance: gateway.InstanceSettings{Name: name, Domain: "north", FirstStart: true},
-			Listen:   gateway.ListenSettings{Callers: started.callers, Ready: started.ready, Peers: reserveAddress(c.t), Admin: started.admin},
-			Store:    gateway.StoreSettings{Address: c.storeAddress},
-			Limits:   gateway.LimitSettings{MemoryMiB: c.memoryMiB, Descriptors: 4096},
+			Placement: gateway.DefaultPlacement(),
+			Instance:  gateway.InstanceSettings{Name: name, Domain: "north", FirstStart: true},
+			Listen:    gateway.ListenSettings{Callers: started.callers, Ready: started.ready, Peers: reserveAddress(c.t), Admin: started.admin},
+			Store:     gateway.StoreSettings{Address: c.storeAddress},
+			Limits:    gateway.LimitSettings{MemoryMiB: c.memoryMiB, Descriptors: 4096},
 			Bounds: gateway.BoundSettings{ConfigFreshMs: 5000, StopGraceSeconds: c.stopGraceSeconds, LeaveNoticeSeconds: 0.2, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 50,
 				QuotaWindowSeconds: 8, QuotaOverage: 0.1, QuotaSlack: 0, ExposureShare: c.exposureShare},
 			Regions: map[string]string{"north": "r1"},
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -115,10 +115,15 @@
 			RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 50,
 			QuotaWindowSeconds: 8, QuotaOverage: 0.1, QuotaSlack: 140_000,
 		},
-		Placement: PlacementSettings{EjectFailing: true, ShareTeams: true, RefuseEarly: true, RelayFromInstances: loadshare.DefaultRelayFrom},
+		Placement: DefaultPlacement(),
 	}
 }
 
+// DefaultPlacement returns the settings of the choice of upstreams if a file states none.
+func DefaultPlacement() PlacementSettings {
+	return PlacementSettings{EjectFailing: true, ShareTeams: true, RefuseEarly: true, RelayFromInstances: loadshare.DefaultRelayFrom}
+}
+
 // regionsSection is the section that maps failure domains to regions. Its keys are
 // names of failure domains.
 const regionsSection = "domains"
