admission: an ejection is told to peers only while another upstream answers

Cause: an instance all of whose requests fail, since they are the cause, ejected up to half of a service, and all its peers left these upstreams alone although their own requests were answered there.

The instance's own ejections are as before.

Result: TestRequestsThatFailEverywhereEjectNothingForPeers fails before and passes.

--- a/pkg/admission/ejection.go
+++ b/pkg/admission/ejection.go
@@ -80,6 +80,21 @@
 	return ejected < int(maxEjectedShare*float64(total))
 }
 
+// reportsEjection reports whether peers are told that this instance has ejected the upstream.
+// They are not while no other upstream answers its requests: these are then the more likely
+// cause, and peers with sound ones must not leave the upstream alone.
+func (p *Pool) reportsEjection(now time.Duration, u *upstream) bool {
+	if !u.ejected(now) {
+		return false
+	}
+	for _, other := range p.sorted {
+		if other != u && other.answered && now-other.lastAnswer < ejectionMemory {
+			return true
+		}
+	}
+	return false
+}
+
 // applyPeerEjections determines which upstreams this instance leaves alone since peers have
 // ejected them. Peers that eject at the same moment do not know of each other, and each may
 // eject maxEjectedShare. Of too many, those count that most peers report.
--- a/pkg/admission/ejection_test.go
+++ b/pkg/admission/ejection_test.go
@@ -87,6 +87,7 @@
 func TestEjectionOfPeerHoldsWhileItIsReported(t *testing.T) {
 	f := newFixture(t, 4)
 	f.failUntilEjected(0)
+	f.pool.ObservePeerResult(0, "e1", admission.Result{Outcome: admission.Answered})
 	loads := map[string]admission.Load{}
 	f.pool.CollectLoads(0, loads, admission.OwnLoad)
 	f.Expect(loads).To(HaveKeyWithValue("e0", HaveField("Ejected", true)))
@@ -106,6 +107,23 @@
 	other.Expect(placed(other.pool.Schedule(4 * second))).To(HaveKey("e0"))
 }
 
+// An instance has only requests that no upstream answers. Guards against peers that leave
+// upstreams alone which answer their own requests.
+func TestRequestsThatFailEverywhereEjectNothingForPeers(t *testing.T) {
+	f := newFixture(t, 4)
+	f.pool.ObservePeerResult(0, "e1", admission.Result{Outcome: admission.Answered})
+	for now := 4 * second; now < 8*second; now += second / 5 {
+		for i := range 4 {
+			f.pool.ObservePeerResult(now, fmt.Sprint("e", i), admission.Result{Outcome: admission.Failed})
+		}
+		loads := map[string]admission.Load{}
+		f.pool.CollectLoads(now, loads, admission.OwnLoad)
+		for id, load := range loads {
+			f.Expect(load.Ejected).To(BeFalse(), id)
+		}
+	}
+}
+
 // Guards against ejecting a whole service whose requests are the cause of the failures.
 func TestMostUpstreamsStayWhenAllFail(t *testing.T) {
 	f := newFixture(t, 4)
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -212,7 +212,7 @@
 // CollectLoads writes the load of the instances in scope at each upstream to dst.
 func (p *Pool) CollectLoads(now time.Duration, dst map[string]Load, scope Scope) {
 	for id, u := range p.upstreams {
-		if load, found := u.loadOf(now, scope); found {
+		if load, found := u.loadOf(scope, p.reportsEjection(now, u)); found {
 			dst[id] = load
 		}
 	}
@@ -220,9 +220,9 @@
 
 // loadOf returns the load of the instances in scope, and false if there is neither a
 // load nor an estimate of the speed.
-func (u *upstream) loadOf(now time.Duration, scope Scope) (Load, bool) {
+func (u *upstream) loadOf(scope Scope, ejected bool) (Load, bool) {
 	sum := loadSum{}
-	sum.add(Load{InFlight: len(u.requests), PendingPrefillTokens: u.pendingPrefillTokens(), Speed: u.speed, Samples: u.samples, Ejected: u.ejected(now)})
+	sum.add(Load{InFlight: len(u.requests), PendingPrefillTokens: u.pendingPrefillTokens(), Speed: u.speed, Samples: u.samples, Ejected: ejected})
 	switch scope {
 	case OwnLoad:
 	case DomainLoad:
