admission: an upstream without observations counts as of the mean speed of the service

Cause: it counted as of speed 1, so that it got no request while faster upstreams were idle, and its speed was never found out.

Change: the mean of the known speeds is assumed, refreshed every 100 ms.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -30,6 +30,7 @@
 		return nil
 	}
 	p.applyPeerEjections(now)
+	p.assumeSpeeds(now)
 	p.updateShares(now)
 	p.sortQueue(now)
 	var decisions []Decision
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -41,7 +41,10 @@
 	// slotTimeMs is the moving average of the time that a request occupies a slot,
 	// scaled to an engine of speed 1.
 	slotTimeMs float64
-	random     *rand.Rand
+	// meanSpeed is the mean of the estimated speeds, as of speedsAveragedAt.
+	meanSpeed        float64
+	speedsAveragedAt time.Duration
+	random           *rand.Rand
 	// quietUntil holds the ends of the quiet times by process.
 	quietUntil map[Process]time.Duration
 	allocation allocation
@@ -76,7 +79,7 @@
 // NewPool returns a pool without upstreams. random must be seeded differently at
 // each instance.
 func NewPool(service Service, location Location, tuning Tuning, random *rand.Rand) *Pool {
-	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerRecord{}, quietUntil: map[Process]time.Duration{}, shares: newTeamShares(), slotTimeMs: initialSlotTimeMs}
+	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerRecord{}, quietUntil: map[Process]time.Duration{}, shares: newTeamShares(), slotTimeMs: initialSlotTimeMs, meanSpeed: defaultSpeed}
 }
 
 // SetService updates the description of the service.
@@ -92,7 +95,7 @@
 func (p *Pool) SetUpstream(info UpstreamInfo) {
 	u := p.upstreams[info.ID]
 	if u == nil || u.info.Incarnation != info.Incarnation || u.info.Address != info.Address {
-		u = &upstream{info: info}
+		u = &upstream{info: info, assumedSpeed: p.meanSpeed}
 		for _, report := range p.peers {
 			u.addPeerLoad(report, info.ID)
 		}
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -213,6 +213,31 @@
 	f.Expect(len(at["e1"])).To(BeNumerically(">", len(at["e0"])))
 }
 
+// Two of three idle upstreams are known to be twice as fast as the default. Guards against a
+// third one, of which nothing is known yet, that gets no request although it is as fast.
+func TestUpstreamWithoutObservationsIsTried(t *testing.T) {
+	tuning := admission.DefaultTuning()
+	f := newFixture(t, 0)
+	f.pool = admission.NewPool(admission.Service{Name: "llm", Engine: true, Slots: slots, TokensPerEvent: 6}, location, tuning, seeded())
+	known := map[string]admission.Load{"e0": {Speed: 4, Samples: 8}, "e1": {Speed: 4, Samples: 8}}
+	f.pool.SetPeer(0, "peer", admission.PeerState{Loads: known})
+	for _, id := range []string{"e0", "e1", "e2"} {
+		f.pool.SetUpstream(admission.UpstreamInfo{ID: id, Service: "llm", Address: id, Domain: "north", Slots: slots})
+	}
+	tried := 0
+	for now := second / 2; now < 10*second; now += second / 10 {
+		f.pool.SetPeer(now, "peer", admission.PeerState{Loads: known})
+		key := f.submit(now, 1, 1000)
+		for id := range placed(f.pool.Schedule(now)) {
+			if id == "e2" {
+				tried++
+			}
+			f.pool.Finish(now, id, key, admission.Result{Outcome: admission.NotSent})
+		}
+	}
+	f.Expect(tried).To(BeNumerically(">", 15), "of 95")
+}
+
 // Answers differ in length by a factor of a hundred, and some engines are too slow
 // to end the longest before the deadline. Guards against comparing only the time to
 // the first output.
--- a/pkg/admission/upstream.go
+++ b/pkg/admission/upstream.go
@@ -42,8 +42,10 @@
 	// at the rate of an engine whose slots are all in use.
 	slotTimeWeight    = 0.03
 	initialSlotTimeMs = 1000
-	// defaultSpeed is assumed before there are observations.
+	// defaultSpeed is assumed before there are observations at any upstream of the service.
 	defaultSpeed = 1.0
+	// speedScanInterval is the time between two passes over the speeds of all upstreams.
+	speedScanInterval = 100 * time.Millisecond
 )
 
 // runningRequest is a request of this instance at an upstream.
@@ -65,7 +67,9 @@
 	tokensPerEvent int
 	speed          float64
 	samples        float64
-	requests       []runningRequest
+	// assumedSpeed is used before there are observations: the mean of the service.
+	assumedSpeed float64
+	requests     []runningRequest
 	// grants are the placements of other instances' requests that their reports do not
 	// include yet.
 	grants []grant
@@ -170,11 +174,34 @@
 func (u *upstream) estimatedSpeed() float64 {
 	sum, weight := u.speed*u.samples+u.peerLoad.speed, u.samples+u.peerLoad.samples
 	if weight < 1 {
-		return defaultSpeed
+		return u.assumedSpeed
 	}
 	return sum / weight
 }
 
+// assumeSpeeds gives upstreams without observations the mean speed of the others. With a
+// fixed speed, a new upstream of a fast service would look slow and never be tried.
+func (p *Pool) assumeSpeeds(now time.Duration) {
+	if now-p.speedsAveragedAt < speedScanInterval {
+		return
+	}
+	p.speedsAveragedAt = now
+	sum, known := 0.0, 0
+	for _, u := range p.sorted {
+		if u.samples+u.peerLoad.samples >= 1 {
+			sum += u.estimatedSpeed()
+			known++
+		}
+	}
+	p.meanSpeed = defaultSpeed
+	if known > 0 {
+		p.meanSpeed = sum / float64(known)
+	}
+	for _, u := range p.sorted {
+		u.assumedSpeed = p.meanSpeed
+	}
+}
+
 // observeSpeed adds the speed that one request showed to the estimate.
 func (u *upstream) observeSpeed(observed float64) {
 	observed = math.Min(maxSpeed, math.Max(minSpeed, observed))
