loadshare: reports of older and newer versions of the code are read

Cause: messages are arrays, and a field more or less made the whole message unreadable. While a failure domain was replaced by a new version, instances of both did not know of each other's load, quota usage and suspicions.

Change: a message whose arrays have another length is decoded field by field: missing ones keep their zero value, further ones are skipped. Messages of the same version are decoded as before. Versions before this commit still do not read those of this one.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -302,7 +302,7 @@
 // Decode decodes a report and checks that it names its sender.
 func Decode(content []byte) (Report, error) {
 	var report Report
-	if err := msgpack.Unmarshal(content, &report); err != nil {
+	if err := unmarshal(content, &report); err != nil {
 		return report, err
 	}
 	if report.Instance == "" || report.Domain == "" {
--- a/pkg/loadshare/reply.go
+++ b/pkg/loadshare/reply.go
@@ -147,7 +147,7 @@
 // DecodeView decodes the view of a reply.
 func DecodeView(content []byte) (View, error) {
 	var view View
-	if err := msgpack.Unmarshal(content, &view); err != nil {
+	if err := unmarshal(content, &view); err != nil {
 		return view, fmt.Errorf("view: %w", err)
 	}
 	return view, nil
@@ -156,7 +156,7 @@
 // decodeReply decodes a datagram with a reply and checks that it names its sender.
 func decodeReply(content []byte) (*Reply, error) {
 	var reply Reply
-	if err := msgpack.Unmarshal(content[1:], &reply); err != nil {
+	if err := unmarshal(content[1:], &reply); err != nil {
 		return nil, fmt.Errorf("reply: %w", err)
 	}
 	if reply.Instance == "" || reply.Domain == "" {
