admission: an earlier request keeps the place beyond the slots from those behind it

Cause: each engine may have one request more than its slots, if it is expected to begin there in time. A long prompt is not, and short ones behind it in the order took the place. When a slot became free the engine was still as full as its slots, so that the long prompt found no room again: in a burst the requests at the front of the order were served least.

Change: within a pass over the queue, once a request that could still begin in time has found no room, those behind it get free slots only.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -38,10 +38,12 @@
 	free := p.freeCapacity(now)
 	capacityBefore := free
 	p.startAllocation(now, free)
+	p.earlierWaits = false
 	for i, r := range p.queue {
 		decision, done := p.decide(now, r, free)
 		if !done {
 			kept = append(kept, r)
+			p.earlierWaits = p.earlierWaits || now < r.SoftDeadline
 			continue
 		}
 		if decision.Action == Place && !r.Trial {
@@ -76,18 +78,20 @@
 // oldest first would make every request late; serving the newest first meets the
 // target of some, whatever their size.
 func (p *Pool) sortQueue(now time.Duration) {
-	slices.SortStableFunc(p.queue, func(a, b *Request) int {
-		if late := compareBools(now >= a.SoftDeadline, now >= b.SoftDeadline); late != 0 {
-			return late
-		}
-		if a.Tier != b.Tier {
-			return cmp.Compare(a.Tier, b.Tier)
-		}
-		if share := p.compareShares(a, b); share != 0 {
-			return share
-		}
-		return cmp.Compare(b.Arrived, a.Arrived)
-	})
+	slices.SortStableFunc(p.queue, func(a, b *Request) int { return p.compareRequests(now, a, b) })
+}
+
+func (p *Pool) compareRequests(now time.Duration, a, b *Request) int {
+	if late := compareBools(now >= a.SoftDeadline, now >= b.SoftDeadline); late != 0 {
+		return late
+	}
+	if a.Tier != b.Tier {
+		return cmp.Compare(a.Tier, b.Tier)
+	}
+	if share := p.compareShares(a, b); share != 0 {
+		return share
+	}
+	return cmp.Compare(b.Arrived, a.Arrived)
 }
 
 func compareBools(a, b bool) int {
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -38,6 +38,9 @@
 	// peers holds the last report of each peer.
 	peers map[string]peerRecord
 	queue []*Request
+	// earlierWaits is true, within a pass over the queue, once a request that could still
+	// begin in time has found no room.
+	earlierWaits bool
 	// slotTimeMs is the moving average of the time that a request occupies a slot,
 	// scaled to an engine of speed 1.
 	slotTimeMs float64
--- a/pkg/admission/preview.go
+++ b/pkg/admission/preview.go
@@ -30,6 +30,7 @@
 	outAllocation = "the share of this instance of the free capacity is used up"
 	outNoSlot     = "it has no free slot for a trial request"
 	outTooLate    = "the request would wait there for a slot beyond its latency target"
+	outYields     = "all slots are taken, and an earlier request waits for the next one"
 )
 
 // consider returns whether a request may be placed at an upstream and, if so, what it can
@@ -45,7 +46,13 @@
 		return c
 	}
 	p.estimate(now, r, &c)
-	if c.inFlight >= u.slots && now+c.expected > r.SoftDeadline {
+	switch {
+	case c.inFlight < u.slots:
+	case p.earlierWaits:
+		// A long prompt could not begin in time behind the others. If short ones took the
+		// place instead, the slots would always be taken when it is tried again.
+		c.out = outYields
+	case now+c.expected > r.SoftDeadline:
 		// The request would wait at the upstream for a slot that a newer
 		// request can use in time.
 		c.out = outTooLate
@@ -147,6 +154,9 @@
 func (p *Pool) Preview(now time.Duration, r *Request) Preview {
 	previous := p.allocation
 	defer func() { p.allocation = previous }()
+	p.earlierWaits = slices.ContainsFunc(p.queue, func(queued *Request) bool {
+		return now < queued.SoftDeadline && p.compareRequests(now, queued, r) < 0
+	})
 	if now >= p.allocation.end {
 		// The next interval begins with a new share.
 		p.allocation.limited = false
