--- a/pkg/admission/burst_test.go
+++ b/pkg/admission/burst_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,3 +109,19 @@
 	t.Log(results)
 	f.Expect(results[0].inTime).To(BeNumerically(">", 0.95))
 }
+
+// The highest tier alone needs all slots. Guards against a lowest tier that is served less than
+// a quarter as often as all requests.
+func TestLowestTierHasFloorInBurst(t *testing.T) {
+	f := newFixture(t, burstEngines)
+	kinds := slices.Clone(burst)
+	kinds[0].perSecond = 105
+	results := playBurst(f, burstEngines, kinds, 8*second)
+	served, asked := 0.0, 0.0
+	for i, kind := range kinds {
+		asked += float64(kind.perSecond)
+		served += results[i].inTime * float64(kind.perSecond)
+	}
+	f.Expect(results[2].inTime).To(BeNumerically(">", 0.25*served/asked))
+	f.Expect(results[0].inTime).To(BeNumerically(">", 0.7))
+}
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -32,6 +32,7 @@
 	p.applyPeerEjections(now)
 	p.assumeSpeeds(now)
 	p.updateShares(now)
+	p.tiers.update(now)
 	p.sortQueue(now)
 	var decisions []Decision
 	kept := p.queue[:0]
@@ -86,6 +87,9 @@
 		return late
 	}
 	if a.Tier != b.Tier {
+		if below := compareBools(p.tiers.belowFloor[b.Tier], p.tiers.belowFloor[a.Tier]); below != 0 {
+			return below
+		}
 		return cmp.Compare(a.Tier, b.Tier)
 	}
 	if share := p.compareShares(a, b); share != 0 {
--- a/pkg/admission/fairness.go
+++ b/pkg/admission/fairness.go
@@ -94,7 +94,9 @@
 
 // recordUse adds the engine time of a placed request to its team's use.
 func (p *Pool) recordUse(now time.Duration, r *Request) {
-	p.shares.add(now, r.Team, p.engineTimeMs(r))
+	work := p.engineTimeMs(r)
+	p.shares.add(now, r.Team, work)
+	p.tiers.recordPlaced(now, r.Tier, work)
 }
 
 // engineTimeMs estimates how much of an engine of speed 1 a request takes: its prefill, and
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -53,6 +53,7 @@
 	allocation allocation
 	versions   versionState
 	shares     teamShares
+	tiers      tierState
 	// overdue lists the upstreams of requests that became overdue.
 	overdue []string
 	// calibration and limitMoves are used if limits are learned.
@@ -82,7 +83,7 @@
 // NewPool returns a pool without upstreams. random must be seeded differently at
 // each instance.
 func NewPool(service Service, location Location, tuning Tuning, random *rand.Rand) *Pool {
-	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerRecord{}, quietUntil: map[Process]time.Duration{}, shares: newTeamShares(), slotTimeMs: initialSlotTimeMs, meanSpeed: defaultSpeed}
+	return &Pool{random: random, service: service, location: location, tuning: tuning, upstreams: map[string]*upstream{}, peers: map[string]peerRecord{}, quietUntil: map[Process]time.Duration{}, shares: newTeamShares(), tiers: newTierState(), slotTimeMs: initialSlotTimeMs, meanSpeed: defaultSpeed}
 }
 
 // SetService updates the description of the service.
@@ -267,6 +268,7 @@
 func (p *Pool) Submit(request *Request) {
 	p.queue = append(p.queue, request)
 	p.allocation.submitted++
+	p.tiers.recordAsked(request.Arrived, request.Tier, p.engineTimeMs(request))
 }
 
 // Dequeue removes a request from the queue and reports whether it was queued.
