admission: requests of a tier for which there is no room are refused early

Cause: newer requests come first, so that under overload one that is not placed at once hardly ever is. Its caller was held for half of the latency target or more, and then refused.

Change: if a tier and the higher ones have asked for more work in the last half second than was placed, by at least 20 requests, its requests wait for an eighth of their latency target only. Instances that place few requests decide as before.

--- a/pkg/admission/burst_test.go
+++ b/pkg/admission/burst_test.go
@@ -125,3 +125,11 @@
 	f.Expect(results[2].inTime).To(BeNumerically(">", 0.25*served/asked))
 	f.Expect(results[0].inTime).To(BeNumerically(">", 0.7))
 }
+
+// Guards against callers who are held for hundreds of milliseconds and then refused,
+// although it was clear at once that there is no room for their tier.
+func TestRequestsBeyondTheRoomAreRefusedEarly(t *testing.T) {
+	f := newFixture(t, burstEngines)
+	results := playBurst(f, burstEngines, burst, 8*second)
+	f.Expect(results[2].refusedAfter).To(BeNumerically("<", burst[2].target/4))
+}
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -146,6 +146,9 @@
 	wait := time.Duration(float64(r.Deadline-r.Arrived) * p.tuning.MaxQueueFraction)
 	if target := r.SoftDeadline - r.Arrived; p.tuning.RefuseEarly && target > 0 {
 		wait = min(wait, max(target/2, target-fromMs(p.tuning.FirstOutputOverheadMs+p.engineTimeMs(r))))
+		if p.tiers.beyondRoom[r.Tier] {
+			wait = min(wait, time.Duration(float64(target)*beyondWaitFraction))
+		}
 	}
 	return wait
 }
