gateway: within the tier of a team, the tier of the route decides

Cause: the tier of a team replaced that of the route. All kinds of request of such a team counted alike, so that a short tag took the place of a dispute summary that the operator ranks higher.

Change: traffic.Rank orders by the tier of the team and then by that of the route. The preview uses it, too, and the team's share.

--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -49,7 +49,8 @@
 	Trial bool
 	// Team is the team whose request it is; empty if unknown.
 	Team string
-	// Tier is the priority class; 0 is the highest.
+	// Tier is the priority class; 0 is the highest. It may combine the priorities of a team
+	// and of a kind of request.
 	Tier         int
 	PromptTokens int
 	// OutputTokens is the expected length of the answer; 0 if unknown.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -203,11 +203,13 @@
 	return nil
 }
 
-func (x *exchange) teamName() string {
-	if x.team == nil {
+func (x *exchange) teamName() string { return teamName(x.team) }
+
+func teamName(team *traffic.Team) string {
+	if team == nil {
 		return ""
 	}
-	return x.team.Name
+	return team.Name
 }
 
 // chargeQuota charges the request to its team's quota. If the quota is exceeded it
@@ -278,7 +280,7 @@
 	elapsedBefore := x.g.callerTimeouts.elapsedBefore(x.route.Name, x.requestInfo.Timeout)
 	softDeadline := x.arrived + latencyTarget - elapsedBefore
 	return &admission.Request{
-		Key: x.g.lastRequestKey.Add(1), Service: x.service, Team: x.teamName(), Tier: x.tier(),
+		Key: x.g.lastRequestKey.Add(1), Service: x.service, Team: x.teamName(), Tier: traffic.Rank(x.team, x.route),
 		PromptTokens: x.requestInfo.PromptTokens, OutputTokens: x.expectedOutputTokens(),
 		Arrived: x.arrived, SoftDeadline: softDeadline, Deadline: x.deadline,
 	}
--- a/pkg/gateway/placement_preview.go
+++ b/pkg/gateway/placement_preview.go
@@ -129,7 +129,7 @@
 		return answer
 	}
 	preview := pool.Preview(now, &admission.Request{
-		Service: q.service, Tier: tier, PromptTokens: q.promptTokens, OutputTokens: q.outputTokens,
+		Service: q.service, Team: teamName(q.team), Tier: traffic.Rank(q.team, q.route), PromptTokens: q.promptTokens, OutputTokens: q.outputTokens,
 		Arrived: now, SoftDeadline: now + latencyTarget, Deadline: now + q.deadline,
 	})
 	answer.Reason, answer.Upstream, answer.MaxWaitMs = preview.Reason, preview.Upstream, preview.MaxWait.Milliseconds()
--- a/pkg/traffic/table_test.go
+++ b/pkg/traffic/table_test.go
@@ -1,6 +1,7 @@
 package traffic_test
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -21,6 +22,22 @@
 	})
 }
 
+// Guards against a kind of request that the operator ranks higher and that waits behind others
+// of the same team, and against a team's tier that does not go first.
+func TestRankOfTeamGoesBeforeThatOfRoute(t *testing.T) {
+	g := NewWithT(t)
+	high, low := 0, 1
+	gold, plain, none := &traffic.Team{Tier: &high}, &traffic.Team{Tier: &low}, &traffic.Team{}
+	urgent, other := &traffic.Route{Tier: 0}, &traffic.Route{Tier: 2}
+	ranks := []int{
+		traffic.Rank(gold, urgent), traffic.Rank(gold, other), traffic.Rank(plain, urgent), traffic.Rank(plain, other), traffic.Rank(none, other),
+	}
+	g.Expect(slices.IsSorted(ranks)).To(BeTrue(), "%v", ranks)
+	g.Expect(slices.Compact(slices.Clone(ranks))).To(HaveLen(5))
+	g.Expect(traffic.Rank(nil, urgent)).To(Equal(0))
+	g.Expect(traffic.Rank(nil, &traffic.Route{Tier: 1 << 20})).To(BeNumerically("<", 1<<15), "it is sent as 16 bits")
+}
+
 // Guards against routing a request by a shorter prefix or by the route of another
 // host.
 func TestMatchLongestPrefixOfHost(t *testing.T) {
--- a/pkg/traffic/traffic.go
+++ b/pkg/traffic/traffic.go
@@ -104,7 +104,7 @@
 type Team struct {
 	Name string
 	Keys []string
-	// Tier overrides the tier of the route if it is not nil.
+	// Tier goes before the tier of the route if it is not nil; see Rank.
 	Tier *int
 	// TokensPerSecond and BurstTokens are the quota over all instances, in requests
 	// instead of tokens if ChargesPerRequest is set; no quota if both are 0.
@@ -116,6 +116,23 @@
 	ChargesPerRequest bool
 }
 
+const (
+	// routeTiers is the number of tiers of routes that are told apart within one of a team.
+	routeTiers = 16
+	maxTier    = 1<<11 - 1
+)
+
+// Rank returns the place of a request in the order of priority; 0 is the highest. The tier of
+// the team goes first, and within it that of the route. Requests of no team, or of one
+// without a tier, have that of the route for both.
+func Rank(team *Team, route *Route) int {
+	tier := route.Tier
+	if team != nil && team.Tier != nil {
+		tier = *team.Tier
+	}
+	return min(max(0, tier), maxTier)*routeTiers + min(max(0, route.Tier), routeTiers-1)
+}
+
 // Limited reports whether the team has a quota.
 func (t *Team) Limited() bool { return t.TokensPerSecond > 0 || t.BurstTokens > 0 }
 
