gateway: log and metrics of requests that yield to others

Cause: an operator could not see that requests of some tiers were refused early, that a tier went first to keep its floor, or that teams used more than their share.

Change: the state of each service is logged when it begins and ends, with gauges for the tiers beyond the room, those below the floor and the teams over their share. The refusal names the cause.

--- a/pkg/admission/burst_test.go
+++ b/pkg/admission/burst_test.go
@@ -133,3 +133,14 @@
 	results := playBurst(f, burstEngines, burst, 8*second)
 	f.Expect(results[2].refusedAfter).To(BeNumerically("<", burst[2].target/4))
 }
+
+// Guards against a state that an operator cannot see, and against one that stays after the
+// burst.
+func TestCompetitionIsStated(t *testing.T) {
+	f := newFixture(t, burstEngines)
+	f.Expect(f.pool.Competition(0)).To(Equal(admission.Competition{}))
+	playBurst(f, burstEngines, burst, 4*second)
+	f.Expect(f.pool.Competition(4 * second).TiersBeyondRoom).To(ContainElement(2))
+	f.Expect(f.pool.Competition(4 * second).TiersBeyondRoom).NotTo(ContainElement(0))
+	f.Expect(f.pool.Competition(10 * second).TiersBeyondRoom).To(BeEmpty())
+}
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -133,7 +133,7 @@
 		return p.waitForQuiet(now, r, end)
 	}
 	if now-r.Arrived >= p.maxWait(r) {
-		return p.refuse(now, r, p.noCapacityReason()), true
+		return p.refuse(now, r, p.noCapacityReason(r)), true
 	}
 	return Decision{}, false
 }
@@ -219,7 +219,10 @@
 	}
 }
 
-func (p *Pool) noCapacityReason() string {
+func (p *Pool) noCapacityReason(r *Request) string {
+	if p.tuning.RefuseEarly && p.tiers.beyondRoom[r.Tier] {
+		return "its tier and the higher ones ask for more than there is room for"
+	}
 	if p.allocation.limited {
 		return "no upstream had room in time, and others wait elsewhere"
 	}
--- a/pkg/admission/preview.go
+++ b/pkg/admission/preview.go
@@ -193,7 +193,7 @@
 	case quiet:
 		preview.Waits, preview.Reason = true, "all upstreams have asked for no requests"
 	default:
-		preview.Waits, preview.Reason = true, p.noCapacityReason()
+		preview.Waits, preview.Reason = true, p.noCapacityReason(r)
 	}
 	return preview
 }
--- a/pkg/admission/tiers.go
+++ b/pkg/admission/tiers.go
@@ -109,3 +109,35 @@
 		s.beyondRoom[tier] = room.placed >= minPlaced && asked > beyondRoom*room.placedWork
 	}
 }
+
+// Competition states which requests yield to others now.
+type Competition struct {
+	// TiersBeyondRoom are the tiers for which there is no room, and TiersBelowFloor those that
+	// go first since they are placed too rarely, in order.
+	TiersBeyondRoom, TiersBelowFloor []int
+	// TeamsOverShare is the number of teams with waiting requests that yield.
+	TeamsOverShare int
+}
+
+// Competition returns the state of the service at this instance.
+func (p *Pool) Competition(now time.Duration) Competition {
+	p.tiers.update(now)
+	var c Competition
+	for _, tier := range slices.Sorted(maps.Keys(p.tiers.roomLoad.counts)) {
+		if p.tiers.beyondRoom[tier] {
+			c.TiersBeyondRoom = append(c.TiersBeyondRoom, tier)
+		}
+		if p.tiers.belowFloor[tier] {
+			c.TiersBelowFloor = append(c.TiersBelowFloor, tier)
+		}
+	}
+	if len(p.queue) == 0 {
+		return c
+	}
+	for _, over := range p.shares.over {
+		if over {
+			c.TeamsOverShare++
+		}
+	}
+	return c
+}
--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -95,6 +95,7 @@
 	storePosition storesync.Position
 	limits        limitLog
 	ejections     ejectionLog
+	competition   competitionLog
 }
 
 func newControlLoop(g *Gateway) *controlLoop {
@@ -197,6 +198,7 @@
 	c.writeUsage(now)
 	c.stepRollouts(now)
 	c.reportEjections(now)
+	c.reportCompetition(now)
 	c.logLimits(now)
 	c.sendDueReports(now)
 	c.sendDueReplies(now)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -70,6 +70,9 @@
 	limitMoves metrics.Counter
 	// upstreamsEjected is the number of upstreams that get no requests for failed answers.
 	upstreamsEjected metrics.Gauge
+	// tiersBeyondRoom, tiersBelowFloor and teamsOverShare are those of admission.Competition,
+	// over all services.
+	tiersBeyondRoom, tiersBelowFloor, teamsOverShare metrics.Gauge
 	// panics counts the unexpected errors that were contained.
 	panics metrics.Counter
 	// placementsTakenBack counts the requests that the relay did not decide in time.
@@ -100,6 +103,9 @@
 		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
 		rolloutsRolledBack: counter("rollouts.rolled_back"), rolloutWritesFailed: counter("rollouts.unwritten"),
 		upstreamsEjected: metrics.NewRegisteredGauge("upstreams.ejected", registry),
+		tiersBeyondRoom:  metrics.NewRegisteredGauge("tiers.beyond_room", registry),
+		tiersBelowFloor:  metrics.NewRegisteredGauge("tiers.below_floor", registry),
+		teamsOverShare:   metrics.NewRegisteredGauge("teams.over_share", registry),
 		limitMoves:       counter("limits.moved"),
 		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
 		earlierReports:     counter("upstreams.earlier_reports"),
