admission: the requests placed in other regions stay within a part of the link

Cause: each instance sends work to idle upstreams of another region by its own view, and all of them together could fill the link, which answers, reports and the store share.

Change: RegionLink, a token bucket of one second for the part of an instance. The larger of body and expected answer counts. From half a bucket down the penalty for another region rises to four times itself; when too little is left for a request, upstreams there are out for a reason of their own, and their slots are no free capacity while no queued request may cross. Without a RegionLink nothing changes. Request has the size of the body.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -32,6 +32,7 @@
 	p.applyPeerEjections(now)
 	p.assumeSpeeds(now)
 	p.updateShares(now)
+	p.updateLink(now, p.queue)
 	p.sortQueue(now)
 	var decisions []Decision
 	kept := p.queue[:0]
@@ -62,7 +63,7 @@
 	free := 0
 	delegated := slices.ContainsFunc(p.queue, func(r *Request) bool { return r.Delegated })
 	for _, u := range p.sorted {
-		if !u.usable(now) || (now < u.quietUntil && !delegated) || !p.allows(u, false) {
+		if !u.usable(now) || (now < u.quietUntil && !delegated) || !p.allows(u, false) || p.hiddenByLink(u) {
 			continue
 		}
 		inFlight, _ := u.load()
@@ -110,6 +111,7 @@
 		}
 		r.Trial = false
 	}
+	p.noteKept(r)
 	if free > 0 {
 		if decision, done := p.place(now, r); done {
 			return decision, true
@@ -173,6 +175,7 @@
 	}
 	chosen.Reason = placementReason(now, r, chosen.ExpectedFirstOutput)
 	p.recordUse(now, r)
+	p.chargeLink(r, best)
 	if !r.Trial {
 		p.allocate(now, best)
 	}
@@ -204,7 +207,7 @@
 	case p.location.Regions[u.info.Domain] == p.location.Regions[p.location.Domain]:
 		return p.tuning.SameRegionPenaltyMs
 	default:
-		return p.tuning.OtherRegionPenaltyMs
+		return p.link.penaltyMs(p.tuning.OtherRegionPenaltyMs)
 	}
 }
 
@@ -212,6 +215,9 @@
 	if p.allocation.limited {
 		return "no upstream had room in time, and others wait elsewhere"
 	}
+	if p.linkShut {
+		return "no upstream had room in time, and the link to other regions is used up"
+	}
 	return "no upstream had room in time"
 }
 
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -55,6 +55,10 @@
 	// calibration and limitMoves are used if limits are learned.
 	calibration worklimit.Calibration
 	limitMoves  []LimitMove
+	// link bounds what is placed in other regions; nil for no bound. linkNeeded is true if an
+	// upstream is there, and linkShut if no queued request may cross the link to it.
+	link                 *RegionLink
+	linkNeeded, linkShut bool
 }
 
 // PeerState is the load and the demand that a peer reports, for itself or as the
--- a/pkg/admission/preview.go
+++ b/pkg/admission/preview.go
@@ -77,6 +77,8 @@
 		return outAllocation
 	case r.Trial && inFlight >= u.slots:
 		return outNoSlot
+	case p.barredByLink(r, u):
+		return outRegionLink
 	}
 	return ""
 }
@@ -152,6 +154,7 @@
 		p.allocation.limited = false
 	}
 	p.applyPeerEjections(now)
+	p.updateLink(now, append(slices.Clone(p.queue), r))
 	preview := Preview{QueueLength: len(p.queue), FreeCapacity: p.freeCapacity(now), MaxWait: p.maxWait(r)}
 	for _, report := range p.peers {
 		if age := now - report.reported; age <= p.tuning.ReportTimeout {
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -52,6 +52,8 @@
 	// Tier is the priority class; 0 is the highest.
 	Tier         int
 	PromptTokens int
+	// PromptBytes is the size of the body; 0 if unknown.
+	PromptBytes int
 	// OutputTokens is the expected length of the answer; 0 if unknown.
 	OutputTokens int
 	Arrived      time.Duration
@@ -62,6 +64,8 @@
 	Deadline time.Duration
 	// ExcludedUpstreams lists the upstreams that must not be chosen again.
 	ExcludedUpstreams []string
+	// keptHome is true once the request was counted by Pool.noteKept.
+	keptHome bool
 }
 
 // Action is the kind of a decision.
