gateway, loadshare: region_link_mbps bounds what is placed in other regions

Cause: the bound of the link needs its capacity, the number of instances that place requests, and the size of delegated requests at the relay.

--- a/pkg/gateway/control_loop.go
+++ b/pkg/gateway/control_loop.go
@@ -95,6 +95,8 @@
 	storePosition storesync.Position
 	limits        limitLog
 	ejections     ejectionLog
+	// regionLink bounds what is placed in other regions; nil for no bound.
+	regionLink *admission.RegionLink
 }
 
 func newControlLoop(g *Gateway) *controlLoop {
@@ -118,7 +120,8 @@
 		rollouts:      newRollouts(rollout.Limits{ExposureShare: bounds.ExposureShare}),
 		lastWords:     map[string]lastWord{},
 		upstreamNames: map[uint32]string{}, teamNames: map[uint32]string{}, pendingReports: map[string]pendingReport{},
-		follower: delegation.NewFollower(), relay: delegation.NewRelay(func() uint64 { return g.lastRequestKey.Add(1) }),
+		regionLink: admission.NewRegionLink(now, g.settings.Placement.RegionLinkMbps),
+		follower:   delegation.NewFollower(), relay: delegation.NewRelay(func() uint64 { return g.lastRequestKey.Add(1) }),
 	}
 }
 
@@ -181,6 +184,7 @@
 	}
 	c.updateDelegation(now)
 	c.updatePoison(now)
+	c.updateRegionLink(now)
 	for _, pool := range c.pools {
 		for _, decision := range pool.Schedule(now) {
 			c.markReportsChanged()
@@ -232,6 +236,7 @@
 	if pool == nil {
 		location := admission.Location{Domain: c.g.settings.Instance.Domain, Regions: c.g.settings.Regions}
 		pool = admission.NewPool(c.serviceSpec(name), location, c.tuning(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		pool.SetRegionLink(c.regionLink)
 		c.pools[name] = pool
 	}
 	return pool
--- a/pkg/gateway/delegation.go
+++ b/pkg/gateway/delegation.go
@@ -116,6 +116,9 @@
 			PromptTokens: clampTo[uint32](request.PromptTokens), OutputTokens: clampTo[uint32](request.OutputTokens),
 			WaitedMs: toMs(now - request.Arrived), TargetInMs: int32((request.SoftDeadline - now).Milliseconds()), TimeoutInMs: toMs(request.Deadline - now),
 		}
+		if c.regionLink != nil {
+			waiting.PromptBytes = clampTo[uint32](request.PromptBytes)
+		}
 		// The relay does not know which upstreams want no request of this instance.
 		for _, upstream := range append(slices.Clone(request.ExcludedUpstreams), barred[request.Service]...) {
 			waiting.Excluded = append(waiting.Excluded, loadshare.ShortHash(upstream))
@@ -198,7 +201,7 @@
 func (c *controlLoop) decodeWaiting(now time.Duration, waiting loadshare.WaitingRequest) *admission.Request {
 	request := &admission.Request{
 		Key: waiting.Key, Service: c.serviceName(waiting.Service), Tier: int(waiting.Tier), Team: c.teamNames[waiting.Team], Trial: waiting.Trial,
-		PromptTokens: int(waiting.PromptTokens), OutputTokens: int(waiting.OutputTokens),
+		PromptTokens: int(waiting.PromptTokens), PromptBytes: int(waiting.PromptBytes), OutputTokens: int(waiting.OutputTokens),
 		Arrived: now - fromMs(waiting.WaitedMs), SoftDeadline: now + time.Duration(waiting.TargetInMs)*time.Millisecond, Deadline: now + fromMs(waiting.TimeoutInMs),
 	}
 	for _, upstream := range waiting.Excluded {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -279,7 +279,7 @@
 	softDeadline := x.arrived + latencyTarget - elapsedBefore
 	return &admission.Request{
 		Key: x.g.lastRequestKey.Add(1), Service: x.service, Team: x.teamName(), Tier: x.tier(),
-		PromptTokens: x.requestInfo.PromptTokens, OutputTokens: x.expectedOutputTokens(),
+		PromptTokens: x.requestInfo.PromptTokens, PromptBytes: len(x.body), OutputTokens: x.expectedOutputTokens(),
 		Arrived: x.arrived, SoftDeadline: softDeadline, Deadline: x.deadline,
 	}
 }
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -68,6 +68,11 @@
 	bodiesRefused metrics.Counter
 	// limitMoves counts the changes of the learned limits of upstreams.
 	limitMoves metrics.Counter
+	// regionBytesPlaced counts the bytes of requests placed in other regions, and
+	// regionRequestsKept the requests for which too little of the link was left. Both are 0
+	// if the link has no bound.
+	regionBytesPlaced  metrics.Counter
+	regionRequestsKept metrics.Counter
 	// upstreamsEjected is the number of upstreams that get no requests for failed answers.
 	upstreamsEjected metrics.Gauge
 	// panics counts the unexpected errors that were contained.
@@ -99,8 +104,9 @@
 		lateRefused: counter("stops.refused"), heldAtStart: counter("requests.held_at_start"), bodiesRefused: counter("bodies.refused"),
 		rolloutTrials: counter("rollouts.trial_requests"), rolloutsSucceeded: counter("rollouts.succeeded"),
 		rolloutsRolledBack: counter("rollouts.rolled_back"), rolloutWritesFailed: counter("rollouts.unwritten"),
-		upstreamsEjected: metrics.NewRegisteredGauge("upstreams.ejected", registry),
-		limitMoves:       counter("limits.moved"),
+		upstreamsEjected:  metrics.NewRegisteredGauge("upstreams.ejected", registry),
+		limitMoves:        counter("limits.moved"),
+		regionBytesPlaced: counter("region_link.bytes_placed"), regionRequestsKept: counter("region_link.requests_kept"),
 		upstreamsLeaving: counter("upstreams.leaving"), quietTimes: counter("upstreams.quiet"),
 		earlierReports:     counter("upstreams.earlier_reports"),
 		poisonFingerprints: metrics.NewRegisteredGauge("poison.fingerprints", registry),
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -75,6 +75,9 @@
 	// RelayFromInstances is the size of a failure domain from which a relay places the
 	// requests of all its instances.
 	RelayFromInstances int `ini:"relay_from_instances"`
+	// RegionLinkMbps is the capacity of the link between regions in each direction for all
+	// traffic; 0 for no bound on the requests placed in other regions.
+	RegionLinkMbps float64 `ini:"region_link_mbps"`
 }
 
 // BoundSettings are limits that hold for all instances together. Units and meaning
@@ -180,6 +183,9 @@
 	return errors.Join(problems...)
 }
 
+// maxRegionLinkMbps bounds placement.region_link_mbps. A larger value is a wrong unit.
+const maxRegionLinkMbps = 1_000_000
+
 func (s Settings) validate() error {
 	var problems []error
 	for key, address := range map[string]string{
@@ -213,6 +219,9 @@
 	if s.Placement.RelayFromInstances < 2 {
 		problems = append(problems, errors.New("placement.relay_from_instances must be at least 2"))
 	}
+	if !(s.Placement.RegionLinkMbps >= 0 && s.Placement.RegionLinkMbps <= maxRegionLinkMbps) {
+		problems = append(problems, fmt.Errorf("placement.region_link_mbps must be between 0 and %d", maxRegionLinkMbps))
+	}
 	if bounds.ExposureShare > 1 {
 		problems = append(problems, errors.New("bounds.exposure_share must not be above 1"))
 	}
--- a/pkg/gateway/settings_test.go
+++ b/pkg/gateway/settings_test.go
@@ -50,6 +50,9 @@
 	settings, err = loadSettings(t, validSettings+"[placement]\neject_failing = false\nshare_teams = false\nrefuse_early = false\nrelay_from_instances = 16\n")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(settings.Placement).To(Equal(PlacementSettings{RelayFromInstances: 16}))
+	settings, err = loadSettings(t, validSettings+"[placement]\nregion_link_mbps = 62.5\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(settings.Placement.RegionLinkMbps).To(Equal(62.5))
 }
 
 // Guards against a typo in the settings file that makes an instance start with a
@@ -77,6 +80,9 @@
 		"zero processor share":  {"0.192", "0"},
 		"malformed switch":      {"[store]", "[placement]\nlearn_limits = perhaps\n[store]"},
 		"relay of one":          {"[store]", "[placement]\nrelay_from_instances = 1\n[store]"},
+		"negative link":         {"[store]", "[placement]\nregion_link_mbps = -1\n[store]"},
+		"link without a number": {"[store]", "[placement]\nregion_link_mbps = NaN\n[store]"},
+		"endless link":          {"[store]", "[placement]\nregion_link_mbps = Inf\n[store]"},
 		"malformed number":      {"0.192", "much"},
 		"too little memory":     {"[limits]", "[limits]\nmemory_mib = 8"},
 		"zero window":           {"[limits]", "[bounds]\nquota_window_s = 0\n[limits]"},
--- a/pkg/loadshare/reply.go
+++ b/pkg/loadshare/reply.go
@@ -30,6 +30,8 @@
 	Team uint32
 	// Trial is true for a request that goes to a version on trial.
 	Trial bool
+	// PromptBytes is the size of the body; 0 if the link between regions has no bound.
+	PromptBytes uint32
 }
 
 // UpstreamResult is the result of a request at an upstream.
