gateway, rollout: the share of a version on trial is one of the requests that reach the service

The selector counted each request that was submitted.

An instance now counts a request once an upstream has begun to answer it, and only once. Requests that are refused, rejected by the upstream, lost or sent before the order count nothing. The rest of a share is carried over, so that a share of 0.4 is no longer one request in three.

Tests: TestRefusedRequestsAllowNoTrialRequests, TestSelectorDoesNotMakeUpForPauses, TestTrialShareIsOneOfRequestsThatReachTheService; the others of pkg/rollout call the two methods of the selector instead of one, with the same bounds.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -107,6 +107,9 @@
 	reply := x.g.headerCodec.DecodeReply(response.Status, response.Header)
 	x.heedUpstream(decision.Upstream, reply)
 	x.phase.Store(phaseAnswer)
+	if !reply.NotExecuted && !x.reachedService {
+		x.reachedService, x.sentAt = true, started
+	}
 	result, complete := x.forwardAnswer(ctx, decision, response, reply, started)
 	result.quietTime = reply.QuietTime
 	if result.notExecuted {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -46,6 +46,10 @@
 	mayHaveRun  bool
 	attempts    int
 	failedDials int
+	// reachedService is true once an upstream has begun to answer an attempt, sent at sentAt,
+	// that it has not refused. reachedCounted is true once this was counted for a roll-out.
+	reachedService, reachedCounted bool
+	sentAt                         time.Duration
 	// placement is the placement whose result was not reported yet; nil if there is none.
 	placement *admission.Decision
 	// lastUpstream is the upstream of the last attempt.
--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -240,3 +240,34 @@
 	f.order("v2", rollout.Progress{})
 	f.Expect(f.loop.rollouts.faulty["desk"]).To(BeEmpty())
 }
+
+// Failure: the service is overloaded, so that most requests are refused. Guards against
+// selecting a part of all requests for the version on trial instead of a part of those that
+// reach the service, and against counting a request twice, before the order or although
+// nothing came back.
+func TestTrialShareIsOneOfRequestsThatReachTheService(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Trial, Share: 0.05, Holder: "b"})
+	selected := func(count int) (trials int) {
+		for range count {
+			if f.loop.selectTrial(f.now, &admission.Request{Service: "desk"}) {
+				trials++
+			}
+		}
+		return trials
+	}
+	result := func(reached bool, sentAt time.Duration) {
+		rolloutResultMsg{service: "desk", version: "v1", cell: rollout.Cell{Route: "once"}, counts: rollout.Result(false), reached: reached, sentAt: sentAt}.apply(f.loop)
+	}
+	f.Expect(selected(1000)).To(BeZero(), "all of them may be refused")
+	for range 100 {
+		result(false, f.now)
+		result(true, f.now-time.Millisecond)
+	}
+	f.Expect(selected(1000)).To(BeZero())
+	total := 0
+	for range 1000 {
+		result(true, f.now)
+		total += selected(5)
+	}
+	f.Expect(total).To(BeNumerically("~", 50, 1))
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -275,7 +275,7 @@
 	if stage := state.progress.Stage; stage != rollout.Trial && stage != rollout.Ramp {
 		return false
 	}
-	selected := state.selector.Select(state.progress.Share)
+	selected := state.selector.Select()
 	if selected {
 		c.g.metrics.rolloutTrials.Inc(1)
 	}
@@ -287,6 +287,10 @@
 	service, version string
 	cell             rollout.Cell
 	counts           rollout.Counts
+	// reached is true in the first message about a request that was sent at sentAt and that
+	// an upstream has begun to answer.
+	reached bool
+	sentAt  time.Duration
 }
 
 func (m rolloutResultMsg) apply(c *controlLoop) {
@@ -298,12 +302,16 @@
 	if !counted || slices.Contains(c.rollouts.faulty[m.service], m.version) {
 		return
 	}
+	if m.reached && m.sentAt >= state.seenAt {
+		state.selector.Reached(state.progress.Share)
+	}
 	m.cell.Period = period
 	state.own.Add(m.version == state.order.Version, m.cell, m.counts)
 	c.markReportsChanged()
 }
 
-// recordRollout adds counts to the evidence about the version of a request's upstream.
+// recordRollout adds counts to the evidence about the version of a request's upstream, and
+// counts the request, once, as one that has reached its service.
 func (x *exchange) recordRollout(decision admission.Decision, counts rollout.Counts) {
 	if !x.g.rolloutsEnabled() || counts == (rollout.Counts{}) {
 		return
@@ -311,8 +319,10 @@
 	slots := float64(max(1, decision.Upstream.Slots))
 	x.g.enqueue(rolloutResultMsg{
 		service: x.service, version: decision.Upstream.Version, counts: counts,
-		cell: rollout.Cell{Route: x.route.Name, Busy: float64(decision.InFlight+1) >= busyShare*slots},
+		cell:    rollout.Cell{Route: x.route.Name, Busy: float64(decision.InFlight+1) >= busyShare*slots},
+		reached: x.reachedService && !x.reachedCounted, sentAt: x.sentAt,
 	})
+	x.reachedCounted = x.reachedService
 }
 
 // rolloutCounts returns what the result of an attempt says about the upstream's version.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -255,19 +255,26 @@
 
 // Selector selects the requests of one instance that go to a version on trial. Each
 // instance keeps to its share by itself, so that the bound for all of them holds whatever
-// they know of each other.
+// they know of each other. The share is one of the requests that have reached the service:
+// requests that are refused under overload allow no trial requests.
 type Selector struct{ credit float64 }
 
+// maxCredit bounds the selected requests of one instance that may follow each other without
+// a pause, for instance after the copy of the orders was outdated.
+const maxCredit = 2
+
 // NewSelector returns a selector. offset is uniform in [0, 1), so that the first selected
 // requests of many instances are spread.
 func NewSelector(offset float64) *Selector { return &Selector{credit: offset} }
 
-// Select reports whether the next request goes to the version, of which share do so.
-func (s *Selector) Select(share float64) bool {
-	s.credit = math.Min(s.credit+share, 1)
+// Reached counts a request that has reached the service, of which share go to the version.
+func (s *Selector) Reached(share float64) { s.credit = math.Min(s.credit+share, maxCredit) }
+
+// Select reports whether the next request goes to the version.
+func (s *Selector) Select() bool {
 	if s.credit < 1 {
 		return false
 	}
-	s.credit = 0
+	s.credit--
 	return true
 }
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -93,7 +93,8 @@
 			toCandidate := false
 			switch result.stage {
 			case rollout.Trial, rollout.Ramp:
-				toCandidate = selector.Select(share)
+				selector.Reached(share)
+				toCandidate = selector.Select()
 			case rollout.Full, rollout.Succeeded:
 				toCandidate = true
 			}
@@ -304,7 +305,8 @@
 		selector := rollout.NewSelector(random.Float64())
 		for range 20 {
 			total++
-			if selector.Select(0.05) {
+			selector.Reached(0.05)
+			if selector.Select() {
 				selected++
 			}
 		}
@@ -312,10 +314,52 @@
 	g.Expect(float64(selected)).To(BeNumerically("~", 0.05*float64(total), 25))
 	selector := rollout.NewSelector(0.99)
 	for range 100 {
-		g.Expect(selector.Select(0)).To(BeFalse())
+		selector.Reached(0)
+		g.Expect(selector.Select()).To(BeFalse())
 	}
 }
 
+// Failure: nine in ten requests are refused under overload, while the idle upstreams of the
+// version take all trial requests. Guards against a trial that gets a part of all requests,
+// refused ones included, so that a faulty version gets more than its part of those that reach
+// the service.
+func TestRefusedRequestsAllowNoTrialRequests(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 3))
+	candidate, reached := 0, 0
+	for range 60 {
+		selector := rollout.NewSelector(random.Float64())
+		for range 2000 {
+			if selector.Select() {
+				candidate++
+			} else if random.Float64() < 0.9 {
+				continue
+			}
+			reached++
+			selector.Reached(exposureShare / 2)
+		}
+	}
+	g.Expect(float64(candidate)).To(BeNumerically("~", exposureShare/2*float64(reached), 60))
+	g.Expect(float64(candidate)).To(BeNumerically("<=", exposureShare*float64(reached)+exposureSlack))
+}
+
+// Failure: the copy of the orders is outdated for a while, in which requests reach the service
+// and none is selected. Guards against trial requests that are made up for all at once.
+func TestSelectorDoesNotMakeUpForPauses(t *testing.T) {
+	g := NewWithT(t)
+	selector := rollout.NewSelector(0)
+	for range 1000 {
+		selector.Reached(0.4)
+	}
+	selected := 0
+	for range 100 {
+		if selector.Select() {
+			selected++
+		}
+	}
+	g.Expect(selected).To(BeNumerically("<=", 2))
+}
+
 func TestStageNamesAreParsed(t *testing.T) {
 	g := NewWithT(t)
 	for stage := rollout.Waiting; stage <= rollout.RolledBack; stage++ {
