rollout: outages of all upstreams in the last stage are decided on, described and tested

In the stage full only the candidate gets requests, so that an outage of all upstreams looks like a fault of it and rolls a sound version back. The results can't tell the two apart, and waiting for the end of an outage would keep a faulty version: it is rolled back at once, as before. docs/design/rollouts.md has the reasons.

No change of the code.

Tests: TestFaultThatBeginsInFullStageIsRolledBackInTime, TestOutageInFullStageRollsBackAtOnce.

--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -385,3 +385,29 @@
 		}
 	}
 }
+
+// Failure: a version begins to fail once it gets all requests. Guards against requests to it
+// later than the operator allows after its first faulty answers.
+func TestFaultThatBeginsInFullStageIsRolledBackInTime(t *testing.T) {
+	g := NewWithT(t)
+	for from := 9500 * time.Millisecond; from <= 10500*time.Millisecond; from += 500 * time.Millisecond {
+		for seed := range uint64(5) {
+			result := play(seed, version{share: 0.45, from: from}, 0, 0)
+			g.Expect(result.stage).To(Equal(rollout.RolledBack), "seed %d, from %s", seed, from)
+			g.Expect(result.endedAt-from).To(BeNumerically("<=", 1500*time.Millisecond), "seed %d, from %s: %s", seed, from, result.reason)
+			g.Expect(result.sentTooLate).To(BeZero(), "seed %d, from %s", seed, from)
+		}
+	}
+}
+
+// Failure: all upstreams fail 45 in 100 requests for 4 s while only the candidate gets
+// requests. It can't be told from a faulty candidate and is treated as one; docs/design/rollouts.md
+// has the reasons. Guards against an undecided roll-out, which keeps sending requests.
+func TestOutageInFullStageRollsBackAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(5) {
+		result := playOutage(seed, version{}, 0, 0, outage{from: 9500 * time.Millisecond, until: 13500 * time.Millisecond, share: 0.45})
+		g.Expect(result.stage).To(Equal(rollout.RolledBack), "seed %d", seed)
+		g.Expect(result.endedAt).To(BeNumerically("<", 11*time.Second), "seed %d", seed)
+	}
+}
