rollout, gateway: lost instances no longer stop a roll-out

The holder sent a version more requests only with the reports of 70 in 100 of the instances that may be serving, and lost ones count as such for 30 s. With a third of them lost, a sound version stayed on trial and was rolled back at the end of an order of 10 to 15 s.

More than half is enough now, so that only one side of a divided deployment goes on, and instances that were lost 4 s ago don't count. If they are most of all, the trial needs results, which a holder that is cut off does not have, and the replaced upstreams are not declared empty before the end of the order.

Measured: TestLostInstancesDoNotStopTheRamp fails with the former criterion (the stage stays at trial) and passes now.

--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosemarywing/rosemarywing/pkg/admission"
+	"github.com/rosemarywing/rosemarywing/pkg/quota"
 	"github.com/rosemarywing/rosemarywing/pkg/rollout"
 	"github.com/rosemarywing/rosemarywing/pkg/storesync"
 )
@@ -271,3 +272,29 @@
 	}
 	f.Expect(total).To(BeNumerically("~", 50, 1))
 }
+
+// Failure: a third of the instances is lost for good soon after the order. Guards against a
+// sound version that is not used more and rolled back at the end, since the reports of the
+// lost instances are waited for.
+func TestLostInstancesDoNotStopTheRamp(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Trial, Share: 0.05, Holder: "a", Epoch: 1})
+	report := func(peers int) {
+		for i := range peers {
+			f.loop.quotas.ApplyReport(f.now, "p"+strconv.Itoa(i), quota.UsageReport{StartTime: 1, CoveredInstances: 1, ExpectedInstances: 1})
+		}
+	}
+	report(5)
+	f.step(0)
+	for range 50 {
+		report(3)
+		f.step(100 * time.Millisecond)
+	}
+	reachable, lost := f.loop.quotas.InstanceCounts(f.now)
+	f.Expect([]int{reachable, lost}).To(Equal([]int{4, 2}))
+	f.Expect(f.store.written).To(BeEmpty())
+	for f.state().progress.Stage != rollout.Full && f.now < 9*time.Second {
+		report(3)
+		f.step(100 * time.Millisecond)
+	}
+	f.Expect(f.state().progress.Stage).To(Equal(rollout.Full))
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -31,9 +31,9 @@
 	// rolloutWriteRetry that until a write without a response is tried again.
 	rolloutStepInterval = 100 * time.Millisecond
 	rolloutWriteRetry   = 300 * time.Millisecond
-	// minReachableForRollout is the part of the instances that may be serving whose reports
-	// the holder must have before it sends a version more requests.
-	minReachableForRollout = 0.7
+	// maxObservationGap is the time without observations of the instances after which it is
+	// not known which of them were lost all the while.
+	maxObservationGap = 2 * time.Second
 	// busyShare is the part of an upstream's slots in use from which on it counts as busy.
 	busyShare = 0.75
 )
@@ -72,6 +72,10 @@
 	// and position the position of the store that it shows.
 	currentAt time.Duration
 	position  storesync.Position
+	// completeness and what it says about the instances at observedAt.
+	completeness       rollout.Completeness
+	complete, minority bool
+	observedAt         time.Duration
 	// holdUntil is the time until which upstreams of versions that were not used before are
 	// held back, whatever is known of the orders.
 	holdUntil time.Duration
@@ -345,7 +349,11 @@
 // stepRollouts lets this instance advance the roll-outs if it reads the store for the
 // others. The condition of the write fences it if another instance does the same.
 func (c *controlLoop) stepRollouts(now time.Duration) {
-	if len(c.rollouts.states) == 0 || c.peers.SyncSourceAddress() != "" || c.g.stop.Load() != nil {
+	if !c.rollouts.running() {
+		return
+	}
+	c.observeInstances(now)
+	if c.peers.SyncSourceAddress() != "" || c.g.stop.Load() != nil {
 		return
 	}
 	for _, state := range c.rollouts.states {
@@ -377,6 +385,31 @@
 	}
 }
 
+// running reports whether a roll-out may have to be advanced or its stage written again.
+func (r *rollouts) running() bool {
+	for _, state := range r.states {
+		if !state.progress.Stage.Final() || state.lost() {
+			return true
+		}
+	}
+	return false
+}
+
+// observeInstances records how many instances have recent reports, while a roll-out runs. Each
+// instance does so, since it may have to continue the roll-out.
+func (c *controlLoop) observeInstances(now time.Duration) {
+	r := c.rollouts
+	if now-r.observedAt < rolloutStepInterval {
+		return
+	}
+	if now-r.observedAt > maxObservationGap {
+		r.completeness = rollout.Completeness{}
+	}
+	r.observedAt = now
+	reachable, unreachable := c.quotas.InstanceCounts(now)
+	r.complete, r.minority = r.completeness.Observe(now, reachable, unreachable)
+}
+
 // lost reports whether the store no longer holds the stage in force. The operator may have
 // read it there.
 func (s *rolloutState) lost() bool {
@@ -385,10 +418,9 @@
 
 func (c *controlLoop) observeRollout(now time.Duration, state *rolloutState, elapsed time.Duration) rollout.Observation {
 	pool := c.pool(state.order.Service)
-	view := c.quotas.FleetView(now)
 	o := rollout.Observation{
 		Elapsed: elapsed, IncumbentInFlight: pool.IncumbentInFlight(), Evidence: state.pooledEvidence(true),
-		Complete: float64(view.Reachable) >= minReachableForRollout*float64(view.Reachable+view.Unreachable),
+		Complete: c.rollouts.complete, Minority: c.rollouts.minority,
 	}
 	o.CandidateSlots, o.IncumbentSlots = pool.VersionSlots()
 	return o
--- a/pkg/quota/view.go
+++ b/pkg/quota/view.go
@@ -100,3 +100,9 @@
 	}
 	return view
 }
+
+// InstanceCounts returns the number of instances with a recent report, this one included, and
+// the number of those without that may still be serving.
+func (t *TeamQuotas) InstanceCounts(now time.Duration) (reachable, unreachable int) {
+	return t.countInstances(now)
+}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -137,6 +137,10 @@
 	// Complete is true if the counts and the evidence include most of the instances. A
 	// holder that is cut off does not send a version more requests.
 	Complete bool
+	// Minority is true if most instances have been without reports for so long that they
+	// don't count for Complete: they have stopped, or the holder is cut off from them. In
+	// the first case it gets all requests, in the second it has few results of its own.
+	Minority bool
 	Evidence Evidence
 }
 
@@ -208,7 +212,7 @@
 	if !l.mayTakeMore(o) || o.Elapsed < l.fraction(trialEnd) {
 		return false
 	}
-	return o.Evidence.Results(true) >= minTrialResults || o.Elapsed >= l.fraction(lateTrialEnd)
+	return o.Evidence.Results(true) >= minTrialResults || o.Elapsed >= l.fraction(lateTrialEnd) && !o.Minority
 }
 
 // mayTakeMore reports whether the version may get more requests.
@@ -228,7 +232,7 @@
 // finish ends the roll-out once the upstreams of other versions are empty, or in time for
 // the operator although some are not.
 func (l *Leader) finish(o Observation, overdue bool) (Step, bool) {
-	if o.IncumbentInFlight > 0 || !o.Complete {
+	if o.IncumbentInFlight > 0 || !o.Complete || o.Minority {
 		l.empty = false
 	} else if !l.empty {
 		l.empty, l.emptySince = true, o.Elapsed
