rollout, gateway: a ramp that the store has delayed ends in time

The store held all calls for 2.3 s when the ramp should get its second step (at 7.3 of 11 s, 8.7 of 13 s). The step came into force at 9.6 s and 11.0 s, and the last one was due some ms to some tenths of a second after the time in which the final stage must be written, although the version had been used at the smaller share all the while, with 103 and 141 results and no failure.

The requests that the version gets in the ramp are added up now, as share times time, at every instance. After three quarters of the duration the ramp ends once they are as many as in all steps, the version has 60 results, and the holder has had the reports of the others for 0.6 s.

Tests: TestLateRampEndsAfterLongStep, TestRampThatTheStoreHasDelayedEndsInTime.

--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -106,6 +106,9 @@
 
 func (f *rolloutFixture) state() *rolloutState { return f.loop.rollouts.states["desk"] }
 
+// stage returns the stage in force.
+func (f *rolloutFixture) stage() rollout.Stage { return f.state().progress.Stage }
+
 func (f *rolloutFixture) lastWritten() rollout.Stage {
 	return f.store.written[len(f.store.written)-1].Stage
 }
@@ -298,3 +301,25 @@
 	}
 	f.Expect(f.state().progress.Stage).To(Equal(rollout.Full))
 }
+
+// Failure: the store does not answer for 2.5 s in the ramp, so that the holder's write of the
+// second step takes effect late. Guards against a holder that counts the time of the ramp
+// from then and rolls a sound version back.
+func TestRampThatTheStoreHasDelayedEndsInTime(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Trial, Share: 0.05, Holder: "a", Epoch: 1})
+	f.state().own.Add(true, rollout.Cell{Route: "once"}, rollout.Counts{Results: 60})
+	for f.stage() != rollout.Ramp {
+		f.step(100 * time.Millisecond)
+	}
+	started := f.now
+	for f.now < started+2500*time.Millisecond {
+		f.now += 100 * time.Millisecond
+		f.clock.Advance(100 * time.Millisecond)
+		f.loop.stepRollouts(f.now)
+	}
+	f.Expect(f.state().writing).To(BeTrue())
+	(<-f.loop.inbox).apply(f.loop)
+	f.Expect(f.state().progress.Share).To(Equal(0.4))
+	f.step(100 * time.Millisecond)
+	f.Expect(f.lastWritten()).To(Equal(rollout.Full))
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -46,6 +46,9 @@
 	progress, recorded rollout.Progress
 	// position is that of the object, under the condition of which its status is written.
 	position storesync.Position
+	// inForceSince is the time since which the stage and the share of progress are known here,
+	// and rampLoad the sum of rollout.Observation up to then.
+	inForceSince, rampLoad time.Duration
 	// seenAt is when the order was first seen here, and seenNew is true if no holder had
 	// recorded anything about it by then.
 	seenAt   time.Duration
@@ -76,6 +79,8 @@
 	completeness       rollout.Completeness
 	complete, minority bool
 	observedAt         time.Duration
+	// readerSince is the time since which this instance reads the store for the others.
+	readerSince time.Duration
 	// holdUntil is the time until which upstreams of versions that were not used before are
 	// held back, whatever is known of the orders.
 	holdUntil time.Duration
@@ -227,10 +232,21 @@
 			state.leader = nil
 		}
 	}
+	if progress.Stage != state.progress.Stage || progress.Share != state.progress.Share {
+		state.rampLoad, state.inForceSince = state.rampLoadUntil(now), now
+	}
 	state.progress = progress
 	c.applyVersionRule(state)
 }
 
+// rampLoadUntil returns the sum of the shares that were in force in the ramp.
+func (s *rolloutState) rampLoadUntil(now time.Duration) time.Duration {
+	if s.progress.Stage != rollout.Ramp {
+		return s.rampLoad
+	}
+	return s.rampLoad + time.Duration(s.progress.Share*float64(now-s.inForceSince))
+}
+
 // setFaulty records whether a version of a service was rolled back.
 func (r *rollouts) setFaulty(service, version string, faulty bool) {
 	others := slices.DeleteFunc(slices.Clone(r.faulty[service]), func(known string) bool { return known == version })
@@ -354,6 +370,7 @@
 	}
 	c.observeInstances(now)
 	if c.peers.SyncSourceAddress() != "" || c.g.stop.Load() != nil {
+		c.rollouts.readerSince = now
 		return
 	}
 	for _, state := range c.rollouts.states {
@@ -403,7 +420,7 @@
 		return
 	}
 	if now-r.observedAt > maxObservationGap {
-		r.completeness = rollout.Completeness{}
+		r.completeness, r.readerSince = rollout.Completeness{}, now
 	}
 	r.observedAt = now
 	reachable, unreachable := c.quotas.InstanceCounts(now)
@@ -421,6 +438,7 @@
 	o := rollout.Observation{
 		Elapsed: elapsed, IncumbentInFlight: pool.IncumbentInFlight(), Evidence: state.pooledEvidence(true),
 		Complete: c.rollouts.complete, Minority: c.rollouts.minority,
+		ReaderFor: now - c.rollouts.readerSince, RampLoad: state.rampLoadUntil(now),
 	}
 	o.CandidateSlots, o.IncumbentSlots = pool.VersionSlots()
 	return o
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -108,6 +108,10 @@
 	// least. It covers the way of a step to all instances and of the results back.
 	rampStep    = 0.06
 	minRampStep = 600 * time.Millisecond
+	// lateRamp is the part of the duration after which the ramp may end before its last step.
+	// An outage of the store of 2 s to 3 s delays a step so much that no time is left for the
+	// next one, while results go on arriving at the smaller share.
+	lateRamp = 0.75
 	// maxFinishMargin and finishMargin, a part of the duration, bound how long before the
 	// end of the duration the final stage is written, so that a slow or repeated write
 	// is still in time.
@@ -141,6 +145,12 @@
 	// don't count for Complete: they have stopped, or the holder is cut off from them. In
 	// the first case it gets all requests, in the second it has few results of its own.
 	Minority bool
+	// ReaderFor is the time for which the instance has been the one that decides. A new one
+	// does not have all reports yet.
+	ReaderFor time.Duration
+	// RampLoad is the sum, over the time of the ramp, of the share that was in force: 0.2 for
+	// 3 s is 0.6 s.
+	RampLoad time.Duration
 	Evidence Evidence
 }
 
@@ -191,7 +201,11 @@
 			return Step{Stage: Ramp, Share: rampShares[0], Reason: "the trial has shown no fault"}, true
 		}
 	case Ramp:
-		if o.Elapsed-l.stageSince >= max(minRampStep, l.fraction(rampStep)) && l.mayTakeMore(o) && !overdue {
+		switch {
+		case overdue || !l.mayTakeMore(o):
+		case l.lateRampDone(o):
+			return Step{Stage: Full, Share: 1, Reason: "the ramp has shown no fault in fewer and longer steps"}, true
+		case o.Elapsed-l.stageSince >= l.rampStep():
 			return l.afterRampStep(), true
 		}
 	case Full:
@@ -220,6 +234,19 @@
 	return o.Complete && float64(o.CandidateSlots) >= minCapacity*float64(o.IncumbentSlots)
 }
 
+// rampStep returns the shortest time of a step of the ramp.
+func (l *Leader) rampStep() time.Duration { return max(minRampStep, l.fraction(rampStep)) }
+
+// lateRampDone reports whether the ramp is late and has sent the version as many requests as
+// all of its steps would have.
+func (l *Leader) lateRampDone(o Observation) bool {
+	wanted := 0.0
+	for _, share := range rampShares {
+		wanted += share * float64(l.rampStep())
+	}
+	return o.Elapsed >= l.fraction(lateRamp) && float64(o.RampLoad) >= wanted && o.ReaderFor >= minRampStep && o.Evidence.Results(true) >= minTrialResults
+}
+
 func (l *Leader) afterRampStep() Step {
 	for _, share := range rampShares {
 		if share > l.share {
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -414,3 +414,34 @@
 		g.Expect(result.endedAt).To(BeNumerically("<", 11*time.Second), "seed %d", seed)
 	}
 }
+
+// Failure: the store is away for 2.5 s when the ramp should get its second step, and a write
+// may take effect late. Guards against rolling back a sound version since no time is left for
+// all steps of the ramp.
+func TestLateRampEndsAfterLongStep(t *testing.T) {
+	g := NewWithT(t)
+	// Steps last for 0.9 s, so that all of them send the version 0.54 s of the requests.
+	late := rollout.Observation{
+		Elapsed: 12400 * time.Millisecond, CandidateSlots: 70, IncumbentSlots: 70, IncumbentInFlight: 1, Complete: true,
+		ReaderFor: 10 * time.Second, RampLoad: 600 * time.Millisecond, Evidence: rollout.NewEvidence(),
+	}
+	late.Evidence.Add(true, rollout.Cell{Route: "draft"}, rollout.Counts{Results: 60})
+	for _, progress := range []rollout.Progress{{Stage: rollout.Ramp, Share: 0.2}, {Stage: rollout.Ramp, Share: 0.4}} {
+		step, due := newLeader(progress, 12300*time.Millisecond).Next(late)
+		g.Expect(due).To(BeTrue())
+		g.Expect(step.Stage).To(Equal(rollout.Full))
+	}
+	for name, change := range map[string]func(*rollout.Observation){
+		"in time":                           func(o *rollout.Observation) { o.Elapsed = 11 * time.Second },
+		"few requests at the version":       func(o *rollout.Observation) { o.RampLoad = 500 * time.Millisecond },
+		"few results":                       func(o *rollout.Observation) { o.Evidence = rollout.NewEvidence() },
+		"a holder without all reports":      func(o *rollout.Observation) { o.ReaderFor = 500 * time.Millisecond },
+		"many instances without contact":    func(o *rollout.Observation) { o.Complete = false },
+		"upstreams of the version are gone": func(o *rollout.Observation) { o.CandidateSlots = 7 },
+	} {
+		o := late
+		change(&o)
+		_, due := newLeader(rollout.Progress{Stage: rollout.Ramp, Share: 0.2}, o.Elapsed-100*time.Millisecond).Next(o)
+		g.Expect(due).To(BeFalse(), name)
+	}
+}
