gateway, admission: the candidate does not replace incumbents that are held back

An instance that starts holds upstreams back whose records are newer than its copy of the orders. If these were all incumbents, the pool knew upstreams of the candidate only, and placed ordinary requests there in any stage before full, since it took the incumbents for gone.

The pool now knows the versions of the upstreams that are held back, and counts them as incumbents. Requests wait in the queue for them. A record that was held back is also forgotten once a newer one of the same upstream is used, which it would have replaced with the next update of the orders.

TestFaultyVersionOfFormerOrderGetsNothing uses a shared function for its placements, with the same expectations.

--- a/pkg/admission/version.go
+++ b/pkg/admission/version.go
@@ -40,10 +40,24 @@
 type versionState struct {
 	rule                   VersionRule
 	candidates, incumbents int
+	// held are the versions of upstreams that exist and are not in the pool yet.
+	held []string
+}
+
+// SetHeldVersions sets the versions of upstreams that exist and may not be used yet. The
+// candidate is no replacement for them.
+func (p *Pool) SetHeldVersions(versions []string) {
+	p.versions.held = versions
+	p.countVersions()
 }
 
 func (p *Pool) countVersions() {
 	p.versions.candidates, p.versions.incumbents = 0, 0
+	for _, version := range p.versions.held {
+		if rule := &p.versions.rule; version != rule.Candidate && !slices.Contains(rule.Faulty, version) {
+			p.versions.incumbents++
+		}
+	}
 	for _, u := range p.sorted {
 		switch {
 		case u.info.Version == p.versions.rule.Candidate:
--- a/pkg/admission/version_test.go
+++ b/pkg/admission/version_test.go
@@ -142,3 +142,20 @@
 	}
 	f.Expect(at["c0"]).To(BeNumerically("<", at["c1"]), "%v", at)
 }
+
+// Failure: an instance may not use the upstreams of other versions yet, or those that are left
+// are of a faulty version. Guards against ordinary requests at the candidate meanwhile.
+func TestHeldUpstreamsAreNotReplacedByCandidate(t *testing.T) {
+	f := newVersionFixture(t)
+	f.pool.SetVersionRule(admission.VersionRule{Candidate: "v2", Faulty: []string{"v0"}})
+	f.pool.RemoveUpstream("e0")
+	f.pool.RemoveUpstream("e1")
+	f.pool.SetHeldVersions([]string{"v1"})
+	f.submit(0, 1, 1000)
+	f.Expect(placed(f.pool.Schedule(0))).To(BeEmpty())
+	trial := f.submitTrial()
+	at := placed(f.pool.Schedule(0))
+	f.Expect(append(at["c0"], at["c1"]...)).To(ConsistOf(trial))
+	f.pool.SetHeldVersions([]string{"v0", "v2"})
+	f.Expect(placed(f.pool.Schedule(0))).To(HaveLen(1), "no other version is left")
+}
--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -106,6 +106,24 @@
 
 func (f *rolloutFixture) state() *rolloutState { return f.loop.rollouts.states["desk"] }
 
+// place submits requests and returns how many are placed at each upstream. They then end.
+func (f *rolloutFixture) place(count int) map[string]int {
+	pool, at := f.loop.pool("desk"), map[string]int{}
+	for i := range count {
+		pool.Submit(&admission.Request{Key: uint64(i + 1), Service: "desk", SoftDeadline: f.now + time.Second, Deadline: f.now + 10*time.Second})
+	}
+	for _, decision := range pool.Schedule(f.now) {
+		if decision.Action == admission.Place {
+			at[decision.Upstream.ID]++
+			pool.Finish(f.now, decision.Upstream.ID, decision.Key, admission.Result{Outcome: admission.NotSent})
+		}
+	}
+	for i := range count {
+		pool.Dequeue(uint64(i + 1))
+	}
+	return at
+}
+
 // stage returns the stage in force.
 func (f *rolloutFixture) stage() rollout.Stage { return f.state().progress.Stage }
 
@@ -222,17 +240,7 @@
 // than the new candidate.
 func TestFaultyVersionOfFormerOrderGetsNothing(t *testing.T) {
 	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.RolledBack, Holder: "b"})
-	place := func(count int) map[string]int {
-		at := map[string]int{}
-		for i := range count {
-			f.loop.pool("desk").Submit(&admission.Request{Key: uint64(i + 1), Service: "desk", SoftDeadline: f.now + time.Second, Deadline: f.now + 10*time.Second})
-		}
-		for _, decision := range f.loop.pool("desk").Schedule(f.now) {
-			at[decision.Upstream.ID]++
-			f.loop.pool("desk").Finish(f.now, decision.Upstream.ID, decision.Key, admission.Result{Outcome: admission.NotSent})
-		}
-		return at
-	}
+	place := f.place
 	f.order("v3", rollout.Progress{})
 	f.Expect(place(6)).To(Equal(map[string]int{"old": 6}))
 	f.loop.applyRolloutUpdate(storesync.Update{Deleted: []string{"desk"}, Position: storesync.Position{Revision: f.store.object.Revision + 1}, AsOf: f.now})
@@ -323,3 +331,39 @@
 	f.step(100 * time.Millisecond)
 	f.Expect(f.lastWritten()).To(Equal(rollout.Full))
 }
+
+// Failure: an instance starts during a roll-out, and its copy of the orders is older than the
+// records of the incumbents, but not than those of the version on trial. Guards against using
+// the version for all requests until the incumbents may be used, and against an older record
+// that replaces a newer one then.
+func TestCandidateIsNoReplacementForHeldIncumbents(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Trial, Share: 0.05, Holder: "b"})
+	for _, id := range []string{"old", "new"} {
+		f.loop.pool("desk").RemoveUpstream(id)
+	}
+	position := storesync.Position{Revision: f.store.object.Revision}
+	later := storesync.Position{Revision: position.Revision + 5}
+	record := func(id, version string) admission.UpstreamInfo {
+		return admission.UpstreamInfo{ID: id, Service: "desk", Slots: 8, Version: version}
+	}
+	f.loop.useUpstream(record("new", "v2"), position)
+	f.Expect(f.place(6)).To(Equal(map[string]int{"new": 6}), "there is no other")
+	f.loop.useUpstream(record("old", "v1"), later)
+	f.Expect(f.place(6)).To(BeEmpty())
+	// The records of a version that was rolled back are not used instead either.
+	f.loop.useUpstream(record("former", "v0"), position)
+	f.loop.rollouts.setFaulty("desk", "v0", true)
+	f.loop.applyVersionRule(f.state())
+	f.Expect(f.place(6)).To(BeEmpty())
+	f.loop.removeUpstream("old", "its entry was removed")
+	f.Expect(f.place(6)).To(Equal(map[string]int{"new": 6}), "there is no other")
+	f.loop.useUpstream(record("old", "v1"), later)
+	f.loop.rollouts.position = later
+	newer := record("old", "v1")
+	newer.Sequence = 7
+	f.loop.useUpstream(newer, later)
+	f.Expect(f.place(6)).To(Equal(map[string]int{"old": 6}))
+	f.deliver()
+	f.Expect(f.loop.upstreams["old"]).To(Equal(newer))
+	f.Expect(f.place(6)).To(Equal(map[string]int{"old": 6}))
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -123,6 +123,30 @@
 	return !inUse[info.Version]
 }
 
+// holdUpstream keeps the record of an upstream that may not be used yet.
+func (c *controlLoop) holdUpstream(held heldUpstream) {
+	c.rollouts.held[held.info.ID] = held
+	c.setHeldVersions(held.info.Service)
+}
+
+// releaseUpstream forgets the record of an upstream that is held back.
+func (c *controlLoop) releaseUpstream(id string) {
+	if held, known := c.rollouts.held[id]; known {
+		delete(c.rollouts.held, id)
+		c.setHeldVersions(held.info.Service)
+	}
+}
+
+func (c *controlLoop) setHeldVersions(service string) {
+	var versions []string
+	for _, held := range c.rollouts.held {
+		if held.info.Service == service && !slices.Contains(versions, held.info.Version) {
+			versions = append(versions, held.info.Version)
+		}
+	}
+	c.pool(service).SetHeldVersions(versions)
+}
+
 // holdNewVersions holds upstreams of versions that were not used before back for a while,
 // since the store has lost the orders that may precede their records.
 func (r *rollouts) holdNewVersions(now time.Duration) { r.holdUntil = now + orderReturnGrace }
@@ -168,7 +192,7 @@
 	c.g.rolloutsKnown.Store(true)
 	for id, held := range c.rollouts.held {
 		if !c.rollouts.mustHold(now, held.info, held.position) {
-			delete(c.rollouts.held, id)
+			c.releaseUpstream(id)
 			c.useUpstream(held.info, held.position)
 		}
 	}
--- a/pkg/gateway/store_updates.go
+++ b/pkg/gateway/store_updates.go
@@ -146,9 +146,10 @@
 func (c *controlLoop) useUpstream(info admission.UpstreamInfo, position storesync.Position) {
 	if c.rollouts.mustHold(c.g.now(), info, position) {
 		c.removeUpstream(info.ID, "orders that precede its version may not be known yet")
-		c.rollouts.held[info.ID] = heldUpstream{info: info, position: position}
+		c.holdUpstream(heldUpstream{info: info, position: position})
 		return
 	}
+	c.releaseUpstream(info.ID)
 	if oldService, known := c.services[info.ID]; known && oldService != info.Service {
 		c.removeUpstream(info.ID, "it now belongs to another service")
 	}
@@ -162,7 +163,7 @@
 }
 
 func (c *controlLoop) removeUpstream(name, reason string) {
-	delete(c.rollouts.held, name)
+	c.releaseUpstream(name)
 	service, known := c.services[name]
 	if !known {
 		return
