--- a/pkg/gateway/contain.go
+++ b/pkg/gateway/contain.go
@@ -99,6 +99,7 @@
 		c.pool(info.Service).SetUpstream(info)
 		c.applyLeaving(info.Process())
 	}
+	c.restoreVersionRules()
 	c.follower.SetRelay("")
 	for _, follower := range c.relay.Followers() {
 		c.cancelDelegated(c.relay.Drop(follower))
--- a/pkg/gateway/rollout_steps_test.go
+++ b/pkg/gateway/rollout_steps_test.go
@@ -367,3 +367,24 @@
 	f.Expect(f.loop.upstreams["old"]).To(Equal(newer))
 	f.Expect(f.place(6)).To(Equal(map[string]int{"old": 6}))
 }
+
+// Failure: the pools are rebuilt after an internal error. Guards against forgetting which
+// versions requests may be sent to: a version on trial, or one that was rolled back, would get
+// all of them.
+func TestRebuiltPoolsKeepVersionRules(t *testing.T) {
+	f := newRolloutFixture(t, rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.Trial, Share: 0.05, Holder: "b"})
+	position := storesync.Position{Revision: f.store.object.Revision}
+	f.loop.useUpstream(admission.UpstreamInfo{ID: "old", Service: "desk", Slots: 8, Version: "v1"}, position)
+	f.loop.useUpstream(admission.UpstreamInfo{ID: "new", Service: "desk", Slots: 8, Version: "v2"}, position)
+	for range 2 {
+		f.loop.rebuild()
+		f.Expect(f.place(6)).To(Equal(map[string]int{"old": 6}))
+		// The second time, the version is rolled back and the order withdrawn.
+		f.order("v2", rollout.Progress{OrderID: "v2", Version: "v2", Stage: rollout.RolledBack, Holder: "b"})
+		f.loop.applyRolloutUpdate(storesync.Update{Deleted: []string{"desk"}, Position: storesync.Position{Revision: f.store.object.Revision + 1}, AsOf: f.now})
+	}
+	f.loop.removeUpstream("old", "its entry was removed")
+	f.loop.useUpstream(admission.UpstreamInfo{ID: "later", Service: "desk", Slots: 8, Version: "v1.1"}, storesync.Position{Revision: f.store.object.Revision + 5})
+	f.loop.rebuild()
+	f.Expect(f.place(6)).To(BeEmpty(), "the upstream of another version is held back")
+}
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -298,6 +298,19 @@
 	c.pool(state.order.Service).SetVersionRule(rule)
 }
 
+// restoreVersionRules sets what new pools must know about the versions of their upstreams.
+func (c *controlLoop) restoreVersionRules() {
+	for service, versions := range c.rollouts.faulty {
+		c.pool(service).SetVersionRule(admission.VersionRule{Faulty: versions})
+	}
+	for _, state := range c.rollouts.states {
+		c.applyVersionRule(state)
+	}
+	for _, held := range c.rollouts.held {
+		c.setHeldVersions(held.info.Service)
+	}
+}
+
 // elapsed returns the time since the order was given: since this instance has seen it or, if
 // it was recorded before, since a former holder had, by the wall clock. That clock may be
 // stepped and is not used otherwise.
