rollout: upstreams are not declared free right after the move of the requests

With requests in progress at the other upstreams, the final stage is now written once full has been in force for 1 s, or shortly before the end of the order, but not within 0.6 s. It may thus be written up to 0.6 s late if the store has delayed full that much.

Test: TestUpstreamsAreNotStoppedRightAfterTheMove.

--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -475,7 +475,7 @@
 	o := rollout.Observation{
 		Elapsed: elapsed, IncumbentInFlight: pool.IncumbentInFlight(), Evidence: state.pooledEvidence(true),
 		Complete: c.rollouts.complete, Minority: c.rollouts.minority,
-		ReaderFor: now - c.rollouts.readerSince, RampLoad: state.rampLoadUntil(now),
+		ReaderFor: now - c.rollouts.readerSince, StageFor: now - state.inForceSince, RampLoad: state.rampLoadUntil(now),
 	}
 	o.CandidateSlots, o.IncumbentSlots = pool.VersionSlots()
 	return o
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -120,6 +120,12 @@
 	// emptySettleTime is how long no request may be in progress at upstreams of other
 	// versions before they may be stopped: the age of the reports of other instances.
 	emptySettleTime = 600 * time.Millisecond
+	// minFullTime is how long the stage Full is in force before the other upstreams may be
+	// stopped with requests in progress. It covers the way of the stage to all instances and
+	// the time of short requests. Close to the end of the duration it is emptySettleTime, as
+	// far as finalWriteTime, for the last write, is then left.
+	minFullTime    = time.Second
+	finalWriteTime = 300 * time.Millisecond
 	// minCapacity is the number of slots of the version, as a part of those of the
 	// upstreams that it replaces, from which it can take over all requests.
 	minCapacity = 0.75
@@ -148,6 +154,8 @@
 	// ReaderFor is the time for which the instance has been the one that decides. A new one
 	// does not have all reports yet.
 	ReaderFor time.Duration
+	// StageFor is the time for which the instance has known the stage to be in force.
+	StageFor time.Duration
 	// RampLoad is the sum, over the time of the ramp, of the share that was in force: 0.2 for
 	// 3 s is 0.6 s.
 	RampLoad time.Duration
@@ -268,12 +276,18 @@
 	switch {
 	case settled:
 		return Step{Stage: Succeeded, Share: 1, Reason: "the upstreams of other versions are empty"}, true
-	case overdue:
+	case overdue && o.Elapsed >= l.earliestStop(o):
 		return Step{Stage: Succeeded, Share: 1, Reason: "the time of the order ends"}, true
 	}
 	return Step{}, false
 }
 
+// earliestStop returns the time before which upstreams with requests are not stopped.
+func (l *Leader) earliestStop(o Observation) time.Duration {
+	since := min(l.stageSince, o.Elapsed-o.StageFor)
+	return min(since+minFullTime, max(l.order.Duration-finalWriteTime, since+emptySettleTime))
+}
+
 // Written states that a step was stored.
 func (l *Leader) Written(step Step, elapsed time.Duration) {
 	l.stage, l.share, l.stageSince = step.Stage, step.Share, elapsed
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -445,3 +445,29 @@
 		g.Expect(due).To(BeFalse(), name)
 	}
 }
+
+// Failure: the last stage but one comes into force shortly before the end of the order, since
+// the store has lost answers. Guards against stopping upstreams to which instances still send
+// requests, as they have not learned of the stage.
+func TestUpstreamsAreNotStoppedRightAfterTheMove(t *testing.T) {
+	g := NewWithT(t)
+	stopsAt := func(since time.Duration, stageFor func(time.Duration) time.Duration) time.Duration {
+		leader := newLeader(rollout.Progress{Stage: rollout.Full, Share: 1}, since)
+		for now := since; now < 2*orderDuration; now += 50 * time.Millisecond {
+			o := rollout.Observation{Elapsed: now, CandidateSlots: 70, Complete: true, Evidence: rollout.NewEvidence(), IncumbentInFlight: 3, StageFor: stageFor(now)}
+			if step, due := leader.Next(o); due {
+				g.Expect(step.Stage).To(Equal(rollout.Succeeded))
+				return now
+			}
+		}
+		return 0
+	}
+	sinceTakeover := func(time.Duration) time.Duration { return 0 }
+	// The time of the order is 15 s, its last part of 1.2 s is for the final write.
+	g.Expect(stopsAt(10*time.Second, sinceTakeover)).To(Equal(13800 * time.Millisecond))
+	g.Expect(stopsAt(13500*time.Millisecond, sinceTakeover)).To(Equal(14500 * time.Millisecond))
+	g.Expect(stopsAt(13900*time.Millisecond, sinceTakeover)).To(Equal(14700 * time.Millisecond))
+	g.Expect(stopsAt(14700*time.Millisecond, sinceTakeover)).To(Equal(15300 * time.Millisecond))
+	// A holder that takes over does not start the time anew.
+	g.Expect(stopsAt(14*time.Second, func(now time.Duration) time.Duration { return now - 12*time.Second })).To(Equal(14 * time.Second))
+}
