rollout: a late ramp may end until shortly before the end of the order

A ramp that has sent the version enough requests may now end until 0.9 s before the end: the time in which full must be in force, and that for the last write.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -210,9 +210,10 @@
 		}
 	case Ramp:
 		switch {
-		case overdue || !l.mayTakeMore(o):
-		case l.lateRampDone(o):
+		case !l.mayTakeMore(o):
+		case l.lateRampDone(o) && o.Elapsed < l.order.Duration-finalWriteTime-emptySettleTime:
 			return Step{Stage: Full, Share: 1, Reason: "the ramp has shown no fault in fewer and longer steps"}, true
+		case overdue:
 		case o.Elapsed-l.stageSince >= l.rampStep():
 			return l.afterRampStep(), true
 		}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -431,6 +431,14 @@
 		g.Expect(due).To(BeTrue())
 		g.Expect(step.Stage).To(Equal(rollout.Full))
 	}
+	// After 13.8 s, the version would be rolled back otherwise; 0.9 s are needed after the step.
+	for elapsed, expected := range map[time.Duration]rollout.Stage{14 * time.Second: rollout.Full, 14200 * time.Millisecond: rollout.RolledBack} {
+		o := late
+		o.Elapsed = elapsed
+		step, due := newLeader(rollout.Progress{Stage: rollout.Ramp, Share: 0.4}, elapsed-100*time.Millisecond).Next(o)
+		g.Expect(due).To(BeTrue())
+		g.Expect(step.Stage).To(Equal(expected), "at %s", elapsed)
+	}
 	for name, change := range map[string]func(*rollout.Observation){
 		"in time":                           func(o *rollout.Observation) { o.Elapsed = 11 * time.Second },
 		"few requests at the version":       func(o *rollout.Observation) { o.RampLoad = 500 * time.Millisecond },
