poison: suspicions without room in a report are in the next one

Cause: a report of changes holds 32 suspicions, and the cursor passed over the others. They waited for a full report, which holds the 32 most important ones of all, so that other instances learned late or never of a crash that left many suspects behind.

Change: the cursor keeps what found no room, and the next reports have it. Full reports are as before.

Result: TestSuspicionsWithoutRoomAreInTheNextReport (100 suspicions, four reports) fails before and passes.

--- a/pkg/poison/exchange.go
+++ b/pkg/poison/exchange.go
@@ -31,23 +31,36 @@
 // Cursor marks what a group of receivers was sent.
 type Cursor struct {
 	change uint64
+	// left holds what had changed but found no room in the reports up to then.
+	left map[Fingerprint]struct{}
 }
 
 // Export returns the suspicions to report, the most important first: all, or those that
 // have changed since the last export with the cursor. With ownOnly these are limited to
 // those that have changed by what this instance itself has observed.
 func (d *Detector) Export(now time.Duration, cursor *Cursor, full, ownOnly bool) []Suspicion {
-	since := cursor.change
-	cursor.change = d.changes
-	selected := d.sorted(now, func(s *suspicion) bool {
+	since, left := cursor.change, cursor.left
+	cursor.change, cursor.left = d.changes, nil
+	changed := func(fingerprint Fingerprint, s *suspicion) bool {
 		change := s.change
 		if ownOnly {
 			change = s.ownChange
 		}
-		return full || change > since
-	})
+		_, found := left[fingerprint]
+		return found || change > since
+	}
+	selected := d.sorted(now, func(fingerprint Fingerprint, s *suspicion) bool { return full || changed(fingerprint, s) })
+	reported := min(maxReported, len(selected))
+	for _, fingerprint := range selected[reported:] {
+		if changed(fingerprint, d.suspicions[fingerprint]) {
+			if cursor.left == nil {
+				cursor.left = map[Fingerprint]struct{}{}
+			}
+			cursor.left[fingerprint] = struct{}{}
+		}
+	}
 	var exported []Suspicion
-	for _, fingerprint := range selected[:min(maxReported, len(selected))] {
+	for _, fingerprint := range selected[:reported] {
 		s := d.suspicions[fingerprint]
 		e := Suspicion{Fingerprint: fingerprint, Epoch: s.epoch, Age: now - s.changedAt, Blocks: s.blocks, BlockTime: max(0, s.blockedUntil-now)}
 		for _, c := range s.crashes {
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -330,10 +330,10 @@
 }
 
 // sorted returns the fingerprints for which keep returns true, the most important first.
-func (d *Detector) sorted(now time.Duration, keep func(*suspicion) bool) []Fingerprint {
+func (d *Detector) sorted(now time.Duration, keep func(Fingerprint, *suspicion) bool) []Fingerprint {
 	var selected []Fingerprint
 	for fingerprint, s := range d.suspicions {
-		if !s.expired(now) && keep(s) {
+		if !s.expired(now) && keep(fingerprint, s) {
 			selected = append(selected, fingerprint)
 		}
 	}
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -282,6 +282,29 @@
 	g.Expect(exported[0].Blocks).To(Equal(1), "the block is reported first")
 }
 
+// One crash leaves more suspects behind than a report holds. Guards against suspects that
+// other instances learn of with the next full report, or never.
+func TestSuspicionsWithoutRoomAreInTheNextReport(t *testing.T) {
+	g := NewWithT(t)
+	d := newDetector()
+	for i := range 100 {
+		d.RecordCrash(time.Second+time.Duration(i)*time.Millisecond, uint32(i), parts(fmt.Sprint("part ", i)))
+	}
+	var cursor poison.Cursor
+	reported := map[poison.Fingerprint]bool{}
+	for range 4 {
+		exported := d.Export(2*time.Second, &cursor, false, true)
+		g.Expect(len(exported)).To(BeNumerically("<=", 32))
+		for _, s := range exported {
+			reported[s.Fingerprint] = true
+		}
+	}
+	for i := range 100 {
+		g.Expect(reported).To(HaveKey(part(fmt.Sprint("part ", i)).Fingerprint))
+	}
+	g.Expect(d.Export(2*time.Second, &cursor, false, true)).To(BeEmpty())
+}
+
 // fleet plays requests with a poison part at random instances, on virtual time.
 type fleet struct {
 	detectors []*poison.Detector
