poison: the report of an ended block moves no trial

Cause: a block that had ended at the sender was taken for one that ends now, which is later than the end known to the receiver, and moved its trial to that moment. One second after a block all instances that got a report tried a request at once.

Change: a report of a block without time left moves nothing. The delay of a trial counts from the shortest block if the reported rest is shorter.

Result: TestReportOfAnEndedBlockMovesNoTrial fails before and passes.

--- a/pkg/poison/exchange.go
+++ b/pkg/poison/exchange.go
@@ -102,10 +102,11 @@
 			changed = true
 		}
 	}
-	laterEnd := now+reported.BlockTime > s.blockedUntil+blockTimeTolerance
+	// A block that has ended at the sender has no later end than the one known here.
+	laterEnd := reported.BlockTime > 0 && now+reported.BlockTime > s.blockedUntil+blockTimeTolerance
 	if reported.Blocks > s.blocks || (reported.Blocks > 0 && reported.Blocks == s.blocks && laterEnd) {
 		s.blocks = reported.Blocks
-		s.setBlock(now, reported.BlockTime, d.trialDelay(reported.BlockTime))
+		s.setBlock(now, reported.BlockTime, d.trialDelay(max(reported.BlockTime, minBlockTime)))
 		d.events = append(d.events, Event{Fingerprint: reported.Fingerprint, Name: s.name, Blocked: true, Crashes: len(s.crashes), BlockTime: reported.BlockTime, Source: source})
 		changed = true
 	}
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -305,6 +305,20 @@
 	g.Expect(d.Export(2*time.Second, &cursor, false, true)).To(BeEmpty())
 }
 
+// Reports of a block go on after its end, and the instances try requests one after the
+// other. Guards against a report that makes its receiver try one at once.
+func TestReportOfAnEndedBlockMovesNoTrial(t *testing.T) {
+	g := NewWithT(t)
+	detectors := []*poison.Detector{newDetector(), poison.NewDetector(func(block time.Duration) time.Duration { return block / 3 })}
+	now := crashThrice(detectors[0], parts("poison"))
+	g.Expect(blocked(detectors[0], now, "poison")).To(BeTrue())
+	exchange(t, now, detectors)
+	now += 32 * time.Second
+	exchange(t, now, detectors)
+	g.Expect(blocked(detectors[1], now, "poison")).To(BeTrue(), "its trial is 10 s after the block")
+	g.Expect(blocked(detectors[1], now+9*time.Second, "poison")).To(BeFalse())
+}
+
 // fleet plays requests with a poison part at random instances, on virtual time.
 type fleet struct {
 	detectors []*poison.Detector
