poison, gateway: other instances wait for the result of a trial

Cause: after a block each instance tries a request by itself, and several did within the time that the crash of the first trial took to become known.

Change: the instance that tries one reports the block as lasting for trialTimeout, with its next report at once. The others then wait. Its own verdict is as before. No message has changed its form.

Result: TestTrialIsLeftToTheInstanceThatBeganIt fails before and passes.

--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -85,7 +85,13 @@
 	reply  chan poison.Verdict
 }
 
-func (m admitMsg) apply(c *controlLoop) { m.reply <- c.poison.Admit(c.g.now(), m.traits) }
+func (m admitMsg) apply(c *controlLoop) {
+	verdict := c.poison.Admit(c.g.now(), m.traits)
+	if verdict.Trial {
+		c.markReportsChanged()
+	}
+	m.reply <- verdict
+}
 
 // crashMsg records a crash of an upstream.
 type crashMsg struct {
--- a/pkg/poison/exchange.go
+++ b/pkg/poison/exchange.go
@@ -17,7 +17,8 @@
 	Age     time.Duration
 	Crashes []Crash
 	// Blocks counts how often in a row the fingerprint was blocked, and BlockTime is the
-	// rest of the time for which it is.
+	// rest of the time for which it is, or for which the sender waits for the result of a
+	// trial.
 	Blocks    int
 	BlockTime time.Duration
 }
@@ -62,7 +63,7 @@
 	var exported []Suspicion
 	for _, fingerprint := range selected[:reported] {
 		s := d.suspicions[fingerprint]
-		e := Suspicion{Fingerprint: fingerprint, Epoch: s.epoch, Age: now - s.changedAt, Blocks: s.blocks, BlockTime: max(0, s.blockedUntil-now)}
+		e := Suspicion{Fingerprint: fingerprint, Epoch: s.epoch, Age: now - s.changedAt, Blocks: s.blocks, BlockTime: max(0, s.blockedUntil-now, s.triedUntil-now)}
 		for _, c := range s.crashes {
 			e.Crashes = append(e.Crashes, Crash{Process: c.process, Age: now - c.at})
 		}
@@ -103,7 +104,7 @@
 		}
 	}
 	// A block that has ended at the sender has no later end than the one known here.
-	laterEnd := reported.BlockTime > 0 && now+reported.BlockTime > s.blockedUntil+blockTimeTolerance
+	laterEnd := reported.BlockTime > 0 && now+reported.BlockTime > max(s.blockedUntil, s.triedUntil)+blockTimeTolerance
 	if reported.Blocks > s.blocks || (reported.Blocks > 0 && reported.Blocks == s.blocks && laterEnd) {
 		s.blocks = reported.Blocks
 		s.setBlock(now, reported.BlockTime, d.trialDelay(max(reported.BlockTime, minBlockTime)))
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -86,6 +86,8 @@
 	blocks       int
 	blockedUntil time.Duration
 	trialAt      time.Duration
+	// triedUntil is the time until which the other instances leave the trial to this one.
+	triedUntil time.Duration
 	// change is the number of the last change, and ownChange that of the last one that
 	// this instance has itself observed.
 	change, ownChange uint64
@@ -160,7 +162,7 @@
 	if s.blocks > 0 {
 		d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Crashes: len(s.crashes), Source: source})
 	}
-	s.epoch, s.crashes, s.blocks, s.blockedUntil, s.trialAt, s.changedAt = epoch, nil, 0, 0, 0, now
+	s.epoch, s.crashes, s.blocks, s.blockedUntil, s.trialAt, s.triedUntil, s.changedAt = epoch, nil, 0, 0, 0, 0, now
 }
 
 // add adds a crash and returns false if it is known already or not needed.
@@ -254,7 +256,7 @@
 
 func (s *suspicion) setBlock(now, blockTime, trialDelay time.Duration) {
 	s.blockedUntil = now + blockTime
-	s.trialAt = s.blockedUntil + trialDelay
+	s.trialAt, s.triedUntil = s.blockedUntil+trialDelay, 0
 }
 
 // Verdict states whether a request may be sent.
@@ -271,7 +273,8 @@
 }
 
 // Admit decides whether a request with these traits may be sent. After the end of a block
-// it lets a single request through, whose answer or crash decides about the others.
+// it lets a single request through, whose answer or crash decides about the others. The
+// other instances should learn of it at once, so that they wait for the result.
 func (d *Detector) Admit(now time.Duration, traits []Trait) Verdict {
 	var tried []*suspicion
 	for _, trait := range traits {
@@ -292,7 +295,8 @@
 		}
 	}
 	for _, s := range tried {
-		s.trialAt = now + trialTimeout
+		s.trialAt, s.triedUntil = now+trialTimeout, now+trialTimeout
+		d.markChanged(s, true)
 	}
 	return Verdict{Trial: len(tried) > 0}
 }
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -319,6 +319,30 @@
 	g.Expect(blocked(detectors[1], now+9*time.Second, "poison")).To(BeFalse())
 }
 
+// The block has ended, and each of three instances may try a request. Guards against requests
+// that are tried at several instances at once, each of which crashes an upstream.
+func TestTrialIsLeftToTheInstanceThatBeganIt(t *testing.T) {
+	g := NewWithT(t)
+	detectors := []*poison.Detector{newDetector(), newDetector(), newDetector()}
+	now := crashThrice(detectors[0], parts("poison"))
+	g.Expect(blocked(detectors[0], now, "poison")).To(BeTrue())
+	exchange(t, now, detectors)
+	now += 31 * time.Second
+	g.Expect(detectors[1].Admit(now, parts("poison")).Trial).To(BeTrue())
+	exchange(t, now, detectors)
+	now += 500 * time.Millisecond
+	g.Expect(blocked(detectors[0], now, "poison")).To(BeTrue())
+	g.Expect(blocked(detectors[2], now, "poison")).To(BeTrue())
+	detectors[1].RecordCrash(now, 100, parts("poison"))
+	exchange(t, now, detectors)
+	for _, d := range detectors {
+		g.Expect(blocked(d, now+59*time.Second, "poison")).To(BeTrue(), "the second block is longer")
+	}
+	g.Expect(detectors[0].Admit(now+61*time.Second, parts("poison")).Trial).To(BeTrue())
+	exchange(t, now+61*time.Second, detectors)
+	g.Expect(detectors[2].Admit(now+90*time.Second, parts("poison")).Trial).To(BeTrue(), "the trial had no result")
+}
+
 // fleet plays requests with a poison part at random instances, on virtual time.
 type fleet struct {
 	detectors []*poison.Detector
