poison: parts of the same crashes are told apart

Cause: each part was convicted by itself. A sound first part that was in the same three crashes as a deadly part was blocked with it, and no request was let through that could clear it.

Change: a part that any instance has seen answered before is blocked at five crashes, and not if parts without such answers, or with all of its crashes and further ones, explain them; a block that is explained ends at once. A request that has one of two parts of the same crashes and lacks the other is let through, one in 3 s at an instance. All traits of a request are judged before it is refused, so that parts of the same crashes are blocked together.

--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -170,8 +170,9 @@
 			decoded.Crashes = append(decoded.Crashes, poison.Crash{Process: crash.Process, Age: fromMs(crash.AgeMs)})
 		}
 		if c.poison.Merge(now, source, decoded) {
-			// The summary for the other failure domains has changed as well.
-			c.remoteReports.changed = true
+			// The summary for the other failure domains has changed as well, and this
+			// instance may know of an earlier answer.
+			c.markReportsChanged()
 		}
 	}
 }
--- a/pkg/poison/exchange.go
+++ b/pkg/poison/exchange.go
@@ -108,11 +108,11 @@
 	if reported.Blocks > s.blocks || (reported.Blocks > 0 && reported.Blocks == s.blocks && laterEnd) {
 		s.blocks = reported.Blocks
 		s.setBlock(now, reported.BlockTime, d.trialDelay(max(reported.BlockTime, minBlockTime)))
-		d.events = append(d.events, Event{Fingerprint: reported.Fingerprint, Name: s.name, Blocked: true, Crashes: len(s.crashes), BlockTime: reported.BlockTime, Source: source})
+		d.events = append(d.events, Event{Fingerprint: reported.Fingerprint, Name: s.name, Blocked: true, Crashes: s.count(reported.Fingerprint), BlockTime: reported.BlockTime, Source: source})
 		changed = true
 	}
 	if changed {
 		d.markChanged(s, false)
 	}
-	return changed
+	return d.noteEarlierAnswer(now, reported.Fingerprint, s) || changed
 }
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -5,8 +5,9 @@
 // fingerprint of a request whose answer had not begun becomes a suspect: the whole
 // content, which only copies of the request share, and each part of its prompt, which
 // unlike requests share. A fingerprint is blocked once several crashes have it as a
-// suspect and no request with it was answered since the first of them. Instances
-// exchange the suspicions, in any order and any number of times.
+// suspect and no request with it was answered since the first of them. Parts that were in
+// the same crashes are told apart by their answers, before the crashes and since
+// (contrast.go). Instances exchange the suspicions, in any order and any number of times.
 //
 // The package has no I/O and reads no clock: callers pass the time.
 package poison
@@ -28,6 +29,15 @@
 	// upstream are from the same crash, which instances notice at different times. Later
 	// ones are from a process that has the same ID and whose start is not known yet.
 	restartTime = 3 * time.Second
+	// crashThresholdAnswered is the number of crashes from which a shared fingerprint is
+	// blocked that was answered before them. It is more likely to have been beside the
+	// cause, which then reaches the threshold first.
+	crashThresholdAnswered = 5
+	// maxCrashes bounds the crashes that are kept of a fingerprint, and maxCrashesAtOnce
+	// those within minCrashInterval. Crashes that do not count towards the threshold tell
+	// the fingerprints of the same crashes apart.
+	maxCrashes       = 10
+	maxCrashesAtOnce = 2
 	// minOtherAnswers is the number of answers to requests without a shared fingerprint
 	// that must have begun since its first crash. If the service answers no requests, its
 	// requests are not the cause.
@@ -73,9 +83,10 @@
 // suspicion is what is known about a fingerprint.
 type suspicion struct {
 	name string
-	// epoch grows each time that an answer has refuted the suspicion.
+	// epoch grows each time that an answer has refuted the suspicion. It is also above 0 if
+	// an answer was recorded shortly before the first crash.
 	epoch uint16
-	// crashes holds up to crashThreshold distinct crashes of the epoch.
+	// crashes holds up to maxCrashes distinct crashes of the epoch.
 	crashes []crash
 	// answersBefore is the number of answers of the service when the first crash became
 	// known here.
@@ -88,6 +99,12 @@
 	trialAt      time.Duration
 	// triedUntil is the time until which the other instances leave the trial to this one.
 	triedUntil time.Duration
+	// contrastAt is the time from which another request may be sent to tell the
+	// fingerprint from those of the same crashes.
+	contrastAt time.Duration
+	// explained is true while the block does not hold since another fingerprint explains
+	// the crashes.
+	explained bool
 	// change is the number of the last change, and ownChange that of the last one that
 	// this instance has itself observed.
 	change, ownChange uint64
@@ -97,8 +114,9 @@
 type Detector struct {
 	suspicions map[Fingerprint]*suspicion
 	// answers counts the answers that have begun, by service.
-	answers map[uint32]int
-	changes uint64
+	answers  map[uint32]int
+	changes  uint64
+	answered answerHistory
 	// trialDelay returns how long after the end of a block of the given length this
 	// instance lets a request through.
 	trialDelay func(block time.Duration) time.Duration
@@ -137,6 +155,7 @@
 			s.changedAt = now
 			d.markChanged(s, true)
 		}
+		d.noteEarlierAnswer(now, trait.Fingerprint, s)
 		if s.blocks > 0 && now >= s.blockedUntil {
 			d.block(now, trait.Fingerprint, s)
 		}
@@ -148,6 +167,9 @@
 func (d *Detector) RecordAnswer(now time.Duration, service uint32, traits []Trait) {
 	d.answers[service]++
 	for _, trait := range traits {
+		if trait.Shared {
+			d.answered.record(now, trait.Fingerprint)
+		}
 		s := d.suspicions[trait.Fingerprint]
 		if s == nil || (len(s.crashes) == 0 && s.blocks == 0) {
 			continue
@@ -160,26 +182,67 @@
 // release drops all crashes known so far.
 func (d *Detector) release(now time.Duration, fingerprint Fingerprint, s *suspicion, epoch uint16, source string) {
 	if s.blocks > 0 {
-		d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Crashes: len(s.crashes), Source: source})
+		d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Crashes: s.count(fingerprint), Source: source})
 	}
-	s.epoch, s.crashes, s.blocks, s.blockedUntil, s.trialAt, s.triedUntil, s.changedAt = epoch, nil, 0, 0, 0, 0, now
+	s.epoch, s.crashes, s.changedAt = epoch, nil, now
+	s.endBlock()
+}
+
+func (s *suspicion) endBlock() {
+	s.blocks, s.blockedUntil, s.trialAt, s.triedUntil, s.contrastAt, s.explained = 0, 0, 0, 0, 0, false
 }
 
 // add adds a crash and returns false if it is known already or not needed.
 func (s *suspicion) add(added crash, shared bool) bool {
-	if len(s.crashes) >= crashThreshold {
+	if len(s.crashes) >= maxCrashes {
 		return false
 	}
+	atOnce := 0
 	for _, known := range s.crashes {
-		apart := (added.at - known.at).Abs()
-		if (known.process == added.process && apart < restartTime) || (shared && apart < minCrashInterval) {
+		if known.same(added) {
 			return false
 		}
+		if (known.at - added.at).Abs() < minCrashInterval {
+			atOnce++
+		}
+	}
+	if shared && atOnce >= maxCrashesAtOnce {
+		return false
 	}
 	s.crashes = append(s.crashes, added)
 	return true
 }
 
+// same reports whether two observations are of one crash.
+func (c crash) same(other crash) bool {
+	return c.process == other.process && (c.at-other.at).Abs() < restartTime
+}
+
+// count returns the number of crashes that count towards the threshold.
+func (s *suspicion) count(fingerprint Fingerprint) int {
+	if !fingerprint.Shared {
+		return len(s.crashes)
+	}
+	times := make([]time.Duration, 0, maxCrashes)
+	for _, c := range s.crashes {
+		times = append(times, c.at)
+	}
+	slices.Sort(times)
+	return countApart(times)
+}
+
+// countApart returns how many of the sorted times are minCrashInterval after the last one
+// that counts.
+func countApart(times []time.Duration) int {
+	count, last := 0, time.Duration(0)
+	for _, at := range times {
+		if count == 0 || at-last >= minCrashInterval {
+			count, last = count+1, at
+		}
+	}
+	return count
+}
+
 // suspicion returns the suspicion of a fingerprint and creates it if there is none.
 func (d *Detector) suspicion(now time.Duration, fingerprint Fingerprint) *suspicion {
 	s := d.suspicions[fingerprint]
@@ -238,20 +301,28 @@
 }
 
 // convicted reports whether the crashes show that requests with the fingerprint are their
-// cause.
+// cause, if no other fingerprint is.
 func (d *Detector) convicted(fingerprint Fingerprint, s *suspicion) bool {
-	if len(s.crashes) < crashThreshold {
+	if s.count(fingerprint) < s.threshold(fingerprint) {
 		return false
 	}
 	return !fingerprint.Shared || d.answers[fingerprint.Service]-s.answersBefore >= minOtherAnswers
 }
 
+// threshold returns the number of crashes from which the fingerprint is blocked.
+func (s *suspicion) threshold(fingerprint Fingerprint) int {
+	if fingerprint.Shared && s.epoch > 0 {
+		return crashThresholdAnswered
+	}
+	return crashThreshold
+}
+
 func (d *Detector) block(now time.Duration, fingerprint Fingerprint, s *suspicion) {
 	blockTime := min(maxBlockTime, minBlockTime<<min(s.blocks, 8))
 	s.blocks++
 	s.setBlock(now, blockTime, d.trialDelay(blockTime))
 	d.markChanged(s, true)
-	d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Blocked: true, Crashes: len(s.crashes), BlockTime: blockTime})
+	d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Blocked: true, Crashes: s.count(fingerprint), BlockTime: blockTime})
 }
 
 func (s *suspicion) setBlock(now, blockTime, trialDelay time.Duration) {
@@ -276,29 +347,45 @@
 // it lets a single request through, whose answer or crash decides about the others. The
 // other instances should learn of it at once, so that they wait for the result.
 func (d *Detector) Admit(now time.Duration, traits []Trait) Verdict {
-	var tried []*suspicion
+	var tried, contrasted []*suspicion
+	var refused Verdict
 	for _, trait := range traits {
 		s := d.suspicions[trait.Fingerprint]
-		if s == nil || s.expired(now) {
+		if s == nil || s.expired(now) || (s.blocks == 0 && !d.convicted(trait.Fingerprint, s)) {
 			continue
 		}
-		if s.blocks == 0 && d.convicted(trait.Fingerprint, s) {
-			s.name = trait.Name
+		s.name = trait.Name
+		explained := d.explained(now, trait.Fingerprint, s)
+		switch {
+		case s.blocks == 0 && explained:
+			continue
+		case s.blocks == 0:
 			d.block(now, trait.Fingerprint, s)
+		case s.explained != explained:
+			s.explained = explained
+			d.events = append(d.events, Event{Fingerprint: trait.Fingerprint, Name: s.name, Blocked: !explained, Crashes: s.count(trait.Fingerprint), BlockTime: max(0, s.blockedUntil-now)})
 		}
 		switch {
-		case s.blocks == 0:
-		case now < s.trialAt:
-			return Verdict{Blocked: true, Name: trait.Name, Crashes: len(s.crashes), RetryAfter: max(s.blockedUntil, now+trialTimeout) - now}
-		default:
+		case explained:
+		case now >= s.trialAt:
 			tried = append(tried, s)
+		case now >= s.contrastAt && d.lacksRival(now, trait.Fingerprint, s, traits):
+			contrasted = append(contrasted, s)
+		case !refused.Blocked:
+			refused = Verdict{Blocked: true, Name: trait.Name, Crashes: s.count(trait.Fingerprint), RetryAfter: max(s.blockedUntil, now+trialTimeout) - now}
 		}
 	}
+	if refused.Blocked {
+		return refused
+	}
 	for _, s := range tried {
 		s.trialAt, s.triedUntil = now+trialTimeout, now+trialTimeout
 		d.markChanged(s, true)
 	}
-	return Verdict{Trial: len(tried) > 0}
+	for _, s := range contrasted {
+		s.contrastAt = now + contrastTimeout
+	}
+	return Verdict{Trial: len(tried)+len(contrasted) > 0}
 }
 
 // Watched returns the fingerprints that may be blocked. Requests with other fingerprints
@@ -307,7 +394,7 @@
 	if d.watched == nil {
 		d.watched = map[Fingerprint]struct{}{}
 		for fingerprint, s := range d.suspicions {
-			if s.blocks > 0 || len(s.crashes) >= crashThreshold {
+			if s.blocks > 0 || s.count(fingerprint) >= s.threshold(fingerprint) {
 				d.watched[fingerprint] = struct{}{}
 			}
 		}
@@ -319,7 +406,7 @@
 func (d *Detector) BlockedCount(now time.Duration) int {
 	count := 0
 	for _, s := range d.suspicions {
-		if s.blocks > 0 && !s.expired(now) {
+		if s.blocks > 0 && !s.explained && !s.expired(now) {
 			count++
 		}
 	}
