poison, gateway: answers of all instances count against a part

Cause: a part was blocked only after three answers to other requests that the instance itself had seen since the first crash. Releases waited for the next report, unless something else made one due.

Change: a fingerprint that all requests of a service share is a suspect at each crash, and any answer releases it; its epoch tells all instances that the service answers. Two answered crashes stand for three answers of the instance's own. If nothing is answered, a part that is in all of five crashes over 15 s or more is blocked. The first answer after a crash, and the merging of a suspicion, make the next report due.

Result: TestAnswersOfOtherInstancesCount, TestPartIsBlockedIfNoOtherRequestsCome and TestAnswerAfterACrashIsReportedAtOnce fail before and pass.

--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -112,7 +112,9 @@
 }
 
 func (m answerMsg) apply(c *controlLoop) {
-	c.poison.RecordAnswer(c.g.now(), loadshare.ShortHash(m.service), m.traits)
+	if c.poison.RecordAnswer(c.g.now(), loadshare.ShortHash(m.service), m.traits) {
+		c.markReportsChanged()
+	}
 }
 
 func newPoisonDetector(g *Gateway) *poison.Detector {
--- a/pkg/gateway/reports_test.go
+++ b/pkg/gateway/reports_test.go
@@ -115,3 +115,22 @@
 	admitMsg{traits: []poison.Trait{part}, reply: reply}.apply(c)
 	g.Expect((<-reply).Blocked).To(BeTrue())
 }
+
+// An upstream crashes while it runs requests, and then a request with the same part of the
+// prompt is answered. Guards against telling the other instances, which may refuse such
+// requests, of the answer with the next periodic report only.
+func TestAnswerAfterACrashIsReportedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	c := newTestControlLoop(t, &now, true)
+	part := poison.Trait{Fingerprint: poison.Fingerprint{Service: loadshare.ShortHash("desk"), Hash: 1, Shared: true}, Name: "part"}
+	crashMsg{process: admission.Process{ID: "u1", Incarnation: 1}, traits: []poison.Trait{part}}.apply(c)
+	g.Expect(c.localReports.changed).To(BeTrue())
+	c.localReports.changed, c.remoteReports.changed = false, false
+	answerMsg{service: "desk", traits: []poison.Trait{part}}.apply(c)
+	g.Expect(c.localReports.changed).To(BeTrue())
+	g.Expect(c.remoteReports.changed).To(BeTrue())
+	c.localReports.changed = false
+	answerMsg{service: "desk", traits: []poison.Trait{part}}.apply(c)
+	g.Expect(c.localReports.changed).To(BeFalse(), "an answer that tells nothing new is not reported")
+}
--- a/pkg/poison/contrast.go
+++ b/pkg/poison/contrast.go
@@ -61,6 +61,31 @@
 	return true
 }
 
+// anyRequest returns the fingerprint that all requests to a service share. Its epoch tells
+// all instances that the service has answered a request since a crash. No request is
+// refused for it.
+func anyRequest(service uint32) Fingerprint { return Fingerprint{Service: service, Shared: true} }
+
+func (d *Detector) recordServiceCrash(now time.Duration, service uint32, process uint32) {
+	s := d.suspicion(now, anyRequest(service))
+	if s.add(crash{process: process, at: now}, true) {
+		s.changedAt = now
+		d.markChanged(s, true)
+	}
+}
+
+// recordServiceAnswer reports whether the answer is the first since a crash.
+func (d *Detector) recordServiceAnswer(now time.Duration, service uint32) bool {
+	s := d.suspicions[anyRequest(service)]
+	if s == nil || len(s.crashes) == 0 {
+		return false
+	}
+	d.release(now, anyRequest(service), s, s.epoch+1, "")
+	d.answeredCrashes[service]++
+	d.markChanged(s, true)
+	return true
+}
+
 // unshared returns the number of crashes that the other suspicion does not have.
 func (s *suspicion) unshared(other *suspicion) int {
 	count := 0
@@ -99,7 +124,7 @@
 	}
 	var causes []*suspicion
 	for other, o := range d.suspicions {
-		if other.Shared && other.Service == fingerprint.Service && o != s &&
+		if other.Shared && other.Service == fingerprint.Service && o != s && other != anyRequest(other.Service) &&
 			!o.expired(now) && (o.blocks > 0 || d.convicted(other, o)) && o.outranks(s) {
 			causes = append(causes, o)
 		}
@@ -127,7 +152,7 @@
 		has[trait.Fingerprint] = true
 	}
 	for other, o := range d.suspicions {
-		if other.Shared && other.Service == fingerprint.Service && !has[other] &&
+		if other.Shared && other.Service == fingerprint.Service && !has[other] && other != anyRequest(other.Service) &&
 			!o.expired(now) && len(o.crashes) > 1 && !s.outranks(o) && s.unshared(o) <= maxUnsharedCrashes {
 			return true
 		}
--- a/pkg/poison/contrast_test.go
+++ b/pkg/poison/contrast_test.go
@@ -141,3 +141,58 @@
 	}
 	return false
 }
+
+// Load pattern: a poisonous and a sound request a second, at six instances in turn, so that
+// each of them sees a sound one in six seconds. Guards against instances that wait for
+// three answers of their own.
+func TestAnswersOfOtherInstancesCount(t *testing.T) {
+	g := NewWithT(t)
+	var detectors []*poison.Detector
+	for range 6 {
+		detectors = append(detectors, newDetector())
+	}
+	now := time.Duration(0)
+	crashes := 0
+	for i := range 10 {
+		now += 500 * time.Millisecond
+		if d := detectors[(i+3)%6]; !blocked(d, now, "first", "poison") {
+			crashes++
+			d.RecordCrash(now, uint32(i), parts("first", "poison", fmt.Sprint("own ", i)))
+			exchange(t, now, detectors)
+		}
+		now += 500 * time.Millisecond
+		detectors[i%6].RecordAnswer(now, service, parts("first", fmt.Sprint("sound ", i)))
+		exchange(t, now, detectors)
+	}
+	g.Expect(crashes).To(Equal(3))
+}
+
+// Load pattern: only poisonous requests come, one in ten seconds. Guards against crashes
+// that go on since no other request is answered.
+func TestPartIsBlockedIfNoOtherRequestsCome(t *testing.T) {
+	g := NewWithT(t)
+	d := newDetector()
+	for i := range 5 {
+		at := time.Duration(i+1) * 10 * time.Second
+		g.Expect(blocked(d, at, "poison")).To(BeFalse())
+		d.RecordCrash(at, uint32(i), parts("poison", fmt.Sprint("own ", i)))
+	}
+	g.Expect(blocked(d, 60*time.Second, "poison")).To(BeTrue())
+}
+
+// All requests of a service crash their upstreams for 30 s, and half of them have the same
+// part. Guards against refusing these when the service is back.
+func TestLongOutageOfTheServiceBlocksNothing(t *testing.T) {
+	g := NewWithT(t)
+	d := newDetector()
+	for i := range 30 {
+		name := "first"
+		if i%2 == 1 {
+			name = fmt.Sprint("other ", i)
+		}
+		d.RecordCrash(time.Duration(i+1)*time.Second, uint32(i), parts(name))
+	}
+	g.Expect(blocked(d, 31*time.Second, "first")).To(BeFalse())
+	d.RecordAnswer(32*time.Second, service, parts("unrelated"))
+	g.Expect(blocked(d, 33*time.Second, "first")).To(BeFalse(), "the service is back")
+}
--- a/pkg/poison/exchange.go
+++ b/pkg/poison/exchange.go
@@ -92,6 +92,9 @@
 	}
 	changed := false
 	if reported.Epoch > s.epoch {
+		if reported.Fingerprint == anyRequest(reported.Fingerprint.Service) {
+			d.answeredCrashes[reported.Fingerprint.Service]++
+		}
 		d.release(now-reported.Age, reported.Fingerprint, s, reported.Epoch, source)
 		changed = true
 	}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -42,6 +42,16 @@
 	// that must have begun since its first crash. If the service answers no requests, its
 	// requests are not the cause.
 	minOtherAnswers = 3
+	// minAnsweredCrashes is the number of crashes of the service after which any instance
+	// has seen an answer of it, that replaces minOtherAnswers. With few requests an
+	// instance sees one answer in many seconds.
+	minAnsweredCrashes = 2
+	// unansweredCrashes and unansweredTime are the number of crashes, and the time between
+	// the first and the last, from which a shared fingerprint is blocked although the
+	// service answers no other requests. Outages in which upstreams crash one after
+	// another are shorter.
+	unansweredCrashes = 5
+	unansweredTime    = 15 * time.Second
 	// suspicionTTL is how long a suspicion lasts without a further crash. Callers repeat
 	// such requests within a minute.
 	suspicionTTL = time.Minute
@@ -88,10 +98,10 @@
 	epoch uint16
 	// crashes holds up to maxCrashes distinct crashes of the epoch.
 	crashes []crash
-	// answersBefore is the number of answers of the service when the first crash became
-	// known here.
-	answersBefore int
-	changedAt     time.Duration
+	// answersBefore and answeredCrashesBefore are the numbers of answers and of answered
+	// crashes of the service when the first crash became known here.
+	answersBefore, answeredCrashesBefore int
+	changedAt                            time.Duration
 	// blocks counts how often in a row the fingerprint was blocked, last until
 	// blockedUntil. From trialAt on, a single request may be sent.
 	blocks       int
@@ -114,9 +124,12 @@
 type Detector struct {
 	suspicions map[Fingerprint]*suspicion
 	// answers counts the answers that have begun, by service.
-	answers  map[uint32]int
-	changes  uint64
-	answered answerHistory
+	answers map[uint32]int
+	// answeredCrashes counts, by service, the crashes after which an instance has recorded
+	// an answer.
+	answeredCrashes map[uint32]int
+	answered        answerHistory
+	changes         uint64
 	// trialDelay returns how long after the end of a block of the given length this
 	// instance lets a request through.
 	trialDelay func(block time.Duration) time.Duration
@@ -141,12 +154,15 @@
 
 // NewDetector returns a detector without suspicions.
 func NewDetector(trialDelay func(block time.Duration) time.Duration) *Detector {
-	return &Detector{suspicions: map[Fingerprint]*suspicion{}, answers: map[uint32]int{}, trialDelay: trialDelay}
+	return &Detector{suspicions: map[Fingerprint]*suspicion{}, answers: map[uint32]int{}, answeredCrashes: map[uint32]int{}, trialDelay: trialDelay}
 }
 
 // RecordCrash records that an upstream crashed before its answer to a request with these
 // traits had begun. process is a hash that identifies the process of the upstream.
 func (d *Detector) RecordCrash(now time.Duration, process uint32, traits []Trait) {
+	if len(traits) > 0 {
+		d.recordServiceCrash(now, traits[0].Service, process)
+	}
 	for _, trait := range traits {
 		s := d.suspicion(now, trait.Fingerprint)
 		s.name = trait.Name
@@ -163,9 +179,11 @@
 }
 
 // RecordAnswer records that an upstream of the service has answered a request with these
-// traits: the answer is complete, or it goes on after its beginning.
-func (d *Detector) RecordAnswer(now time.Duration, service uint32, traits []Trait) {
+// traits: the answer is complete, or it goes on after its beginning. It reports whether
+// other instances should learn of it at once.
+func (d *Detector) RecordAnswer(now time.Duration, service uint32, traits []Trait) bool {
 	d.answers[service]++
+	changed := d.recordServiceAnswer(now, service)
 	for _, trait := range traits {
 		if trait.Shared {
 			d.answered.record(now, trait.Fingerprint)
@@ -176,7 +194,9 @@
 		}
 		d.release(now, trait.Fingerprint, s, s.epoch+1, "")
 		d.markChanged(s, true)
+		changed = true
 	}
+	return changed
 }
 
 // release drops all crashes known so far.
@@ -248,14 +268,14 @@
 	s := d.suspicions[fingerprint]
 	if s != nil && !s.expired(now) {
 		if len(s.crashes) == 0 {
-			s.answersBefore = d.answers[fingerprint.Service]
+			s.answersBefore, s.answeredCrashesBefore = d.answers[fingerprint.Service], d.answeredCrashes[fingerprint.Service]
 		}
 		return s
 	}
 	if s == nil && len(d.suspicions) >= maxSuspicions {
 		d.evict(now)
 	}
-	s = &suspicion{answersBefore: d.answers[fingerprint.Service], changedAt: now}
+	s = &suspicion{answersBefore: d.answers[fingerprint.Service], answeredCrashesBefore: d.answeredCrashes[fingerprint.Service], changedAt: now}
 	d.suspicions[fingerprint] = s
 	d.watched = nil
 	return s
@@ -306,7 +326,10 @@
 	if s.count(fingerprint) < s.threshold(fingerprint) {
 		return false
 	}
-	return !fingerprint.Shared || d.answers[fingerprint.Service]-s.answersBefore >= minOtherAnswers
+	return !fingerprint.Shared ||
+		d.answers[fingerprint.Service]-s.answersBefore >= minOtherAnswers ||
+		d.answeredCrashes[fingerprint.Service]-s.answeredCrashesBefore >= minAnsweredCrashes ||
+		d.crashesUnanswered(fingerprint, s)
 }
 
 // threshold returns the number of crashes from which the fingerprint is blocked.
@@ -317,6 +340,17 @@
 	return crashThreshold
 }
 
+// crashesUnanswered reports whether the crashes go on for longer than an outage, and the
+// service has neither answered a request since nor crashed on one without the fingerprint.
+func (d *Detector) crashesUnanswered(fingerprint Fingerprint, s *suspicion) bool {
+	all := d.suspicions[anyRequest(fingerprint.Service)]
+	if all == nil || len(all.crashes) == 0 || all.unshared(s) > 0 || s.count(fingerprint) < unansweredCrashes {
+		return false
+	}
+	compareTimes := func(a, b crash) int { return cmp.Compare(a.at, b.at) }
+	return slices.MaxFunc(s.crashes, compareTimes).at-slices.MinFunc(s.crashes, compareTimes).at >= unansweredTime
+}
+
 func (d *Detector) block(now time.Duration, fingerprint Fingerprint, s *suspicion) {
 	blockTime := min(maxBlockTime, minBlockTime<<min(s.blocks, 8))
 	s.blocks++
