--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -85,7 +85,13 @@
 	reply  chan poison.Verdict
 }
 
-func (m admitMsg) apply(c *controlLoop) { m.reply <- c.poison.Admit(c.g.now(), m.traits) }
+func (m admitMsg) apply(c *controlLoop) {
+	verdict := c.poison.Admit(c.g.now(), m.traits)
+	if verdict.Trial {
+		c.markReportsChanged()
+	}
+	m.reply <- verdict
+}
 
 // crashMsg records a crash of an upstream.
 type crashMsg struct {
@@ -106,7 +112,9 @@
 }
 
 func (m answerMsg) apply(c *controlLoop) {
-	c.poison.RecordAnswer(c.g.now(), loadshare.ShortHash(m.service), m.traits)
+	if c.poison.RecordAnswer(c.g.now(), loadshare.ShortHash(m.service), m.traits) {
+		c.markReportsChanged()
+	}
 }
 
 func newPoisonDetector(g *Gateway) *poison.Detector {
@@ -164,8 +172,9 @@
 			decoded.Crashes = append(decoded.Crashes, poison.Crash{Process: crash.Process, Age: fromMs(crash.AgeMs)})
 		}
 		if c.poison.Merge(now, source, decoded) {
-			// The summary for the other failure domains has changed as well.
-			c.remoteReports.changed = true
+			// The summary for the other failure domains has changed as well, and this
+			// instance may know of an earlier answer.
+			c.markReportsChanged()
 		}
 	}
 }
--- a/pkg/poison/exchange.go
+++ b/pkg/poison/exchange.go
@@ -17,7 +17,8 @@
 	Age     time.Duration
 	Crashes []Crash
 	// Blocks counts how often in a row the fingerprint was blocked, and BlockTime is the
-	// rest of the time for which it is.
+	// rest of the time for which it is, or for which the sender waits for the result of a
+	// trial.
 	Blocks    int
 	BlockTime time.Duration
 }
@@ -31,25 +32,38 @@
 // Cursor marks what a group of receivers was sent.
 type Cursor struct {
 	change uint64
+	// left holds what had changed but found no room in the reports up to then.
+	left map[Fingerprint]struct{}
 }
 
 // Export returns the suspicions to report, the most important first: all, or those that
 // have changed since the last export with the cursor. With ownOnly these are limited to
 // those that have changed by what this instance itself has observed.
 func (d *Detector) Export(now time.Duration, cursor *Cursor, full, ownOnly bool) []Suspicion {
-	since := cursor.change
-	cursor.change = d.changes
-	selected := d.sorted(now, func(s *suspicion) bool {
+	since, left := cursor.change, cursor.left
+	cursor.change, cursor.left = d.changes, nil
+	changed := func(fingerprint Fingerprint, s *suspicion) bool {
 		change := s.change
 		if ownOnly {
 			change = s.ownChange
 		}
-		return full || change > since
-	})
+		_, found := left[fingerprint]
+		return found || change > since
+	}
+	selected := d.sorted(now, func(fingerprint Fingerprint, s *suspicion) bool { return full || changed(fingerprint, s) })
+	reported := min(maxReported, len(selected))
+	for _, fingerprint := range selected[reported:] {
+		if changed(fingerprint, d.suspicions[fingerprint]) {
+			if cursor.left == nil {
+				cursor.left = map[Fingerprint]struct{}{}
+			}
+			cursor.left[fingerprint] = struct{}{}
+		}
+	}
 	var exported []Suspicion
-	for _, fingerprint := range selected[:min(maxReported, len(selected))] {
+	for _, fingerprint := range selected[:reported] {
 		s := d.suspicions[fingerprint]
-		e := Suspicion{Fingerprint: fingerprint, Epoch: s.epoch, Age: now - s.changedAt, Blocks: s.blocks, BlockTime: max(0, s.blockedUntil-now)}
+		e := Suspicion{Fingerprint: fingerprint, Epoch: s.epoch, Age: now - s.changedAt, Blocks: s.blocks, BlockTime: max(0, s.blockedUntil-now, s.triedUntil-now)}
 		for _, c := range s.crashes {
 			e.Crashes = append(e.Crashes, Crash{Process: c.process, Age: now - c.at})
 		}
@@ -78,6 +92,9 @@
 	}
 	changed := false
 	if reported.Epoch > s.epoch {
+		if reported.Fingerprint == anyRequest(reported.Fingerprint.Service) {
+			d.answeredCrashes[reported.Fingerprint.Service]++
+		}
 		d.release(now-reported.Age, reported.Fingerprint, s, reported.Epoch, source)
 		changed = true
 	}
@@ -89,15 +106,16 @@
 			changed = true
 		}
 	}
-	laterEnd := now+reported.BlockTime > s.blockedUntil+blockTimeTolerance
+	// A block that has ended at the sender has no later end than the one known here.
+	laterEnd := reported.BlockTime > 0 && now+reported.BlockTime > max(s.blockedUntil, s.triedUntil)+blockTimeTolerance
 	if reported.Blocks > s.blocks || (reported.Blocks > 0 && reported.Blocks == s.blocks && laterEnd) {
 		s.blocks = reported.Blocks
-		s.setBlock(now, reported.BlockTime, d.trialDelay(reported.BlockTime))
-		d.events = append(d.events, Event{Fingerprint: reported.Fingerprint, Name: s.name, Blocked: true, Crashes: len(s.crashes), BlockTime: reported.BlockTime, Source: source})
+		s.setBlock(now, reported.BlockTime, d.trialDelay(max(reported.BlockTime, minBlockTime)))
+		d.events = append(d.events, Event{Fingerprint: reported.Fingerprint, Name: s.name, Blocked: true, Crashes: s.count(reported.Fingerprint), BlockTime: reported.BlockTime, Source: source})
 		changed = true
 	}
 	if changed {
 		d.markChanged(s, false)
 	}
-	return changed
+	return d.noteEarlierAnswer(now, reported.Fingerprint, s) || changed
 }
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -5,8 +5,9 @@
 // fingerprint of a request whose answer had not begun becomes a suspect: the whole
 // content, which only copies of the request share, and each part of its prompt, which
 // unlike requests share. A fingerprint is blocked once several crashes have it as a
-// suspect and no request with it was answered since the first of them. Instances
-// exchange the suspicions, in any order and any number of times.
+// suspect and no request with it was answered since the first of them. Parts that were in
+// the same crashes are told apart by their answers, before the crashes and since
+// (contrast.go). Instances exchange the suspicions, in any order and any number of times.
 //
 // The package has no I/O and reads no clock: callers pass the time.
 package poison
@@ -28,10 +29,29 @@
 	// upstream are from the same crash, which instances notice at different times. Later
 	// ones are from a process that has the same ID and whose start is not known yet.
 	restartTime = 3 * time.Second
+	// crashThresholdAnswered is the number of crashes from which a shared fingerprint is
+	// blocked that was answered before them. It is more likely to have been beside the
+	// cause, which then reaches the threshold first.
+	crashThresholdAnswered = 5
+	// maxCrashes bounds the crashes that are kept of a fingerprint, and maxCrashesAtOnce
+	// those within minCrashInterval. Crashes that do not count towards the threshold tell
+	// the fingerprints of the same crashes apart.
+	maxCrashes       = 10
+	maxCrashesAtOnce = 2
 	// minOtherAnswers is the number of answers to requests without a shared fingerprint
 	// that must have begun since its first crash. If the service answers no requests, its
 	// requests are not the cause.
 	minOtherAnswers = 3
+	// minAnsweredCrashes is the number of crashes of the service after which any instance
+	// has seen an answer of it, that replaces minOtherAnswers. With few requests an
+	// instance sees one answer in many seconds.
+	minAnsweredCrashes = 2
+	// unansweredCrashes and unansweredTime are the number of crashes, and the time between
+	// the first and the last, from which a shared fingerprint is blocked although the
+	// service answers no other requests. Outages in which upstreams crash one after
+	// another are shorter.
+	unansweredCrashes = 5
+	unansweredTime    = 15 * time.Second
 	// suspicionTTL is how long a suspicion lasts without a further crash. Callers repeat
 	// such requests within a minute.
 	suspicionTTL = time.Minute
@@ -73,19 +93,28 @@
 // suspicion is what is known about a fingerprint.
 type suspicion struct {
 	name string
-	// epoch grows each time that an answer has refuted the suspicion.
+	// epoch grows each time that an answer has refuted the suspicion. It is also above 0 if
+	// an answer was recorded shortly before the first crash.
 	epoch uint16
-	// crashes holds up to crashThreshold distinct crashes of the epoch.
+	// crashes holds up to maxCrashes distinct crashes of the epoch.
 	crashes []crash
-	// answersBefore is the number of answers of the service when the first crash became
-	// known here.
-	answersBefore int
-	changedAt     time.Duration
+	// answersBefore and answeredCrashesBefore are the numbers of answers and of answered
+	// crashes of the service when the first crash became known here.
+	answersBefore, answeredCrashesBefore int
+	changedAt                            time.Duration
 	// blocks counts how often in a row the fingerprint was blocked, last until
 	// blockedUntil. From trialAt on, a single request may be sent.
 	blocks       int
 	blockedUntil time.Duration
 	trialAt      time.Duration
+	// triedUntil is the time until which the other instances leave the trial to this one.
+	triedUntil time.Duration
+	// contrastAt is the time from which another request may be sent to tell the
+	// fingerprint from those of the same crashes.
+	contrastAt time.Duration
+	// explained is true while the block does not hold since another fingerprint explains
+	// the crashes.
+	explained bool
 	// change is the number of the last change, and ownChange that of the last one that
 	// this instance has itself observed.
 	change, ownChange uint64
@@ -96,7 +125,11 @@
 	suspicions map[Fingerprint]*suspicion
 	// answers counts the answers that have begun, by service.
 	answers map[uint32]int
-	changes uint64
+	// answeredCrashes counts, by service, the crashes after which an instance has recorded
+	// an answer.
+	answeredCrashes map[uint32]int
+	answered        answerHistory
+	changes         uint64
 	// trialDelay returns how long after the end of a block of the given length this
 	// instance lets a request through.
 	trialDelay func(block time.Duration) time.Duration
@@ -121,12 +154,15 @@
 
 // NewDetector returns a detector without suspicions.
 func NewDetector(trialDelay func(block time.Duration) time.Duration) *Detector {
-	return &Detector{suspicions: map[Fingerprint]*suspicion{}, answers: map[uint32]int{}, trialDelay: trialDelay}
+	return &Detector{suspicions: map[Fingerprint]*suspicion{}, answers: map[uint32]int{}, answeredCrashes: map[uint32]int{}, trialDelay: trialDelay}
 }
 
 // RecordCrash records that an upstream crashed before its answer to a request with these
 // traits had begun. process is a hash that identifies the process of the upstream.
 func (d *Detector) RecordCrash(now time.Duration, process uint32, traits []Trait) {
+	if len(traits) > 0 {
+		d.recordServiceCrash(now, traits[0].Service, process)
+	}
 	for _, trait := range traits {
 		s := d.suspicion(now, trait.Fingerprint)
 		s.name = trait.Name
@@ -135,6 +171,7 @@
 			s.changedAt = now
 			d.markChanged(s, true)
 		}
+		d.noteEarlierAnswer(now, trait.Fingerprint, s)
 		if s.blocks > 0 && now >= s.blockedUntil {
 			d.block(now, trait.Fingerprint, s)
 		}
@@ -142,55 +179,103 @@
 }
 
 // RecordAnswer records that an upstream of the service has answered a request with these
-// traits: the answer is complete, or it goes on after its beginning.
-func (d *Detector) RecordAnswer(now time.Duration, service uint32, traits []Trait) {
+// traits: the answer is complete, or it goes on after its beginning. It reports whether
+// other instances should learn of it at once.
+func (d *Detector) RecordAnswer(now time.Duration, service uint32, traits []Trait) bool {
 	d.answers[service]++
+	changed := d.recordServiceAnswer(now, service)
 	for _, trait := range traits {
+		if trait.Shared {
+			d.answered.record(now, trait.Fingerprint)
+		}
 		s := d.suspicions[trait.Fingerprint]
 		if s == nil || (len(s.crashes) == 0 && s.blocks == 0) {
 			continue
 		}
 		d.release(now, trait.Fingerprint, s, s.epoch+1, "")
 		d.markChanged(s, true)
+		changed = true
 	}
+	return changed
 }
 
 // release drops all crashes known so far.
 func (d *Detector) release(now time.Duration, fingerprint Fingerprint, s *suspicion, epoch uint16, source string) {
 	if s.blocks > 0 {
-		d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Crashes: len(s.crashes), Source: source})
+		d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Crashes: s.count(fingerprint), Source: source})
 	}
-	s.epoch, s.crashes, s.blocks, s.blockedUntil, s.trialAt, s.changedAt = epoch, nil, 0, 0, 0, now
+	s.epoch, s.crashes, s.changedAt = epoch, nil, now
+	s.endBlock()
+}
+
+func (s *suspicion) endBlock() {
+	s.blocks, s.blockedUntil, s.trialAt, s.triedUntil, s.contrastAt, s.explained = 0, 0, 0, 0, 0, false
 }
 
 // add adds a crash and returns false if it is known already or not needed.
 func (s *suspicion) add(added crash, shared bool) bool {
-	if len(s.crashes) >= crashThreshold {
+	if len(s.crashes) >= maxCrashes {
 		return false
 	}
+	atOnce := 0
 	for _, known := range s.crashes {
-		apart := (added.at - known.at).Abs()
-		if (known.process == added.process && apart < restartTime) || (shared && apart < minCrashInterval) {
+		if known.same(added) {
 			return false
 		}
+		if (known.at - added.at).Abs() < minCrashInterval {
+			atOnce++
+		}
+	}
+	if shared && atOnce >= maxCrashesAtOnce {
+		return false
 	}
 	s.crashes = append(s.crashes, added)
 	return true
 }
 
+// same reports whether two observations are of one crash.
+func (c crash) same(other crash) bool {
+	return c.process == other.process && (c.at-other.at).Abs() < restartTime
+}
+
+// count returns the number of crashes that count towards the threshold.
+func (s *suspicion) count(fingerprint Fingerprint) int {
+	if !fingerprint.Shared {
+		return len(s.crashes)
+	}
+	times := make([]time.Duration, 0, maxCrashes)
+	for _, c := range s.crashes {
+		times = append(times, c.at)
+	}
+	slices.Sort(times)
+	return countApart(times)
+}
+
+// countApart returns how many of the sorted times are minCrashInterval after the last one
+// that counts.
+func countApart(times []time.Duration) int {
+	count, last := 0, time.Duration(0)
+	for _, at := range times {
+		if count == 0 || at-last >= minCrashInterval {
+			count, last = count+1, at
+		}
+	}
+	return count
+}
+
 // suspicion returns the suspicion of a fingerprint and creates it if there is none.
 func (d *Detector) suspicion(now time.Duration, fingerprint Fingerprint) *suspicion {
 	s := d.suspicions[fingerprint]
 	if s != nil && !s.expired(now) {
 		if len(s.crashes) == 0 {
-			s.answersBefore = d.answers[fingerprint.Service]
+			s.answersBefore, s.answeredCrashesBefore = d.answers[fingerprint.Service], d.answeredCrashes[fingerprint.Service]
 		}
 		return s
 	}
 	if s == nil && len(d.suspicions) >= maxSuspicions {
 		d.evict(now)
 	}
-	s = &suspicion{answersBefore: d.answers[fingerprint.Service], changedAt: now}
+	s = &suspicion{answersBefore: d.answers[fingerprint.Service], answeredCrashesBefore: d.answeredCrashes[fingerprint.Service], changedAt: now}
 	d.suspicions[fingerprint] = s
 	d.watched = nil
 	return s
@@ -236,12 +321,34 @@
 }
 
 // convicted reports whether the crashes show that requests with the fingerprint are their
-// cause.
+// cause, if no other fingerprint is.
 func (d *Detector) convicted(fingerprint Fingerprint, s *suspicion) bool {
-	if len(s.crashes) < crashThreshold {
+	if s.count(fingerprint) < s.threshold(fingerprint) {
+		return false
+	}
+	return !fingerprint.Shared ||
+		d.answers[fingerprint.Service]-s.answersBefore >= minOtherAnswers ||
+		d.answeredCrashes[fingerprint.Service]-s.answeredCrashesBefore >= minAnsweredCrashes ||
+		d.crashesUnanswered(fingerprint, s)
+}
+
+// threshold returns the number of crashes from which the fingerprint is blocked.
+func (s *suspicion) threshold(fingerprint Fingerprint) int {
+	if fingerprint.Shared && s.epoch > 0 {
+		return crashThresholdAnswered
+	}
+	return crashThreshold
+}
+
+// crashesUnanswered reports whether the crashes go on for longer than an outage, and the
+// service has neither answered a request since nor crashed on one without the fingerprint.
+func (d *Detector) crashesUnanswered(fingerprint Fingerprint, s *suspicion) bool {
+	all := d.suspicions[anyRequest(fingerprint.Service)]
+	if all == nil || len(all.crashes) == 0 || all.unshared(s) > 0 || s.count(fingerprint) < unansweredCrashes {
 		return false
 	}
-	return !fingerprint.Shared || d.answers[fingerprint.Service]-s.answersBefore >= minOtherAnswers
+	compareTimes := func(a, b crash) int { return cmp.Compare(a.at, b.at) }
+	return slices.MaxFunc(s.crashes, compareTimes).at-slices.MinFunc(s.crashes, compareTimes).at >= unansweredTime
 }
 
 func (d *Detector) block(now time.Duration, fingerprint Fingerprint, s *suspicion) {
@@ -249,12 +356,12 @@
 	s.blocks++
 	s.setBlock(now, blockTime, d.trialDelay(blockTime))
 	d.markChanged(s, true)
-	d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Blocked: true, Crashes: len(s.crashes), BlockTime: blockTime})
+	d.events = append(d.events, Event{Fingerprint: fingerprint, Name: s.name, Blocked: true, Crashes: s.count(fingerprint), BlockTime: blockTime})
 }
 
 func (s *suspicion) setBlock(now, blockTime, trialDelay time.Duration) {
 	s.blockedUntil = now + blockTime
-	s.trialAt = s.blockedUntil + trialDelay
+	s.trialAt, s.triedUntil = s.blockedUntil+trialDelay, 0
 }
 
 // Verdict states whether a request may be sent.
@@ -271,30 +378,48 @@
 }
 
 // Admit decides whether a request with these traits may be sent. After the end of a block
-// it lets a single request through, whose answer or crash decides about the others.
+// it lets a single request through, whose answer or crash decides about the others. The
+// other instances should learn of it at once, so that they wait for the result.
 func (d *Detector) Admit(now time.Duration, traits []Trait) Verdict {
-	var tried []*suspicion
+	var tried, contrasted []*suspicion
+	var refused Verdict
 	for _, trait := range traits {
 		s := d.suspicions[trait.Fingerprint]
-		if s == nil || s.expired(now) {
+		if s == nil || s.expired(now) || (s.blocks == 0 && !d.convicted(trait.Fingerprint, s)) {
 			continue
 		}
-		if s.blocks == 0 && d.convicted(trait.Fingerprint, s) {
-			s.name = trait.Name
+		s.name = trait.Name
+		explained := d.explained(now, trait.Fingerprint, s)
+		switch {
+		case s.blocks == 0 && explained:
+			continue
+		case s.blocks == 0:
 			d.block(now, trait.Fingerprint, s)
+		case s.explained != explained:
+			s.explained = explained
+			d.events = append(d.events, Event{Fingerprint: trait.Fingerprint, Name: s.name, Blocked: !explained, Crashes: s.count(trait.Fingerprint), BlockTime: max(0, s.blockedUntil-now)})
 		}
 		switch {
-		case s.blocks == 0:
-		case now < s.trialAt:
-			return Verdict{Blocked: true, Name: trait.Name, Crashes: len(s.crashes), RetryAfter: max(s.blockedUntil, now+trialTimeout) - now}
-		default:
+		case explained:
+		case now >= s.trialAt:
 			tried = append(tried, s)
+		case now >= s.contrastAt && d.lacksRival(now, trait.Fingerprint, s, traits):
+			contrasted = append(contrasted, s)
+		case !refused.Blocked:
+			refused = Verdict{Blocked: true, Name: trait.Name, Crashes: s.count(trait.Fingerprint), RetryAfter: max(s.blockedUntil, now+trialTimeout) - now}
 		}
 	}
+	if refused.Blocked {
+		return refused
+	}
 	for _, s := range tried {
-		s.trialAt = now + trialTimeout
+		s.trialAt, s.triedUntil = now+trialTimeout, now+trialTimeout
+		d.markChanged(s, true)
+	}
+	for _, s := range contrasted {
+		s.contrastAt = now + contrastTimeout
 	}
-	return Verdict{Trial: len(tried) > 0}
+	return Verdict{Trial: len(tried)+len(contrasted) > 0}
 }
 
 // Watched returns the fingerprints that may be blocked. Requests with other fingerprints
@@ -303,7 +428,7 @@
 	if d.watched == nil {
 		d.watched = map[Fingerprint]struct{}{}
 		for fingerprint, s := range d.suspicions {
-			if s.blocks > 0 || len(s.crashes) >= crashThreshold {
+			if s.blocks > 0 || s.count(fingerprint) >= s.threshold(fingerprint) {
 				d.watched[fingerprint] = struct{}{}
 			}
 		}
@@ -315,7 +440,7 @@
 func (d *Detector) BlockedCount(now time.Duration) int {
 	count := 0
 	for _, s := range d.suspicions {
-		if s.blocks > 0 && !s.expired(now) {
+		if s.blocks > 0 && !s.explained && !s.expired(now) {
 			count++
 		}
 	}
@@ -330,10 +455,10 @@
 }
 
 // sorted returns the fingerprints for which keep returns true, the most important first.
-func (d *Detector) sorted(now time.Duration, keep func(*suspicion) bool) []Fingerprint {
+func (d *Detector) sorted(now time.Duration, keep func(Fingerprint, *suspicion) bool) []Fingerprint {
 	var selected []Fingerprint
 	for fingerprint, s := range d.suspicions {
-		if !s.expired(now) && keep(s) {
+		if !s.expired(now) && keep(fingerprint, s) {
 			selected = append(selected, fingerprint)
 		}
 	}
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -282,6 +282,67 @@
 	g.Expect(exported[0].Blocks).To(Equal(1), "the block is reported first")
 }
 
+// One crash leaves more suspects behind than a report holds. Guards against suspects that
+// other instances learn of with the next full report, or never.
+func TestSuspicionsWithoutRoomAreInTheNextReport(t *testing.T) {
+	g := NewWithT(t)
+	d := newDetector()
+	for i := range 100 {
+		d.RecordCrash(time.Second+time.Duration(i)*time.Millisecond, uint32(i), parts(fmt.Sprint("part ", i)))
+	}
+	var cursor poison.Cursor
+	reported := map[poison.Fingerprint]bool{}
+	for range 4 {
+		exported := d.Export(2*time.Second, &cursor, false, true)
+		g.Expect(len(exported)).To(BeNumerically("<=", 32))
+		for _, s := range exported {
+			reported[s.Fingerprint] = true
+		}
+	}
+	for i := range 100 {
+		g.Expect(reported).To(HaveKey(part(fmt.Sprint("part ", i)).Fingerprint))
+	}
+	g.Expect(d.Export(2*time.Second, &cursor, false, true)).To(BeEmpty())
+}
+
+// Reports of a block go on after its end, and the instances try requests one after the
+// other. Guards against a report that makes its receiver try one at once.
+func TestReportOfAnEndedBlockMovesNoTrial(t *testing.T) {
+	g := NewWithT(t)
+	detectors := []*poison.Detector{newDetector(), poison.NewDetector(func(block time.Duration) time.Duration { return block / 3 })}
+	now := crashThrice(detectors[0], parts("poison"))
+	g.Expect(blocked(detectors[0], now, "poison")).To(BeTrue())
+	exchange(t, now, detectors)
+	now += 32 * time.Second
+	exchange(t, now, detectors)
+	g.Expect(blocked(detectors[1], now, "poison")).To(BeTrue(), "its trial is 10 s after the block")
+	g.Expect(blocked(detectors[1], now+9*time.Second, "poison")).To(BeFalse())
+}
+
+// The block has ended, and each of three instances may try a request. Guards against requests
+// that are tried at several instances at once, each of which crashes an upstream.
+func TestTrialIsLeftToTheInstanceThatBeganIt(t *testing.T) {
+	g := NewWithT(t)
+	detectors := []*poison.Detector{newDetector(), newDetector(), newDetector()}
+	now := crashThrice(detectors[0], parts("poison"))
+	g.Expect(blocked(detectors[0], now, "poison")).To(BeTrue())
+	exchange(t, now, detectors)
+	now += 31 * time.Second
+	g.Expect(detectors[1].Admit(now, parts("poison")).Trial).To(BeTrue())
+	exchange(t, now, detectors)
+	now += 500 * time.Millisecond
+	g.Expect(blocked(detectors[0], now, "poison")).To(BeTrue())
+	g.Expect(blocked(detectors[2], now, "poison")).To(BeTrue())
+	detectors[1].RecordCrash(now, 100, parts("poison"))
+	exchange(t, now, detectors)
+	for _, d := range detectors {
+		g.Expect(blocked(d, now+59*time.Second, "poison")).To(BeTrue(), "the second block is longer")
+	}
+	g.Expect(detectors[0].Admit(now+61*time.Second, parts("poison")).Trial).To(BeTrue())
+	exchange(t, now+61*time.Second, detectors)
+	g.Expect(detectors[2].Admit(now+90*time.Second, parts("poison")).Trial).To(BeTrue(), "the trial had no result")
+}
+
 // fleet plays requests with a poison part at random instances, on virtual time.
 type fleet struct {
 	detectors []*poison.Detector
