testbed: a link passes on a reset that its write has noticed

Cause: the kernel reports a reset once. If the server reset a connection while the link wrote to it, the link's read returned EOF, and the link closed the client's connection properly. Part of an answer looked complete to the client.

Change: at EOF the link looks at the state of the connection and passes a reset on as one. A failed write leaves that to the other direction, so that what came before the reset arrives first. SetSendBuffer bounds what the link takes of an upload that the server does not read.

--- a/internal/testbed/link.go
+++ b/internal/testbed/link.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Cut is the direction of a link in which bytes are held back.
@@ -36,16 +38,22 @@
 	stateChanged *sync.Cond
 	cut          Cut
 	closed       bool
-	connections  map[net.Conn]struct{}
+	// connections holds for each open connection whether the link has closed its write side.
+	connections map[net.Conn]bool
 
 	bytesToServer atomic.Int64
 	bytesToClient atomic.Int64
 	delay         atomic.Int64
+	sendBuffer    atomic.Int64
 }
 
 // SetDelay delays each chunk of bytes in both directions.
 func (l *Link) SetDelay(delay time.Duration) { l.delay.Store(int64(delay)) }
 
+// SetSendBuffer bounds the bytes that the kernel holds for the server, on each connection
+// that is opened later. On loopback it holds some 4 MB otherwise.
+func (l *Link) SetSendBuffer(bytes int) { l.sendBuffer.Store(int64(bytes)) }
+
 // NewLink listens on a free loopback port and forwards connections to target, a
 // host and port.
 func NewLink(target string) (*Link, error) {
@@ -53,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, target: target, connections: map[net.Conn]struct{}{}}
+	l := &Link{listener: listener, target: target, connections: map[net.Conn]bool{}}
 	l.stateChanged = sync.NewCond(&l.mu)
 	go l.acceptConnections()
 	return l, nil
@@ -125,6 +133,9 @@
 		return
 	}
 	defer l.closeAndUntrack(server)
+	if bytes := l.sendBuffer.Load(); bytes > 0 {
+		_ = server.(*net.TCPConn).SetWriteBuffer(int(bytes))
+	}
 	l.track(client, server)
 	done := make(chan struct{}, 2)
 	go l.copyDirection(server, client, CutToServer, done)
@@ -149,27 +160,54 @@
 			}
 			counter.Add(int64(n))
 			if _, err := to.Write(buffer[:n]); err != nil {
-				_ = from.Close()
+				// The other direction reads what came before the end of the connection, then
+				// passes the end on.
 				return
 			}
 		}
 		if err != nil {
-			l.propagateEnd(to, err)
+			l.propagateEnd(to, from, err)
 			return
 		}
 	}
 }
 
 // propagateEnd ends the write side of a connection after its source has ended: on
-// EOF it half-closes the connection, on any other error it resets it.
-func (l *Link) propagateEnd(to net.Conn, err error) {
-	if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
+// EOF it half-closes the connection, on a reset or any other error it resets it.
+func (l *Link) propagateEnd(to, from net.Conn, err error) {
+	if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) && !l.wasReset(from) {
+		l.mu.Lock()
+		l.connections[to] = true
+		l.mu.Unlock()
 		_ = tcp.CloseWrite()
 		return
 	}
 	resetConn(to)
 }
 
+// wasReset reports whether a connection whose reads return EOF was reset. The kernel reports
+// a reset only once; if a write gets the report, reads return EOF. The state of a connection
+// that the peer has closed properly is TCP_CLOSE only after its write side was closed too.
+func (l *Link) wasReset(conn net.Conn) bool {
+	l.mu.Lock()
+	writeClosed := l.connections[conn]
+	l.mu.Unlock()
+	tcp, isTCP := conn.(*net.TCPConn)
+	if writeClosed || !isTCP {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && reset
+}
+
 // resetConn resets a connection, which must not look like its end.
 func resetConn(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -193,7 +231,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, conn := range conns {
-		l.connections[conn] = struct{}{}
+		l.connections[conn] = false
 	}
 }
 
