soak: upstreams answer long uploads early and reset the connection

Cause: the soak's requests were short, so that it never met a reset while a request was being written. Only unit tests guarded against part of an early answer that looks complete.

Change: one in ten requests of the soak's clients has a body of 8 MiB. The gateway reads a body whole before it sends it, and the kernel takes some 4 MB at once, so that the write of a shorter one ends before the reset. Upstreams answer without reading: 200 (HTTP/1.1 and 1.0), 404 and 500 without a length, 200 in chunks or with a length, part of the body and a reset; or a whole answer, while they read on. No caller may get the part as complete, whatever the status. The requests count as run, so that at most one execution and the truth of "not run" are checked for them. A whole early answer may be lost only near a fault. A run that has met no reset reported to the write of an upload (as the gateway logs it), or no whole early answer, goes on for up to 20 s after the faults and then fails. Deployments with soundAnswers and roll-outs send no long uploads.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -31,8 +31,8 @@
 	// candidates is the number of upstreams that do not run at first, and have the version
 	// candidateVersion. Roll-outs are turned on if there are any.
 	candidates int
-	// soundAnswers turns off brokenAnswers, where each cut answer counts as one that the
-	// instances have lost.
+	// soundAnswers turns off brokenAnswers and long uploads, where each cut answer counts as
+	// one that the instances have lost.
 	soundAnswers bool
 }
 
@@ -105,6 +105,7 @@
 	// states holds the state in the record of each upstream; empty if it does not run.
 	states  []string
 	rollout *rolloutRecord
+	uploads uploadRecord
 }
 
 func newDeployment(t *testing.T, binary string) *deployment {
@@ -114,7 +115,7 @@
 func newDeploymentOf(t *testing.T, binary string, size layout) *deployment {
 	d := &deployment{t: t, layout: size, store: objectstore.NewServer(), binary: binary, executions: map[string]*execution{}, slotsInUse: make([]int, size.upstreams),
 		keys: []string{"key-0"}, revokedAt: map[string]time.Time{}, publishedAt: map[string]time.Time{}, states: make([]string, size.upstreams),
-		words: upstreamWords{sentTo: map[string]int{}, sentAt: map[string]time.Time{}}}
+		words: upstreamWords{sentTo: map[string]int{}, sentAt: map[string]time.Time{}}, uploads: uploadRecord{answeredBy: map[string]int{}}}
 	if size.candidates > 0 {
 		d.rollout = &rolloutRecord{}
 	}
@@ -127,6 +128,7 @@
 		server := httptest.NewServer(d.upstreamHandler(i))
 		link, err := testbed.NewLink(strings.TrimPrefix(server.URL, "http://"))
 		d.requireNoError(err)
+		link.SetSendBuffer(uploadSendBuffer)
 		d.upstreamServers, d.upstreamLinks = append(d.upstreamServers, server), append(d.upstreamLinks, link)
 		d.words.born[i] = time.Now().UnixMilli()
 		t.Cleanup(server.Close)
@@ -171,6 +173,7 @@
 		"version":  d.configVersion,
 		"routes":   []any{route("once", "unsafe", false, 1), route("safe", "safe", false, 2), route("stream", "streaming", false, 1), route("resume", "streaming", true, 3)},
 		"services": []any{map[string]any{"name": "desk", "max_connections": 500}},
+		"limits":   map[string]any{"max_body_bytes": 2 * longUploadBytes},
 		"tenants": []any{
 			map[string]any{"name": "team", "api_keys": append([]string{}, d.keys...)},
 			map[string]any{"name": "busy", "api_keys": []string{overQuotaKey}, "rate_per_s": quotaRate, "burst": quotaRate},
@@ -222,13 +225,13 @@
 // slots, and rejects others as not executed.
 func (d *deployment) upstreamHandler(upstream int) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
+		key, err := readKey(r)
 		if err != nil {
 			return
 		}
 		id := r.Header.Get("Request-Id")
 		rw.Header().Set("Request-Id", id)
-		if !d.arrive(upstream, id, rw.Header()) || !d.beginExecution(upstream, id, string(body), r.Header.Get("Last-Event-Id")) {
+		if !d.arrive(upstream, id, rw.Header()) || !d.beginExecution(upstream, id, key, r.Header.Get("Last-Event-Id")) {
 			rw.Header().Set("Not-Executed", "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -238,14 +241,18 @@
 			rw.WriteHeader(http.StatusInternalServerError)
 			return
 		}
+		if r.ContentLength >= longUploadBytes {
+			d.answerEarly(upstream, rw, r, id)
+			return
+		}
 		if broken := brokenAnswerTo(id); broken != "" && !d.layout.soundAnswers {
-			d.breakAnswer(rw, broken, id)
+			d.breakAnswer(rw, fmt.Sprintf(broken, id), time.Millisecond)
 			return
 		}
 		rw.Header().Set("Response-Signature", "s")
 		const work = 15 * time.Millisecond
 		time.Sleep(work)
-		if !strings.HasPrefix(r.URL.Path, "/stream/") && !strings.HasPrefix(r.URL.Path, "/resume/") {
+		if !isStream(r.URL) {
 			_, _ = io.WriteString(rw, answerBody(id))
 			return
 		}
@@ -275,25 +282,30 @@
 // its ID, so that the faults of a seed stay as drawn. It returns "" for the others.
 func brokenAnswerTo(id string) string {
 	const brokenAnswerInterval = 50
+	return drawAnswer(brokenAnswers, brokenAnswerInterval, id)
+}
+
+// drawAnswer returns one of the answers for one in interval texts, and "" for the others.
+func drawAnswer(answers []string, interval int, text string) string {
 	hash := fnv.New32a()
-	_, _ = io.WriteString(hash, id)
-	n := hash.Sum32() % uint32(brokenAnswerInterval*len(brokenAnswers))
-	if n >= uint32(len(brokenAnswers)) {
+	_, _ = io.WriteString(hash, text)
+	n := hash.Sum32() % uint32(interval*len(answers))
+	if n >= uint32(len(answers)) {
 		return ""
 	}
-	return brokenAnswers[n]
+	return answers[n]
 }
 
-// breakAnswer writes an answer to the request id and resets the connection.
-func (d *deployment) breakAnswer(rw http.ResponseWriter, answer, id string) {
+// breakAnswer writes an answer and resets the connection after a delay.
+func (d *deployment) breakAnswer(rw http.ResponseWriter, answer string, delay time.Duration) {
 	conn, _, err := rw.(http.Hijacker).Hijack()
 	if err != nil {
-		d.t.Errorf("hijack the connection of request %s: %v", id, err)
+		d.t.Errorf("hijack the connection: %v", err)
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	_, _ = fmt.Fprintf(conn, answer, id)
-	time.Sleep(time.Millisecond)
+	_, _ = io.WriteString(conn, answer)
+	time.Sleep(delay)
 	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
 		_ = tcp.SetLinger(0)
 	}
@@ -303,6 +315,11 @@
 
 func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
 
+// isStream reports whether the route of a request streams events.
+func isStream(target *url.URL) bool {
+	return strings.HasPrefix(target.Path, "/stream/") || strings.HasPrefix(target.Path, "/resume/")
+}
+
 // eventsOf returns the number of events of a stream, which its caller may choose.
 func eventsOf(target *url.URL) int {
 	if n, err := strconv.Atoi(target.Query().Get("events")); err == nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -57,9 +56,11 @@
 type clientRequest struct {
 	id, route, key  string
 	sentAt, endedAt time.Time
-	status          int
-	body            string
-	err             error
+	// long is true for a long upload.
+	long   bool
+	status int
+	body   string
+	err    error
 }
 
 func TestSoak(t *testing.T) {
@@ -116,10 +117,11 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	recovered := executionCount() >= before+clientCount
+	d.awaitUploads(deadline)
 	cancel()
 	clients.Wait()
 	close(results)
-	failures := append(d.checkResults(results), d.checkWords()...)
+	failures := slices.Concat(d.checkResults(results), d.checkWords(), d.checkUploads())
 	if !recovered {
 		failures = append(failures, "no requests are served within 20 s after the faults")
 	}
@@ -139,6 +141,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		route := []string{"once", "safe", "stream", "resume"}[rng.IntN(4)]
 		request := clientRequest{id: fmt.Sprintf("c%d-%d", client, n), route: route, key: d.currentKey(), sentAt: time.Now()}
+		request.long = d.sendsLongUploads() && earlyAnswerTo(request.id) != ""
 		if client < overQuotaClients {
 			request.key = overQuotaKey
 		}
@@ -146,6 +149,7 @@
 		d.recordSent(request.id, instance)
 		d.send(httpClient, d.callerAddresses[instance], &request)
 		request.endedAt = time.Now()
+		d.recordUpload(request, instance)
 		results <- request
 		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
 	}
@@ -154,18 +158,22 @@
 func (d *deployment) send(client *http.Client, address string, s *clientRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	// The body carries the key, so that the upstream can record it.
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+s.route+"/x", io.NopCloser(strings.NewReader(s.key)))
+	body, length := s.uploadBody()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+s.route+"/x", io.NopCloser(body))
 	if err != nil {
 		s.err = err
 		return
 	}
-	request.ContentLength = int64(len(s.key))
+	request.ContentLength = length
 	request.Host = "h.example"
 	request.Header.Set("Request-Id", s.id)
 	request.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
 	request.Header.Set("Authorization", "Token "+s.key)
 	request.Header.Set("Prefix-Hash", fmt.Sprintf("all:60,%s:400,%s:20", s.route, s.id))
+	if s.long {
+		// What other requests share with long uploads would be taken for the cause of resets.
+		request.Header.Set("Prefix-Hash", s.id+":20")
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		s.err = err
@@ -173,8 +181,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.status = response.StatusCode
-	body, err := io.ReadAll(response.Body)
-	s.body, s.err = string(body), err
+	answer, err := io.ReadAll(response.Body)
+	s.body, s.err = string(answer), err
 }
 
 // Kinds of faults. The generator of each seed draws them by value, so a new kind or
@@ -328,6 +336,9 @@
 		if request.err == nil && request.status == http.StatusOK && request.body != expectedBody(request) {
 			fail("%s %s got a wrong response body: %q", request.route, request.id, request.body)
 		}
+		if request.err == nil && request.body == earlyPart {
+			fail("%s %s got part of an early answer as a complete one, with status %d", request.route, request.id, request.status)
+		}
 		if request.err == nil && (request.status < http.StatusOK || request.status > 599) {
 			fail("%s %s got status %d, which is none", request.route, request.id, request.status)
 		}
