--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -75,14 +75,15 @@
 	return free
 }
 
-// sortQueue orders the queue: requests that can still meet their latency target
-// first, then higher tiers, then teams within their share, then the newest. Under sustained overload, serving the
-// oldest first would make every request late; serving the newest first meets the
-// target of some, whatever their size.
+// sortQueue orders the queue by compareRequests.
 func (p *Pool) sortQueue(now time.Duration) {
 	slices.SortStableFunc(p.queue, func(a, b *Request) int { return p.compareRequests(now, a, b) })
 }
 
+// compareRequests orders requests that can still meet their latency target first, then tiers
+// below their floor, then higher tiers, then teams within their share, then the newest.
+// Under sustained overload, serving the oldest first would make every request late; serving
+// the newest first meets the target of some, whatever their size.
 func (p *Pool) compareRequests(now time.Duration, a, b *Request) int {
 	if late := compareBools(now >= a.SoftDeadline, now >= b.SoftDeadline); late != 0 {
 		return late
--- a/pkg/admission/tiers.go
+++ b/pkg/admission/tiers.go
@@ -19,11 +19,11 @@
 	// minTierRequests is the number of recent requests below which a tier has no floor.
 	minTierRequests = 4
 
-	// A tier is beyond the room if it and the higher ones ask for more than beyondRoom times
-	// the work that is placed, of which minPlaced requests are known.
-	beyondRoom     = 1.05
-	minPlaced      = 20
-	beyondHalfTime = 500 * time.Millisecond
+	// A tier is beyond the room if it and the higher ones ask for more than maxAskedRatio
+	// times the work that is placed, of which minPlaced requests are known.
+	maxAskedRatio = 1.05
+	minPlaced     = 20
+	roomHalfTime  = 500 * time.Millisecond
 	// beyondWaitFraction is the part of its latency target that a request of such a tier
 	// waits. Newer ones come first, so that one that is not placed soon hardly ever is.
 	beyondWaitFraction = 0.125
@@ -81,7 +81,7 @@
 
 func newTierState() tierState {
 	return tierState{
-		floorLoad: newTierLoad(floorHalfTime), roomLoad: newTierLoad(beyondHalfTime),
+		floorLoad: newTierLoad(floorHalfTime), roomLoad: newTierLoad(roomHalfTime),
 		belowFloor: map[int]bool{}, beyondRoom: map[int]bool{},
 	}
 }
@@ -106,7 +106,7 @@
 	room, asked := s.roomLoad.total(now), 0.0
 	for _, tier := range slices.Sorted(maps.Keys(s.roomLoad.counts)) {
 		asked += s.roomLoad.at(now, tier).askedWork
-		s.beyondRoom[tier] = room.placed >= minPlaced && asked > beyondRoom*room.placedWork
+		s.beyondRoom[tier] = room.placed >= minPlaced && asked > maxAskedRatio*room.placedWork
 	}
 }
 
