admission: requests of a tier without room are no longer refused after an eighth of their target

Requests that refused early came back, and were then served late.

What states for which tiers there is no room stays, for the log, the gauges and the refusal.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -149,9 +149,6 @@
 	wait := time.Duration(float64(r.Deadline-r.Arrived) * p.tuning.MaxQueueFraction)
 	if target := r.SoftDeadline - r.Arrived; p.tuning.RefuseEarly && target > 0 {
 		wait = min(wait, max(target/2, target-fromMs(p.tuning.FirstOutputOverheadMs+p.engineTimeMs(r))))
-		if p.tiers.beyondRoom[r.Tier] {
-			wait = min(wait, time.Duration(float64(target)*beyondWaitFraction))
-		}
 	}
 	return wait
 }
@@ -224,7 +221,7 @@
 }
 
 func (p *Pool) noCapacityReason(r *Request) string {
-	if p.tuning.RefuseEarly && p.tiers.beyondRoom[r.Tier] {
+	if p.tiers.beyondRoom[r.Tier] {
 		return "its tier and the higher ones ask for more than there is room for"
 	}
 	if p.allocation.limited {
--- a/pkg/admission/tiers.go
+++ b/pkg/admission/tiers.go
@@ -24,9 +24,6 @@
 	maxAskedRatio = 1.05
 	minPlaced     = 20
 	roomHalfTime  = 500 * time.Millisecond
-	// beyondWaitFraction is the part of its latency target that a request of such a tier
-	// waits. Newer ones come first, so that one that is not placed soon hardly ever is.
-	beyondWaitFraction = 0.125
 )
 
 // tierCounts are the recent requests of a tier and their work, in milliseconds of an engine.
