gateway: test upstreams of a version name it from the first write on

Cause: startVersion registered an upstream without a version and wrote the version afterwards. In between, instances used it like one of no version.

Change: the record is written once, with the version.

--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -248,6 +248,14 @@
 // startUpstreamWithSlots starts a fake upstream that runs as many requests at once as it
 // has slots.
 func (c *testCluster) startUpstreamWithSlots(id string, slots int, handle http.HandlerFunc) *fakeUpstream {
+	c.t.Helper()
+	upstream := c.serveUpstream(id, slots, handle)
+	c.registerUpstream(upstream, "ready")
+	return upstream
+}
+
+// serveUpstream starts an upstream that the store does not list yet.
+func (c *testCluster) serveUpstream(id string, slots int, handle http.HandlerFunc) *fakeUpstream {
 	c.t.Helper()
 	upstream := &fakeUpstream{id: id, slots: slots}
 	upstream.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -269,7 +277,6 @@
 		upstream.server.CloseClientConnections()
 		upstream.server.Close()
 	})
-	c.registerUpstream(upstream, "ready")
 	return upstream
 }
 
--- a/pkg/gateway/rollouts_test.go
+++ b/pkg/gateway/rollouts_test.go
@@ -33,9 +33,10 @@
 	return cluster
 }
 
-// startVersion starts an upstream of a version.
+// startVersion starts an upstream of a version. Its record names the version from the first
+// write on.
 func (c *testCluster) startVersion(id, version string, handle http.HandlerFunc) *fakeUpstream {
-	upstream := c.startUpstreamWithSlots(id, 8, handle)
+	upstream := c.serveUpstream(id, 8, handle)
 	c.store.Put("servers", id, map[string]any{
 		"service": "desk", "address": strings.TrimPrefix(upstream.server.URL, "http://"), "zone": "north", "slots": 8, "state": "ready", "born": 1, "version": version, "sequence": 2,
 	})
