--- a/pkg/gateway/answer_memory_test.go
+++ b/pkg/gateway/answer_memory_test.go
@@ -136,7 +136,7 @@
 				time.Sleep(100 * time.Millisecond)
 				grown = max(grown, heapBytes()-before)
 			}
-			// The clock has leapt, and the configuration is stale until the store is heard.
+			// The clock has moved on, and the configuration is stale until the store has answered.
 			var got answer
 			cluster.Eventually(func() string {
 				got = cluster.post(test.path, func(r *http.Request) { r.Header.Set("Request-Id", "sound") })
--- a/pkg/poison/contrast.go
+++ b/pkg/poison/contrast.go
@@ -61,7 +61,7 @@
 	return true
 }
 
-// anyRequest returns the fingerprint that all requests to a service share. Its epoch tells
+// anyRequest returns the fingerprint that all requests to a service share. Its epoch shows
 // all instances that the service has answered a request since a crash. No request is
 // refused for it.
 func anyRequest(service uint32) Fingerprint { return Fingerprint{Service: service, Shared: true} }
@@ -142,7 +142,7 @@
 }
 
 // lacksRival reports whether the request lacks a part that may be the cause of the crashes
-// instead. Its answer or its crash then tells the two apart.
+// instead. Its answer or its crash then distinguishes the two.
 func (d *Detector) lacksRival(now time.Duration, fingerprint Fingerprint, s *suspicion, traits []Trait) bool {
 	if !fingerprint.Shared {
 		return false
--- a/pkg/poison/contrast_test.go
+++ b/pkg/poison/contrast_test.go
@@ -69,7 +69,7 @@
 
 // Two parts were in the same crashes, and neither was answered before. Guards against a
 // part that stays blocked since no request is let through that could clear it, and against
-// requests that are let through although they do not tell the parts apart.
+// requests that are let through although they do not distinguish the parts.
 func TestRequestWithOneOfTwoSuspectPartsIsTried(t *testing.T) {
 	g := NewWithT(t)
 	detectors := []*poison.Detector{newDetector(), newDetector()}
--- a/pkg/rollout/completeness.go
+++ b/pkg/rollout/completeness.go
@@ -14,7 +14,7 @@
 	lossMemory = 4 * time.Second
 )
 
-// Completeness tells whether a holder has the reports of enough instances to send a version
+// Completeness determines whether a holder has the reports of enough instances to send a version
 // more requests. The zero value is ready for use.
 type Completeness struct {
 	// counts are ordered by time, and their numbers rise. The number of instances lost for
