--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -16,6 +16,7 @@
 
 // cases holds the cases by name. A case returns the violations of its rule.
 var cases = map[string]func(d *deployment, trouble bool) (violations []string, err error){
+	"served-503":     servedRefusal,
 	"spoiled-stream": spoiledStream,
 }
 
