--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (violations []string, err error){
 	"served-503":     servedRefusal,
 	"spoiled-stream": spoiledStream,
+	"drill":          drillAndRestart,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
