--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 	"served-503":     servedRefusal,
 	"spoiled-stream": spoiledStream,
 	"drill":          drillAndRestart,
+	"refused-upload": refusedUpload,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
