--- a/review/standin2/refused_upload.go
+++ b/review/standin2/refused_upload.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -18,11 +19,14 @@
 	maxBodyBytes = 4194304
 	// uploadTime is how long each of the long uploads takes.
 	uploadTime = 5 * time.Second
-	// orderBytes is the length of an order with an attachment, partBytes what its client sends
-	// of it before it pauses, and pause how long that takes.
+	// orderBytes is the length of an order with an attachment, and orderTime how long its client
+	// takes to send it.
 	orderBytes = 200_000
-	partBytes  = 150_000
-	pause      = 2500 * time.Millisecond
+	orderTime  = 2 * time.Second
+	// freezeTime is how long the machine stands still, from freezeAfter after the last order
+	// has begun.
+	freezeTime  = 3500 * time.Millisecond
+	freezeAfter = 300 * time.Millisecond
 )
 
 // planRoute is the route of the long uploads.
@@ -47,13 +51,9 @@
 	defer func() { _ = conn.Close() }()
 	d.record.log("client sends %s to %s, POST /plan/2f with %d bytes over %s", id, g.name, length, uploadTime)
 	_, _ = io.WriteString(conn, requestHead(id, "/plan/2f", length, 15*time.Second))
-	const parts = 50
-	for n := range parts {
-		if _, err := io.WriteString(conn, strings.Repeat("s", length*(n+1)/parts-length*n/parts)); err != nil {
-			d.record.log("client sends %s: %v", id, err)
-			return
-		}
-		time.Sleep(uploadTime / parts)
+	if err := sendEvenly(conn, length, uploadTime); err != nil {
+		d.record.log("client sends %s: %v", id, err)
+		return
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -64,8 +64,21 @@
 	d.record.log("client gets %d to %s", response.StatusCode, id)
 }
 
-// refusedUpload plays clients that pause within the body of an order, and use their channel
-// for a second order afterwards, while the long uploads of others use up the memory for bodies.
+// sendEvenly sends a body evenly over a time. It has no line ends, as an attachment in base64.
+func sendEvenly(conn net.Conn, length int, over time.Duration) error {
+	const parts = 50
+	for n := range parts {
+		if _, err := io.WriteString(conn, strings.Repeat("c", length*(n+1)/parts-length*n/parts)); err != nil {
+			return err
+		}
+		time.Sleep(over / parts)
+	}
+	return nil
+}
+
+// refusedUpload plays clients that send an order, and use their channel for a second order
+// afterwards, while the long uploads of others use up the memory for bodies, and freezes the
+// machine meanwhile.
 func refusedUpload(d *deployment, trouble bool) ([]string, error) {
 	ledger := newLedger()
 	for i, zone := range zones {
@@ -113,6 +126,14 @@
 		})
 		time.Sleep(50 * time.Millisecond)
 	}
+	if trouble {
+		time.Sleep(freezeAfter)
+		d.record.log("%s freezes", g.name)
+		g.signal(syscall.SIGSTOP)
+		time.Sleep(freezeTime)
+		g.signal(syscall.SIGCONT)
+		d.record.log("%s wakes", g.name)
+	}
 	users.Wait()
 	if whole == 0 {
 		return nil, fmt.Errorf("no order was answered")
@@ -149,11 +170,11 @@
 		}
 		done <- nil
 	}()
-	d.record.log("client sends %s to %s, POST /commit/roll with %d bytes, %d of them at once", first, g.name, orderBytes, partBytes)
-	_, _ = io.WriteString(conn, requestHead(first, "/commit/roll", orderBytes, 12*time.Second)+strings.Repeat("scan ", partBytes/5))
-	time.Sleep(pause)
-	d.record.log("client sends the rest of %s after %s, and then %s, POST /commit/roll", first, pause, second)
-	_, _ = io.WriteString(conn, strings.Repeat("scan ", (orderBytes-partBytes)/5)+requestHead(second, "/commit/roll", 5, 2500*time.Millisecond)+"order")
+	d.record.log("client sends %s to %s, POST /commit/roll with %d bytes over %s", first, g.name, orderBytes, orderTime)
+	_, _ = io.WriteString(conn, requestHead(first, "/commit/roll", orderBytes, 12*time.Second))
+	sendErr := sendEvenly(conn, orderBytes, orderTime)
+	d.record.log("client has sent %s, error %v, and sends %s, POST /commit/roll", first, sendErr, second)
+	_, _ = io.WriteString(conn, requestHead(second, "/commit/roll", 5, 2500*time.Millisecond)+"order")
 	select {
 	case err = <-done:
 	case <-time.After(5 * time.Second):
