--- a/review/standin2/refused_upload.go
+++ b/review/standin2/refused_upload.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -22,11 +21,7 @@
 	// orderBytes is the length of an order with an attachment, and orderTime how long its client
 	// takes to send it.
 	orderBytes = 200_000
-	orderTime  = 2 * time.Second
-	// freezeTime is how long the machine stands still, from freezeAfter after the last order
-	// has begun.
-	freezeTime  = 3500 * time.Millisecond
-	freezeAfter = 300 * time.Millisecond
+	orderTime  = 2600 * time.Millisecond
 )
 
 // planRoute is the route of the long uploads.
@@ -64,11 +59,12 @@
 	d.record.log("client gets %d to %s", response.StatusCode, id)
 }
 
-// sendEvenly sends a body evenly over a time. It has no line ends, as an attachment in base64.
+// sendEvenly sends a body evenly over a time: a text in one line.
 func sendEvenly(conn net.Conn, length int, over time.Duration) error {
-	const parts = 50
+	const parts, words = 50, "window 7, left: "
+	text := strings.Repeat(words, length/len(words)+1)
 	for n := range parts {
-		if _, err := io.WriteString(conn, strings.Repeat("c", length*(n+1)/parts-length*n/parts)); err != nil {
+		if _, err := io.WriteString(conn, text[length*n/parts:length*(n+1)/parts]); err != nil {
 			return err
 		}
 		time.Sleep(over / parts)
@@ -76,9 +72,8 @@
 	return nil
 }
 
-// refusedUpload plays clients that send an order, and use their channel for a second order
-// afterwards, while the long uploads of others use up the memory for bodies, and freezes the
-// machine meanwhile.
+// refusedUpload plays clients on slow links that send an order, and use their channel for a
+// second order afterwards, while the long uploads of others use up the memory for bodies.
 func refusedUpload(d *deployment, trouble bool) ([]string, error) {
 	ledger := newLedger()
 	for i, zone := range zones {
@@ -126,14 +121,6 @@
 		})
 		time.Sleep(50 * time.Millisecond)
 	}
-	if trouble {
-		time.Sleep(freezeAfter)
-		d.record.log("%s freezes", g.name)
-		g.signal(syscall.SIGSTOP)
-		time.Sleep(freezeTime)
-		g.signal(syscall.SIGCONT)
-		d.record.log("%s wakes", g.name)
-	}
 	users.Wait()
 	if whole == 0 {
 		return nil, fmt.Errorf("no order was answered")
