gateway, connpool: events are passed on once their chunk is complete

The upstream had broken off within an event, in the middle of its chunk, and had written the head of a failure behind it.

Cause: an event ended at the first empty line that had arrived. The decoder of net/http hands out the bytes of a chunk before the chunk is complete, so the empty line of the head ended the event; its ID became the position from which the stream was resumed. The broken chunk was noticed with the next read.

connpool decodes chunks itself now and reports how many bytes belong to complete ones; only events in those are passed on. A chunk that does not fit in the memory for answers is passed on as it arrives, and the stream is not resumed if it breaks off within it. A body without chunks is one frame, which cannot be held back without a delay: an event in it that contains a status line waits for the next event, or for the complete length.

The position is also unknown after events without an ID that follow one with an ID; a stream that broke off there repeated them.

--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -125,7 +125,8 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   io.Reader
+	// Body is a ChunkedBody if the response is chunked.
+	Body io.Reader
 	// Framed is true if the response has a length or is chunked, so that a truncated
 	// body can be detected.
 	Framed bool
@@ -252,7 +253,11 @@
 			Framed: raw.ContentLength >= 0 || len(raw.TransferEncoding) > 0,
 			Length: raw.ContentLength, raw: raw,
 		}
-		if !response.Framed && raw.Body != http.NoBody {
+		switch {
+		case raw.Body == http.NoBody:
+		case len(raw.TransferEncoding) > 0:
+			response.Body = &chunkedBody{reader: c.reader, input: c.input}
+		case !response.Framed:
 			response.Body = &unframedBody{Reader: raw.Body, conn: c}
 		}
 		return response, nil
--- a/pkg/connpool/export_test.go
+++ b/pkg/connpool/export_test.go
@@ -1,5 +1,10 @@
 package connpool
 
+import (
+	"bufio"
+	"io"
+)
+
 // IdleCount returns the number of idle connections to an address.
 func (p *Pool) IdleCount(address string) int {
 	p.mu.Lock()
@@ -19,3 +24,9 @@
 	}
 	return len(p.idle[address]) > 0
 }
+
+// NewChunkedBody returns a body that is read from source.
+func NewChunkedBody(source io.Reader) ChunkedBody {
+	input := &headLimitReader{source: source}
+	return &chunkedBody{reader: bufio.NewReader(input), input: input}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -148,7 +148,7 @@
 		Method: x.r.Method, Target: x.requestTarget(), Host: x.r.Host, Body: x.body,
 		Chunked: x.r.ContentLength < 0 && len(x.r.TransferEncoding) > 0,
 		Header: x.g.headerCodec.UpstreamHeader(x.r.Header, ForwardInfo{
-			Upstream: decision.Upstream.ID, Team: x.teamName(), Remaining: x.deadline - x.g.now(), LastEventID: x.lastEventID,
+			Upstream: decision.Upstream.ID, Team: x.teamName(), Remaining: x.deadline - x.g.now(), LastEventID: x.position.eventID,
 		}),
 	}
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -56,7 +56,8 @@
 	lastUpstream string
 	// answerStarted is true once a byte of the answer may have reached the caller.
 	answerStarted bool
-	lastEventID   string
+	// position is where the part of a stream ends that was passed on to the caller.
+	position streamPosition
 	// onTrial is true if the request tests whether such requests still crash upstreams.
 	onTrial bool
 	// answerRecorded is true once the answer was recorded as one to such requests.
--- a/pkg/gateway/request_log.go
+++ b/pkg/gateway/request_log.go
@@ -88,7 +88,7 @@
 
 func (x *exchange) logRetry(decision admission.Decision, result attemptResult) {
 	x.g.metrics.retries.Inc(1)
-	values := append(x.requestLogValues("attempts", x.attempts, "error", result.err.Error(), "resume_after", x.lastEventID), placementLogValues(decision)...)
+	values := append(x.requestLogValues("attempts", x.attempts, "error", result.err.Error(), "resume_after", x.position.eventID), placementLogValues(decision)...)
 	x.g.requestLog.write(x.g.requestLog.failed, "another upstream is tried", append(values, resultLogValues(result)...))
 }
 
--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -29,7 +29,7 @@
 	if raw.StatusCode < minStatus || raw.StatusCode > maxStatus || raw.StatusCode == http.StatusSwitchingProtocols {
 		return ErrDefective
 	}
-	if containsStatusLine(raw.Status) {
+	if ContainsStatusLine(raw.Status) {
 		return ErrDefective
 	}
 	for name, values := range raw.Header {
@@ -38,7 +38,7 @@
 			return ErrDefective
 		}
 		for _, value := range values {
-			if containsStatusLine(value) {
+			if ContainsStatusLine(value) {
 				return ErrDefective
 			}
 		}
@@ -46,8 +46,8 @@
 	return nil
 }
 
-// containsStatusLine reports whether text contains the beginning of a second head, which
-// followed an incomplete line of the first one.
-func containsStatusLine(text string) bool {
+// ContainsStatusLine reports whether text contains the beginning of a head. In a field of
+// another head, or in an event, it may follow what was left incomplete.
+func ContainsStatusLine(text string) bool {
 	return strings.Contains(text, "HTTP/") && statusLinePattern.MatchString(text)
 }
