upstream: events of the own interface are read from complete chunks

net/http does not show where a chunk ends. Dispatches and resumed streams, which have connections of their own, are sent through connpool now, whose body reports the complete chunks. SSEReader reads events from those; what is held is bounded by the size of an event and counts in the memory for answers. An event with a status line in a body without chunks waits for the next one.

--- a/pkg/connpool/conn.go
+++ b/pkg/connpool/conn.go
@@ -104,6 +104,9 @@
 	return n, err
 }
 
+// NewConn returns a connection that belongs to no pool.
+func NewConn(conn net.Conn) *Conn { return newConn(conn, "", "", func() {}) }
+
 func newConn(conn net.Conn, address, upstream string, onClose func()) *Conn {
 	input := &headLimitReader{source: conn}
 	return &Conn{conn: conn, input: input, reader: bufio.NewReader(input), address: address, upstream: upstream, onClose: onClose}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -124,22 +124,44 @@
 // says that the request did not run, and the request was dispatched before.
 func (c *Client) Resume(ctx context.Context, address, requestID string, from uint64) (*Answer, error) {
 	path := "/v1/streams/" + url.PathEscape(requestID) + "?from=" + strconv.FormatUint(from, 10)
-	return c.fetchAnswer(ctx, address, requestID, path)
+	call := Call{Address: address, RequestID: requestID, Method: http.MethodGet, Path: path, EchoesRequestID: true}
+	answer, err := c.sendAlone(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status != http.StatusOK {
+		return nil, refusedError(answer.Status, answer.Body, call)
+	}
+	return checkEcho(answer, call)
 }
 
-// FetchAnswer implements AnswerFetcher; errors are as for Resume.
-func (c *Client) FetchAnswer(ctx context.Context, address, requestID string) (*Answer, error) {
-	return c.fetchAnswer(ctx, address, requestID, "/v1/answers/"+url.PathEscape(requestID))
+// sendAlone sends a call on a connection of its own, on which the framing of the answer is
+// known.
+func (c *Client) sendAlone(ctx context.Context, call Call) (*Answer, error) {
+	request, err := newSingleRequest(call)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.UpstreamBroken, err, "the request to %s is malformed", call.Address)
+	}
+	conn, err := c.dialUpstream(ctx, call.Address)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.UpstreamBroken, err, "no connection to %s", call.Address)
+	}
+	answer, err := c.sendOnce(ctx, request, conn)
+	if err != nil {
+		return nil, answerError(call.Address, err)
+	}
+	return answer, nil
 }
 
-func (c *Client) fetchAnswer(ctx context.Context, address, requestID, path string) (*Answer, error) {
-	call := Call{Address: address, RequestID: requestID, Method: http.MethodGet, Path: path, EchoesRequestID: true}
+// FetchAnswer implements AnswerFetcher; errors are as for Resume.
+func (c *Client) FetchAnswer(ctx context.Context, address, requestID string) (*Answer, error) {
+	call := Call{Address: address, RequestID: requestID, Method: http.MethodGet, Path: "/v1/answers/" + url.PathEscape(requestID), EchoesRequestID: true}
 	response, err := c.send(ctx, call, c.pollClient.Do)
 	if err != nil {
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, refusedError(response, call)
+		return nil, refusedError(response.StatusCode, response.Body, call)
 	}
 	return c.newAnswer(response, call)
 }
@@ -245,7 +267,7 @@
 		return nil, errkind.Wrap(errkind.UpstreamBroken, err, "the reply of %s%s", call.Address, call.Path)
 	}
 	if response.StatusCode/100 != 2 {
-		return nil, refusedError(response, call)
+		return nil, refusedError(response.StatusCode, response.Body, call)
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply, err := io.ReadAll(io.LimitReader(newAnswerBody(response), maxReplyBytes+1))
@@ -266,10 +288,10 @@
 
 func (e *statusError) Error() string { return fmt.Sprintf("status %d: %s", e.status, e.text) }
 
-func refusedError(response *http.Response, call Call) error {
-	defer func() { _ = response.Body.Close() }()
+func refusedError(status int, body io.ReadCloser, call Call) error {
+	defer func() { _ = body.Close() }()
 	// The text only informs operators, so a partial one will do.
-	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-	cause := &statusError{status: response.StatusCode, text: string(bytes.TrimSpace(text))}
+	text, _ := io.ReadAll(io.LimitReader(body, maxErrorBytes))
+	cause := &statusError{status: status, text: string(bytes.TrimSpace(text))}
 	return errkind.Wrap(errkind.UpstreamRefused, cause, "%s %s%s", call.Method, call.Address, call.Path)
 }
--- a/pkg/upstream/dispatch.go
+++ b/pkg/upstream/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,10 +10,13 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/rosemarywing/rosemarywing/pkg/connpool"
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
 	"github.com/rosemarywing/rosemarywing/pkg/hopheader"
 	"github.com/rosemarywing/rosemarywing/pkg/httphead"
@@ -24,35 +28,29 @@
 const (
 	contentTypeEvents = "text/event-stream"
 	userAgent         = "rosemarywing"
-	// maxHeaderBytes bounds the header of an answer. In parsed form, a header of the
-	// shortest lines takes about 15 times as much memory, for each request in flight.
+	// maxHeaderBytes bounds the header of an answer to a control call. In parsed form, a
+	// header of the shortest lines takes about 15 times as much memory.
 	maxHeaderBytes = 16 << 10
 )
 
-// errSecondConnection is returned when the transport of a dispatch asks for a
-// second connection.
-var errSecondConnection = errors.New("a dispatch uses only one connection")
-
 // Dispatch implements Dispatcher.
 //
 // Two invariants hold: OnDispatch has returned nil before the first byte is
 // written, and no byte is written on a second connection:
 //
-//  1. Dispatch dials the connection itself, not through the HTTP transport. If
-//     the dial fails, it returns before OnDispatch with nothing written.
+//  1. Dispatch dials the connection itself. If the dial fails, it returns before
+//     OnDispatch with nothing written.
 //  2. While OnDispatch runs, only this function has the connection, so no other
 //     code can write to it.
-//  3. The connection is then passed to a transport made for this call, whose dial
-//     function returns it once and fails afterwards. net/http resends replayable
-//     requests on reused connections; such a resend cannot reach the network.
-//  4. If the transport fails, DialFailed is returned only if the connection could
-//     be sealed, which succeeds only while no write has started.
+//  3. The connection carries one request, and connpool never sends one again.
+//  4. After a failure, DialFailed is returned only if the connection could be
+//     sealed, which succeeds only while no write has started.
 //
 // A new connection for each dispatch costs a round trip. On a pooled connection
 // that the upstream closes at the same time, the request would end in an unknown
 // run state.
 func (c *Client) Dispatch(ctx context.Context, call Call) (*Answer, error) {
-	request, err := newRequest(ctx, call)
+	request, err := newSingleRequest(call)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.DialFailed, err, "the request to %s is malformed", call.Address)
 	}
@@ -60,25 +58,81 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.DialFailed, err, "no connection to %s", call.Address)
 	}
-	sealable := &sealableConn{Conn: newCheckedConn(conn)}
 	if err := runOnDispatch(call); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	response, err := c.singleUseClient(sealable).Do(request)
+	answer, err := c.sendOnce(ctx, request, conn)
 	if err != nil {
-		_ = conn.Close()
-		return nil, dispatchError(sealable, call.Address, err)
+		return nil, dispatchError(conn, call.Address, err)
 	}
-	return c.newAnswer(response, call)
+	return checkEcho(answer, call)
 }
 
-func (c *Client) dialUpstream(ctx context.Context, address string) (net.Conn, error) {
+func (c *Client) dialUpstream(ctx context.Context, address string) (*sealableConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
 	defer cancel()
-	return c.options.Dial(ctx, "tcp", address)
+	conn, err := c.options.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &sealableConn{Conn: conn}, nil
+}
+
+// newSingleRequest returns the request of a call on a connection of its own.
+func newSingleRequest(call Call) (connpool.Request, error) {
+	target, err := callURL(call)
+	if err != nil {
+		return connpool.Request{}, err
+	}
+	header := requestHeader(call)
+	header.Del("Content-Length")
+	header.Set("Connection", "close")
+	return connpool.Request{Method: call.Method, Target: target.RequestURI(), Host: call.Address, Header: header, Body: call.Body}, nil
+}
+
+// sendOnce sends a request on a connection of its own, which the answer's body closes. It
+// closes the connection if it returns an error.
+func (c *Client) sendOnce(ctx context.Context, request connpool.Request, raw net.Conn) (*Answer, error) {
+	conn := connpool.NewConn(raw)
+	if err := cmp.Or(context.Cause(ctx), checkHeader(request.Header)); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	if c.options.HeaderTimeout > 0 {
+		timer := time.AfterFunc(c.options.HeaderTimeout, func() { cancel(errHeaderTimeout) })
+		defer timer.Stop()
+	}
+	response, err := conn.RoundTrip(ctx, request, "", "")
+	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			// The end of the context has closed the connection.
+			err = fmt.Errorf("%w: %w", cause, err)
+		}
+		cancel(nil)
+		conn.Close()
+		return nil, err
+	}
+	return &Answer{Status: response.Status, Header: response.Header, Body: newDispatchedBody(response, func() {
+		cancel(nil)
+		conn.Close()
+	})}, nil
+}
+
+// checkHeader checks what a caller has sent, since connpool writes it as it is.
+func checkHeader(header http.Header) error {
+	isMalformed := func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, isMalformed) {
+			return fmt.Errorf("the header %q is malformed", name)
+		}
+	}
+	return nil
 }
 
+var errHeaderTimeout = errors.New("the header of the answer did not arrive in time")
+
 // runOnDispatch calls OnDispatch. An error without a kind becomes DialFailed,
 // because nothing was written.
 func runOnDispatch(call Call) error {
@@ -96,20 +150,6 @@
 	return errkind.Wrap(errkind.DialFailed, err, "the dispatch to %s was aborted", call.Address)
 }
 
-// singleUseClient returns an HTTP client that sends one request on conn.
-func (c *Client) singleUseClient(conn net.Conn) *http.Client {
-	var used atomic.Bool
-	dial := func(context.Context, string, string) (net.Conn, error) {
-		if used.Swap(true) {
-			return nil, errSecondConnection
-		}
-		return conn, nil
-	}
-	transport := newTransport(dial, c.options.HeaderTimeout)
-	transport.DisableKeepAlives = true
-	return newHTTPClient(transport)
-}
-
 // newTransport returns a transport that uses no proxy and adds no compression. A
 // proxy from the environment would accept the connection in place of the
 // upstream, and compression would change the bytes of the answer.
@@ -134,14 +174,19 @@
 	}
 }
 
-// newRequest does not use http.NewRequest, which would set GetBody and so let
-// net/http send the body again.
-func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+// callURL returns the URL of a call.
+func callURL(call Call) (*url.URL, error) {
 	// A path that does not start with a slash would become part of the host.
 	if !strings.HasPrefix(call.Path, "/") {
 		return nil, fmt.Errorf("the path %q does not start with a slash", call.Path)
 	}
-	target, err := url.Parse("http://" + call.Address + call.Path)
+	return url.Parse("http://" + call.Address + call.Path)
+}
+
+// newRequest does not use http.NewRequest, which would set GetBody and so let
+// net/http send the body again.
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	target, err := callURL(call)
 	if err != nil {
 		return nil, err
 	}
@@ -173,28 +218,33 @@
 	if conn.seal() {
 		return errkind.Wrap(errkind.DialFailed, cause, "nothing was written to %s", address)
 	}
+	return answerError(address, cause)
+}
+
+// answerError returns the error of an answer without a valid head.
+func answerError(address string, cause error) error {
 	if errors.Is(cause, httphead.ErrDefective) {
 		return errkind.Wrap(errkind.AnswerIncomplete, cause, "the answer of %s", address)
 	}
 	return errkind.Wrap(errkind.UpstreamBroken, cause, "the connection to %s broke", address)
 }
 
-// newAnswer checks the head and the echoed request ID, if the call requires one, and wraps
-// the body.
+// checkEcho closes an answer without the request ID in its header, if the call requires one,
+// and returns an error.
+func checkEcho(answer *Answer, call Call) (*Answer, error) {
+	if echoed := answer.Header.Get(HeaderRequestID); call.EchoesRequestID && echoed != call.RequestID {
+		_ = answer.Body.Close()
+		return nil, errkind.New(errkind.CrossedAnswer, "the answer of %s has the request ID %q, not %q",
+			call.Address, echoed, call.RequestID)
+	}
+	return answer, nil
+}
+
+// newAnswer checks the head of a response on a pooled connection and wraps the body.
 func (c *Client) newAnswer(response *http.Response, call Call) (*Answer, error) {
 	if err := httphead.Check(response); err != nil {
 		_ = response.Body.Close()
 		return nil, errkind.Wrap(errkind.AnswerIncomplete, err, "the answer of %s", call.Address)
 	}
-	echoed := response.Header.Get(HeaderRequestID)
-	if call.EchoesRequestID && echoed != call.RequestID {
-		_ = response.Body.Close()
-		return nil, errkind.New(errkind.CrossedAnswer, "the answer of %s has the request ID %q, not %q",
-			call.Address, echoed, call.RequestID)
-	}
-	return &Answer{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Body:   newAnswerBody(response),
-	}, nil
+	return checkEcho(&Answer{Status: response.StatusCode, Header: response.Header, Body: newAnswerBody(response)}, call)
 }
--- a/pkg/upstream/event.go
+++ b/pkg/upstream/event.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/rosemarywing/rosemarywing/pkg/errkind"
+	"github.com/rosemarywing/rosemarywing/pkg/httphead"
 	"github.com/rosemarywing/rosemarywing/pkg/membudget"
 )
 
@@ -171,16 +172,29 @@
 	Name    string
 	Data    []byte
 	hasData bool
-	// hasField is true once a line other than a comment was read.
-	hasField bool
+	// hasField is true once a line other than a comment was read, and hasStatusLine once one
+	// with the beginning of the head of an answer was.
+	hasField      bool
+	hasStatusLine bool
+	// size is the number of bytes of its lines.
+	size int
 }
 
 // SSEReader reads server-sent events and does not interpret their IDs, which
-// plain services choose freely.
+// plain services choose freely. It returns the events in the chunks of an Answer once their
+// chunk is complete.
 type SSEReader struct {
 	source   *bufio.Reader
 	maxBytes int
 	memory   *membudget.Share
+	// body is nil if the source is not the body of an Answer, and chunks if that is not
+	// chunked.
+	body   *answerBody
+	chunks *completeChunks
+	// queued was read to confirm the event before it, with the error queuedErr; nil if
+	// nothing was.
+	queued    *SSEEvent
+	queuedErr error
 }
 
 // NewSSEReader returns a reader of events of at most maxBytes; zero means
@@ -189,17 +203,32 @@
 	if maxBytes == 0 {
 		maxBytes = DefaultMaxEventBytes
 	}
-	return &SSEReader{source: bufio.NewReaderSize(source, readBufferBytes), maxBytes: maxBytes, memory: membudget.NewShare(nil, 0)}
+	r := &SSEReader{maxBytes: maxBytes, memory: membudget.NewShare(nil, 0)}
+	if r.body, _ = source.(*answerBody); r.body != nil && r.body.chunks != nil {
+		r.chunks = newCompleteChunks(r.body, maxBytes)
+		source = r.chunks
+	}
+	r.source = bufio.NewReaderSize(source, readBufferBytes)
+	return r
 }
 
-// ShareMemory makes the reader take the memory of its current event from a budget, except
-// for 16 KiB. It must be called before Next, and Release after the last use of an event.
+// ShareMemory makes the reader take the memory of its current event and chunk from a budget,
+// except for 16 KiB each. It must be called before Next, and Release after the last use of an
+// event.
 func (r *SSEReader) ShareMemory(budget *membudget.Budget) {
 	r.memory = membudget.NewShare(budget, readBufferBytes)
+	if r.chunks != nil {
+		r.chunks.shareMemory(budget)
+	}
 }
 
-// Release returns the memory of the current event to the budget.
-func (r *SSEReader) Release() { r.memory.Release() }
+// Release returns the memory of the current event and chunk to the budget.
+func (r *SSEReader) Release() {
+	r.memory.Release()
+	if r.chunks != nil {
+		r.chunks.buffer.Release()
+	}
+}
 
 // Next returns the next event that has data, and io.EOF at the end of the
 // source. Other errors are those of the source, or have the kind AnswerIncomplete if an
@@ -207,18 +236,48 @@
 // which is one that no empty line follows. The event counts against that budget until the
 // next call.
 func (r *SSEReader) Next() (SSEEvent, error) {
-	r.memory.Release()
-	var event SSEEvent
-	size := 0
+	event, err := r.queued, r.queuedErr
+	r.queued, r.queuedErr = nil, nil
+	if event == nil && err == nil {
+		r.memory.Release()
+		event, err = r.read(0)
+	}
+	if err != nil {
+		r.queuedErr = err
+		return SSEEvent{}, err
+	}
+	if !r.mayEndInOtherAnswer(event) {
+		return *event, nil
+	}
+	r.queued, r.queuedErr = r.read(event.size)
+	if r.queuedErr == nil || r.body.hasLength && errors.Is(r.queuedErr, io.EOF) {
+		return *event, nil
+	}
+	if errors.Is(r.queuedErr, io.EOF) {
+		r.queuedErr = errkind.New(errkind.AnswerIncomplete, "the stream ended within an event")
+	}
+	return SSEEvent{}, r.queuedErr
+}
+
+// mayEndInOtherAnswer reports whether the empty line that ended an event may be the end of
+// the head of another answer, which an upstream writes if it fails within the event. Such an
+// event is sound if another one follows, or if the body has its whole length.
+func (r *SSEReader) mayEndInOtherAnswer(event *SSEEvent) bool {
+	return r.body != nil && r.chunks == nil && event.hasStatusLine
+}
+
+// read reads the next event that has data while heldBytes of events before it are held.
+func (r *SSEReader) read(heldBytes int) (*SSEEvent, error) {
+	event := &SSEEvent{}
 	for {
-		line, err := r.readLine(size)
+		line, err := r.readLine(event.size, heldBytes)
 		if errors.Is(err, io.EOF) && (event.hasField || isField(line)) {
 			err = errkind.New(errkind.AnswerIncomplete, "the stream ended within an event")
 		}
 		if err != nil {
-			return SSEEvent{}, err
+			return nil, err
 		}
-		size += len(line)
+		event.size += len(line)
 		if len(line) > 0 {
 			event.addField(line)
 			continue
@@ -226,14 +285,14 @@
 		if event.hasData {
 			return event, nil
 		}
-		event = SSEEvent{}
-		size = 0
+		event = &SSEEvent{}
 	}
 }
 
 // addField adds the field of one line. Comments and unknown fields are ignored.
 func (e *SSEEvent) addField(line []byte) {
 	e.hasField = e.hasField || isField(line)
+	e.hasStatusLine = e.hasStatusLine || httphead.ContainsStatusLine(string(line))
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -255,11 +314,11 @@
 
 // readLine returns one line without its line ending, of an event of which size bytes were
 // read before. With an error of the source, it returns the part of the line that was read.
-func (r *SSEReader) readLine(size int) ([]byte, error) {
+func (r *SSEReader) readLine(size, heldBytes int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.source.ReadSlice('\n')
-		if !r.memory.Resize((size + len(line) + len(part)) * eventCopies) {
+		if !r.memory.Resize((heldBytes + size + len(line) + len(part)) * eventCopies) {
 			return nil, errkind.New(errkind.AnswerIncomplete, "the memory for answers is used up by %d bytes of an event and by other answers", size+len(line))
 		}
 		line = append(line, part...)
