gateway: a refusal promises "not run" only if the upstream states it

Cause: DecodeReply recognized refusals by Not-Executed, but every other failure was passed on with its status. 429 and 408 were passed on in the same way and even counted as sound answers, in the upstream's health and in the evidence of roll-outs. A Not-Executed of any value counted as a statement, on any status, also on a success.

An answer with such a status is a failure now unless it states that the request was not run: with Not-Executed, not denied, on a 4xx or 503, or with 421. A request that may not be repeated then gets a 502 of the gateway's own. 502 rather than a closed connection: the caller learns at once, and on the same connection, that the outcome is open. What may be repeated is repeated within the budget, or gets the upstream's answer. The line "not answered" and explain show the upstream's status; upstreams_refusals_unstated counts them. An instance that stops does not tell a caller "not run" after an attempt that may have run.

--- a/pkg/explain/describe.go
+++ b/pkg/explain/describe.go
@@ -22,12 +22,16 @@
 		if step.fieldText("may_have_run") == "true" {
 			runState = "it may have run"
 		}
+		upstreamAnswer := ""
+		if status := step.fieldText("upstream_status"); status != "" && status != "0" {
+			upstreamAnswer = fmt.Sprintf(" (upstream %s had answered with status %s)", step.fieldText("upstream"), status)
+		}
 		retryHint := ""
 		if retryAfter := step.fieldText("retry_after_ms"); retryAfter != "" && retryAfter != "0" {
 			retryHint = fmt.Sprintf("; the caller was told to return after %s ms", retryAfter)
 		}
-		return fmt.Sprintf("ended with status %s, %s; %s, after %s attempts; configuration %s was %s ms old%s",
-			step.fieldText("status"), step.fieldText("error"), runState, step.fieldText("attempts"), step.fieldText("config"), step.fieldText("config_age_ms"), retryHint)
+		return fmt.Sprintf("ended with status %s, %s%s; %s, after %s attempts; configuration %s was %s ms old%s",
+			step.fieldText("status"), step.fieldText("error"), upstreamAnswer, runState, step.fieldText("attempts"), step.fieldText("config"), step.fieldText("config_age_ms"), retryHint)
 	}
 	return step.Message + formatFields(step.Fields)
 }
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -82,6 +82,20 @@
 	}))
 }
 
+// Guards against a timeline that leaves out what the upstream answered, if the caller got
+// another status.
+func TestTimelineShowsTheStatusOfTheUpstream(t *testing.T) {
+	g := NewWithT(t)
+	const log = `{"time":"2026-12-04T10:00:07.5Z","msg":"not answered","instance":"edge-1","request":"r1","elapsed_ms":30,"config":7,"config_age_ms":1,"status":502,"error":"upstream_refused: upstream i-2 answered 503 without stating that it has not run the request","attempts":1,"upstream":"i-2","upstream_status":503,"may_have_run":true}`
+	var entries []explain.Entry
+	_, err := explain.Read(strings.NewReader(log), func(entry explain.Entry) { entries = append(entries, entry) })
+	g.Expect(err).NotTo(HaveOccurred())
+	timeline, found := explain.BuildTimeline("r1", entries)
+	g.Expect(found).To(BeTrue())
+	g.Expect(timeline.Lines()).To(ContainElement("  +0.030 s ended with status 502, upstream_refused: upstream i-2 answered 503 without stating that it has not run the request" +
+		" (upstream i-2 had answered with status 503); it may have run, after 1 attempts; configuration 7 was 1 ms old"))
+}
+
 func TestTimelineOfUnknownRequest(t *testing.T) {
 	g := NewWithT(t)
 	_, found := explain.BuildTimeline("r9", read(g))
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -83,7 +83,7 @@
 	}
 	if err := x.refuseLate(); err != nil {
 		conn.Close()
-		return attemptResult{outcome: admission.NotSent, err: err, final: true, retryAfter: jitter(stopRetryAfter)}
+		return attemptResult{outcome: admission.NotSent, err: x.brokenIfMayHaveRun(err), final: true, retryAfter: jitter(stopRetryAfter)}
 	}
 	if err, retryAfter := x.refusePoison(ctx); err != nil {
 		conn.Close()
@@ -97,6 +97,7 @@
 	x.mayHaveRun = true
 	x.phase.Store(phaseSent)
 	started := x.g.now()
+	x.lastStatus = 0
 	response, err := conn.RoundTrip(ctx, x.upstreamRequest(decision), x.g.headerCodec.RequestIDHeader(), x.requestInfo.RequestID)
 	if err != nil {
 		conn.Close()
@@ -104,6 +105,7 @@
 		result.totalTime = x.g.now() - started
 		return result
 	}
+	x.lastStatus = response.Status
 	reply := x.g.headerCodec.DecodeReply(response.Status, response.Header)
 	x.heedUpstream(decision.Upstream, reply)
 	x.phase.Store(phaseAnswer)
@@ -204,13 +206,13 @@
 	case reply.NotExecuted:
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 		return x.rejectedByUpstream(decision, reply, response.Status), err == nil && n < maxRefusalBytes
-	case success && (!reply.Signed || reply.Encoded):
+	case success && (!reply.Signed || reply.Encoded || reply.Contradictory):
 		cause := errors.New("the answer is not the upstream's own")
 		return x.answerFailed(ctx, decision, cause, false), false
 	case success && x.route.Kind.Streams() && isEventStream(response):
 		return x.forwardEvents(ctx, decision, response, started)
 	}
-	return x.forwardBody(ctx, decision, response, started)
+	return x.forwardBody(ctx, decision, response, reply, started)
 }
 
 func (x *exchange) rejectedByUpstream(decision admission.Decision, reply Reply, status int) attemptResult {
@@ -229,7 +231,7 @@
 
 // forwardBody forwards an answer that is not an event stream. An answer of less
 // than maxBufferedAnswerBytes is read completely before it is forwarded.
-func (x *exchange) forwardBody(ctx context.Context, decision admission.Decision, response *connpool.Response, started time.Duration) (attemptResult, bool) {
+func (x *exchange) forwardBody(ctx context.Context, decision admission.Decision, response *connpool.Response, reply Reply, started time.Duration) (attemptResult, bool) {
 	beginning := membudget.NewBuffer(x.g.answerMemory, firstAnswerBytes, maxBufferedAnswerBytes)
 	defer beginning.Release()
 	complete, err := beginning.ReadAll(response.Body)
@@ -244,14 +246,18 @@
 	if response.Status/100 == 2 {
 		x.recordRollout(decision, rollout.FirstOutput(timeToFirstOutput))
 	}
-	if response.Status >= http.StatusInternalServerError {
+	if response.Status >= http.StatusInternalServerError || reply.ReadAsNotRun {
 		outcome = admission.Failed
-		result := attemptResult{outcome: outcome, timeToFirstOutput: timeToFirstOutput,
-			err: errkind.New(errkind.UpstreamRefused, "upstream %s answered %d", decision.Upstream.ID, response.Status)}
+		result := attemptResult{outcome: outcome, timeToFirstOutput: timeToFirstOutput, err: x.failureError(decision, response.Status, reply)}
 		if x.takeRetry(ctx, result) {
 			result.retry = true
 			return result, complete
 		}
+		if reply.ReadAsNotRun && !x.route.Kind.Repeatable() {
+			// The caller would send the request again, and it would run twice.
+			result.final = true
+			return result, complete
+		}
 	}
 	if x.answerStarted {
 		// The headers of the resumed stream have been sent; its status cannot
@@ -279,6 +285,15 @@
 	return attemptResult{outcome: outcome, timeToFirstOutput: timeToFirstOutput}, true
 }
 
+// failureError returns the error of an upstream that failed after it may have run the request.
+func (x *exchange) failureError(decision admission.Decision, status int, reply Reply) *errkind.Error {
+	if !reply.ReadAsNotRun {
+		return errkind.New(errkind.UpstreamRefused, "upstream %s answered %d", decision.Upstream.ID, status)
+	}
+	x.g.metrics.refusalsUnstated.Inc(1)
+	return errkind.New(errkind.UpstreamRefused, "upstream %s answered %d without stating that it has not run the request", decision.Upstream.ID, status)
+}
+
 // setContentLength states the length of an answer if it is known: that of a completely
 // buffered answer, or else the one that the upstream states.
 func (x *exchange) setContentLength(response *connpool.Response, buffered int, complete bool) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -52,8 +52,10 @@
 	sentAt                         time.Duration
 	// placement is the placement whose result was not reported yet; nil if there is none.
 	placement *admission.Decision
-	// lastUpstream is the upstream of the last attempt.
+	// lastUpstream is the upstream of the last attempt, and lastStatus the status with which
+	// it has answered; 0 if it has not.
 	lastUpstream string
+	lastStatus   int
 	// answerStarted is true once a byte of the answer may have reached the caller.
 	answerStarted bool
 	// position is where the part of a stream ends that was passed on to the caller.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -28,8 +28,11 @@
 	retriesDenied      metrics.Counter
 	quotaRefused       metrics.Counter
 	upstreamRejections metrics.Counter
-	answersUnsent      metrics.Counter
-	connectionsOpened  metrics.Counter
+	// refusalsUnstated counts the failures of upstreams whose status callers take as a promise
+	// that the request has not run, though the upstream did not state it.
+	refusalsUnstated  metrics.Counter
+	answersUnsent     metrics.Counter
+	connectionsOpened metrics.Counter
 	// connectionsBroken counts the connections that broke while an upstream ran a request.
 	connectionsBroken metrics.Counter
 	peersLost         metrics.Counter
@@ -98,7 +101,7 @@
 	return &instanceMetrics{
 		registry: registry, requests: counter("requests.received"), answered: counter("requests.answered"),
 		retries: counter("requests.repeated"), retriesDenied: counter("retries.denied"),
-		quotaRefused: counter("quota.refused"), upstreamRejections: counter("upstreams.rejected"),
+		quotaRefused: counter("quota.refused"), upstreamRejections: counter("upstreams.rejected"), refusalsUnstated: counter("upstreams.refusals_unstated"),
 		answersUnsent: counter("answers.lost"), connectionsOpened: counter("connections.opened"), connectionsBroken: counter("connections.broken"),
 		peersLost: counter("peers.lost"), reportsSent: counter("reports.sent"),
 		reportsUnsent: counter("reports.unsent"), reportBytes: counter("reports.bytes"), reportsMalformed: counter("reports.malformed"), placementsTakenBack: counter("placements.taken_back"), panics: counter("panics.contained"),
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -40,6 +40,11 @@
 type Reply struct {
 	// NotExecuted is true if the upstream states that it did not run the request.
 	NotExecuted bool
+	// Contradictory is true if it states so in a successful answer.
+	Contradictory bool
+	// ReadAsNotRun is true if callers take the status as a promise that the request has not
+	// run and never will.
+	ReadAsNotRun bool
 	// Misdirected is true if the address belongs to another upstream now.
 	Misdirected bool
 	// Signed is true if the answer bears the upstream's signature.
--- a/pkg/gateway/request_log.go
+++ b/pkg/gateway/request_log.go
@@ -106,7 +106,7 @@
 	response := errkind.ResponseFor(err.Kind)
 	x.g.metrics.failedCounter(err.Kind).Inc(1)
 	x.g.requestLog.write(x.g.requestLog.failed, "not answered", x.requestLogValues("kind", err.Kind, "status", response.Status,
-		"error", err.Error(), "attempts", x.attempts, "upstream", x.lastUpstream, "may_have_run", x.mayHaveRun, "tokens", x.requestInfo.PromptTokens,
+		"error", err.Error(), "attempts", x.attempts, "upstream", x.lastUpstream, "upstream_status", x.lastStatus, "may_have_run", x.mayHaveRun, "tokens", x.requestInfo.PromptTokens,
 		"retry_after_ms", retryAfter.Milliseconds()))
 }
 
