gateway: an instance is ready only once it has read the upstreams

An instance that had read its configuration and the roll-outs, but not the upstreams, was ready. Callers that were routed to it waited for half a second and got 503. Found while tracing TestSoundVersionTakesOver, whose refusals have another cause: its upstreams register after the instances have listed them.

Readiness rests on Gateway.loaded now, as the start of requests does. TestInstanceIsNotReadyBeforeAllKindsAreRead failed for the upstreams before.

--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -43,6 +43,8 @@
 	Status int
 	// HoldCalls holds every call without a response until the faults change.
 	HoldCalls bool
+	// HoldKind holds every call for objects of this kind in the same way.
+	HoldKind string
 	// LoseAnswers closes the connection of a call without a response, after the call
 	// has taken effect.
 	LoseAnswers bool
@@ -267,7 +269,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	kind, name := objectOf(r)
 	if postponePuts && r.Method == http.MethodPut {
 		s.postpone(r, kind, name)
 		panic(http.ErrAbortHandler)
@@ -283,6 +285,13 @@
 	_ = json.NewEncoder(w).Encode(answer.body)
 }
 
+// objectOf returns the kind and the name of the object that a call is for. The name is empty
+// if it is for all of the kind.
+func objectOf(r *http.Request) (kind, name string) {
+	kind, name, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	return kind, name
+}
+
 // eraHeader is the header of each response with the era in which the call was executed.
 const eraHeader = "Store-Era"
 
@@ -305,14 +314,14 @@
 	return s.answer(nil, status)
 }
 
-// applyHoldAndDelay waits until the fault HoldCalls is off, then for the fault Delay.
+// applyHoldAndDelay waits until the faults HoldCalls and HoldKind are off, then for the fault Delay.
 // It returns false if the client disconnects first.
 func (s *Server) applyHoldAndDelay(r *http.Request) bool {
 	for {
 		s.mu.Lock()
 		faults, changed := s.faults, s.changed
 		s.mu.Unlock()
-		if !faults.HoldCalls {
+		if kind, _ := objectOf(r); !faults.HoldCalls && (faults.HoldKind == "" || kind != faults.HoldKind) {
 			if faults.Delay == 0 {
 				return true
 			}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -144,10 +144,8 @@
 
 // awaitLoaded waits until this instance has read what it needs to place requests.
 func (x *exchange) awaitLoaded() *errkind.Error {
-	select {
-	case <-x.g.loaded:
+	if x.g.isLoaded() {
 		return nil
-	default:
 	}
 	x.phase.Store(phaseStart)
 	wait := maxLoadWait
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -229,7 +229,17 @@
 
 // ready reports whether the load balancer should route callers to this instance.
 func (g *Gateway) ready() bool {
-	return g.stop.Load() == nil && g.table.Load() != nil && g.configFresh() && (g.rolloutsKnown.Load() || !g.rolloutsEnabled())
+	return g.stop.Load() == nil && g.isLoaded() && g.configFresh()
+}
+
+// isLoaded reports whether the instance has read what it needs to place requests.
+func (g *Gateway) isLoaded() bool {
+	select {
+	case <-g.loaded:
+		return true
+	default:
+		return false
+	}
 }
 
 // Handler returns the handler for callers' requests.
--- a/pkg/gateway/start_test.go
+++ b/pkg/gateway/start_test.go
@@ -47,3 +47,22 @@
 	cluster.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 	cluster.Expect(time.Since(started)).To(BeNumerically("<", 5*time.Second))
 }
+
+// The store answers all calls but those for one kind of object. Guards against an instance
+// that is ready before it has read what it needs to place requests: callers that are routed
+// to it get 503.
+func TestInstanceIsNotReadyBeforeAllKindsAreRead(t *testing.T) {
+	for _, kind := range []string{"config", "servers", "rollouts"} {
+		t.Run(kind, func(t *testing.T) {
+			cluster := newTestCluster(t, 0)
+			cluster.exposureShare = 0.1
+			cluster.store.SetFaults(objectstore.Faults{HoldKind: kind})
+			in := cluster.startUnready("edge-0")
+			cluster.Consistently(func() int { return cluster.readyStatus(in) }, "1s").Should(Equal(http.StatusServiceUnavailable))
+			cluster.store.SetFaults(objectstore.Faults{})
+			cluster.Eventually(func() int { return cluster.readyStatus(in) }, eventuallyTimeout).Should(Equal(http.StatusOK))
+			cluster.startUpstream("u1", answerWith("served"))
+			cluster.Expect(cluster.post("/once/first", nil).status).To(Equal(http.StatusOK))
+		})
+	}
+}
