entry: a service's refusal of a dispatched call promises nothing

The fault of in the product's own interface: a service's 503 (408, 421, 425, 429) to a call that is not idempotent was passed on although the call may have run, and client libraries send a call again on these statuses. The same for an engine's 408, 421 and 425.

These answers are upstream_refused now, run state unknown, as redirects are; the scheduler counts a refusal instead of a completed call. Answers to idempotent calls are passed on as before. The 7 new cases of TestBufferedAnswerVerification failed before.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -153,11 +153,16 @@
 		e.finishBroken(w, req, errkind.New(errkind.CrossedAnswer, "the upstream answered another request"))
 		return
 	}
-	if req.target.isEngine() && (answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusTooManyRequests) {
+	if req.target.isEngine() && (answer.Status >= http.StatusInternalServerError || isReadAsNotRun(answer.Status)) {
 		_ = answer.Body.Close()
 		e.finishBroken(w, req, errkind.New(errkind.UpstreamRefused, "the engine answered with status %d", answer.Status))
 		return
 	}
+	if !req.target.isEngine() && !req.idempotent && isReadAsNotRun(answer.Status) {
+		_ = answer.Body.Close()
+		e.finishBroken(w, req, errkind.New(errkind.UpstreamRefused, "the service answered with status %d, which does not say whether the call ran", answer.Status))
+		return
+	}
 	if answer.Status == http.StatusTemporaryRedirect || answer.Status == http.StatusPermanentRedirect {
 		// HTTP clients would follow a 307 or 308 by sending the request again.
 		_ = answer.Body.Close()
@@ -175,6 +180,17 @@
 	}
 }
 
+// isReadAsNotRun reports whether callers take a status to mean that the request has not run,
+// and send it again. Upstreams answer dispatched requests, and have no way to state that they
+// did not run them.
+func isReadAsNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 var errAnswerTooLarge = errors.New("the answer is larger than the limit")
 
 var errAnswerMemory = errors.New("the answers of all requests need more memory than the limit")
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -428,7 +428,14 @@
 		{name: "reset, fetched again", err: errReset, outcome: sched.Completed},
 		{name: "reset", err: errReset, fetchErr: errReset, kind: errkind.UpstreamBroken, outcome: sched.UpstreamBroken},
 		{name: "engine refuses", reply: jsonAnswer(503, id, `{}`), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
+		{name: "engine refuses, 408", reply: jsonAnswer(408, id, `{}`), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
+		{name: "engine refuses, 421", reply: jsonAnswer(421, id, `{}`), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
 		{name: "engine rejects", reply: jsonAnswer(400, id, `{}`), outcome: sched.Completed},
+		{name: "service refuses, 503", service: true, reply: jsonAnswer(503, id, "busy"), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
+		{name: "service refuses, 429", service: true, reply: jsonAnswer(429, id, "busy"), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
+		{name: "service refuses, 425", service: true, reply: jsonAnswer(425, id, "busy"), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
+		{name: "service refuses, 421", service: true, reply: jsonAnswer(421, id, "busy"), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
+		{name: "service refuses, 408", service: true, reply: jsonAnswer(408, id, "busy"), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
 		{name: "service redirects", service: true, reply: jsonAnswer(307, id, ""), kind: errkind.UpstreamRefused, outcome: sched.UpstreamRefused},
 		{name: "service complete", service: true, reply: jsonAnswer(500, id, "no JSON"), outcome: sched.Completed},
 		{name: "service truncated", service: true, reply: truncated(id), kind: errkind.AnswerIncomplete, outcome: sched.UpstreamRefused},
@@ -460,6 +467,15 @@
 	}
 }
 
+// A service may refuse an idempotent call, which its caller may send again.
+func TestRefusalOfIdempotentCallIsPassedOn(t *testing.T) {
+	f := newFixture(t)
+	f.onDispatch = func(upstream.Call) (*upstream.Answer, error) { return jsonAnswer(503, "issued-1", "busy"), nil }
+	w := f.call(context.Background(), http.MethodGet, "/services/s/status", "")
+	f.Expect(w.Code).To(Equal(503))
+	f.Expect(w.Body.String()).To(Equal("busy"))
+}
+
 // Guards against a broken upstream that is reported to the scheduler only after
 // the response: the caller's retry could then arrive before the crash is counted
 // against the request.
