gateway: tests of roll-outs wait until the instances know the upstreams

TestSoundVersionTakesOver failed on x86-64 in half of the runs: 1 to 6 of some 30,000 requests got 429. The logs show these requests within the first milliseconds, as "the service has no upstream after 0 ms", at an instance whose lines "upstream entry" for revisions 5 and 6 follow. The upstreams are registered after the instances have listed them as none, and the load began without waiting for the watch. These refusals are right: the instance has read the list (Gateway.loaded), and the service had no upstream in it.

newRolloutCluster waits for the records at each instance; all checks stay.

--- a/pkg/gateway/rollouts_test.go
+++ b/pkg/gateway/rollouts_test.go
@@ -30,6 +30,15 @@
 	for i := range 2 {
 		cluster.startVersion(fmt.Sprintf("old-%d", i), "v1", incumbent)
 	}
+	// The upstreams register after the instances have listed them. An instance that has not
+	// read their records yet refuses requests, since it knows of no upstream.
+	for i := range instances {
+		for _, id := range []string{"old-0", "old-1"} {
+			cluster.Eventually(func() bool {
+				return cluster.logged("upstream entry", fmt.Sprintf(`"instance":"edge-%d"`, i), fmt.Sprintf(`"upstream":%q`, id))
+			}, eventuallyTimeout).Should(BeTrue())
+		}
+	}
 	return cluster
 }
 
