soak: results of rolling stops are read while the clients run

TestRollingStopsLoseNoRequest hung once its clients had made more than 65,536 requests, the capacity of the channel for their results, which was read only after all of them had ended. The results are read, and bodies compared and dropped, while the clients run; what depends on the end of the run is checked after it, as before. Load and checks are the same.

--- a/test/soak/rolling_stop_test.go
+++ b/test/soak/rolling_stop_test.go
@@ -25,6 +25,8 @@
 	rollingClients = 60
 	// eagerClients is the number of clients that reuse their connection at once.
 	eagerClients = 60
+	// resultsBuffered keeps the clients from waiting for the check of a result.
+	resultsBuffered = 1 << 12
 	// rollingBodyBytes is the length of a request body.
 	rollingBodyBytes = 12_000
 	// longestBodyTime is the longest time in which a slow caller sends its body.
@@ -45,6 +47,26 @@
 	writtenAt time.Time
 }
 
+// endedRequest is a request with its answer, whose body is no longer held.
+type endedRequest struct {
+	rollingRequest
+	bodyBytes int
+	complete  bool
+}
+
+// collect reads the results of requests while they arrive, until the channel is closed. What
+// is known of their runs is compared once all have ended.
+func collect(results <-chan rollingRequest) []endedRequest {
+	var ended []endedRequest
+	for request := range results {
+		e := endedRequest{rollingRequest: request, bodyBytes: len(request.body)}
+		e.complete = request.status == http.StatusOK && request.body == fullStream(request.id, request.events)
+		e.body = ""
+		ended = append(ended, e)
+	}
+	return ended
+}
+
 // Failure: the instances are stopped in turn while callers send streams that may not be
 // repeated, with SIGHUP and a second SIGTERM during each stop. Guards against requests
 // that end without a complete answer: on connections that outlast the notice, and late
@@ -66,7 +88,8 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
-	results := make(chan rollingRequest, 1<<16)
+	results, collected := make(chan rollingRequest, resultsBuffered), make(chan []endedRequest)
+	go func() { collected <- collect(results) }()
 	for client := range rollingClients {
 		clients.Go(func() { d.sendStreams(ctx, client, seed, results) })
 	}
@@ -95,18 +118,18 @@
 	clients.Wait()
 	close(results)
 	refused, answered, cut, lateRefused := 0, 0, 0, 0
-	for request := range results {
+	for _, request := range <-collected {
 		switch {
 		case request.err != nil:
-			if lost := d.lost(request, stoppedAt[request.instance]); lost != "" {
+			if lost := d.lost(request.rollingRequest, stoppedAt[request.instance]); lost != "" {
 				t.Errorf("%s, %d events, sent %s after SIGTERM to instance %d, ended %s later: %s: %v", request.id, request.events,
 					request.sentAt.Sub(stoppedAt[request.instance]), request.instance, request.endedAt.Sub(request.sentAt), lost, request.err)
 			}
 			cut++
 		case request.status == http.StatusOK:
 			answered++
-			if request.body != fullStream(request.id, request.events) {
-				t.Errorf("%s: an incomplete answer looks complete: %d bytes", request.id, len(request.body))
+			if !request.complete {
+				t.Errorf("%s: an incomplete answer looks complete: %d bytes", request.id, request.bodyBytes)
 			}
 		case request.status == http.StatusServiceUnavailable, request.status == http.StatusTooManyRequests:
 			refused++
