soak: upstreams spoil streams and answer served requests with 503 and 429

Of the requests of TestSoak, TestLateReports and TestStoreReturns one in 60 meets an upstream that runs it and then answers with an event that the head of another answer ends, or with a status of refusals. The check that a refused request has not run was there before.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -249,6 +249,10 @@
 			d.breakAnswer(rw, fmt.Sprintf(broken, id), time.Millisecond)
 			return
 		}
+		if deceptive := deceptiveAnswerTo(id); deceptive != "" && !d.layout.soundAnswers && d.layout.candidates == 0 {
+			d.breakAnswer(rw, fmt.Sprintf(deceptive, id), time.Millisecond)
+			return
+		}
 		rw.Header().Set("Response-Signature", "s")
 		const work = 15 * time.Millisecond
 		time.Sleep(work)
@@ -285,6 +289,22 @@
 	return drawAnswer(brokenAnswers, brokenAnswerInterval, id)
 }
 
+// deceptiveAnswers are those of upstreams that fail while they run a request: an event that the
+// head of another answer ends, in a chunk without an end, and statuses that promise callers
+// that the request has not run.
+var deceptiveAnswers = []string{
+	"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n23\r\nid: 1\ndata: partHTTP/1.1 500 No\r\n\r\nerror",
+	"HTTP/1.1 503 No\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nno",
+	"HTTP/1.1 429 No\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nno",
+}
+
+// deceptiveAnswerTo returns the deceptive answer that one in deceptiveAnswerInterval requests
+// gets, and "" for the others.
+func deceptiveAnswerTo(id string) string {
+	const deceptiveAnswerInterval = 60
+	return drawAnswer(deceptiveAnswers, deceptiveAnswerInterval, "deceptive "+id)
+}
+
 // drawAnswer returns one of the answers for one in interval texts, and "" for the others.
 func drawAnswer(answers []string, interval int, text string) string {
 	hash := fnv.New32a()
