--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -211,7 +211,7 @@
 	numberSetting("limits", "answer_bytes", "bytes", 64*mebibyte, 1024, 1024*mebibyte,
 		"Largest response that is not streamed; it is buffered until it is verified.",
 		func(s *Settings) *int64 { return &s.Limits.AnswerBytes }),
-	numberSetting("limits", "event_bytes", "bytes", 4*mebibyte, 1024, 64*mebibyte, "Largest event of a stream.",
+	numberSetting("limits", "event_bytes", "bytes", 4*mebibyte, 1024, 64*mebibyte, "Largest event of a stream, and largest chunk that holds events.",
 		func(s *Settings) *int64 { return &s.Limits.EventBytes }),
 	numberSetting("limits", "answer_memory_bytes", "bytes", 256*mebibyte, mebibyte, 1024*1024*mebibyte,
 		"Memory in which the answers and events of all requests are held until they are complete. A request whose answer needs more fails; 16 KiB of each answer are held in any case.",
