soak: a raw answer tells an instance nothing of its upstream

By the logs (c5-19 and c4-27 of edge-0) the first answer after the upstream had begun to leave was an early answer to a long upload, which the soak writes to the connection itself, without the header. The check took the instance for told when the request arrived.

The word counts now when the answer bears it: those that the server of the upstream writes, and refusals. The check is the same for these. The same held for the broken answers, and for those that are new since.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -231,7 +231,8 @@
 		}
 		id := r.Header.Get("Request-Id")
 		rw.Header().Set("Request-Id", id)
-		if !d.arrive(upstream, id, rw.Header()) || !d.beginExecution(upstream, id, key, r.Header.Get("Last-Event-Id")) {
+		raw := d.rawAnswerTo(r, id)
+		if !d.arrive(upstream, id, rw.Header(), raw != "") || !d.beginExecution(upstream, id, key, r.Header.Get("Last-Event-Id")) {
 			rw.Header().Set("Not-Executed", "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -245,12 +246,8 @@
 			d.answerEarly(upstream, rw, r, id)
 			return
 		}
-		if broken := brokenAnswerTo(id); broken != "" && !d.layout.soundAnswers {
-			d.breakAnswer(rw, fmt.Sprintf(broken, id), time.Millisecond)
-			return
-		}
-		if deceptive := deceptiveAnswerTo(id); deceptive != "" && !d.layout.soundAnswers && d.layout.candidates == 0 {
-			d.breakAnswer(rw, fmt.Sprintf(deceptive, id), time.Millisecond)
+		if raw != "" {
+			d.breakAnswer(rw, fmt.Sprintf(raw, id), time.Millisecond)
 			return
 		}
 		rw.Header().Set("Response-Signature", "s")
@@ -289,6 +286,21 @@
 	return drawAnswer(brokenAnswers, brokenAnswerInterval, id)
 }
 
+// rawAnswerTo returns the answer that an upstream writes to the connection in place of its
+// server; "" if there is none. It bears none of the headers that say how the upstream is.
+func (d *deployment) rawAnswerTo(r *http.Request, id string) string {
+	switch early := earlyAnswerTo(id); {
+	case r.ContentLength >= longUploadBytes && early == soundEarlyAnswer, d.layout.soundAnswers:
+		return ""
+	case r.ContentLength >= longUploadBytes:
+		return early
+	}
+	if broken := brokenAnswerTo(id); broken != "" || d.layout.candidates > 0 {
+		return broken
+	}
+	return deceptiveAnswerTo(id)
+}
+
 // deceptiveAnswers are those of upstreams that fail while they run a request: an event that the
 // head of another answer ends, in a chunk without an end, and statuses that promise callers
 // that the request has not run.
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -99,8 +99,8 @@
 
 // arrive checks a request that reaches an upstream against what the upstream has told its
 // instance, and sets the headers of the answer. It returns false if the upstream turns the
-// request away.
-func (d *deployment) arrive(upstream int, id string, header http.Header) bool {
+// request away. If it does not, and the answer is a raw one, the instance is told nothing.
+func (d *deployment) arrive(upstream int, id string, header http.Header, raw bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := &d.words
@@ -120,7 +120,7 @@
 	if at := w.drainedAt[upstream]; !at.IsZero() && w.sentAt[id].Sub(at) > recordDrainTime && w.sentAt[id].Sub(w.disturbedInstance[instance]) > startTime {
 		w.violations = append(w.violations, fmt.Sprintf("%s reached u%d from edge-%d %s after its record said that it leaves", id, upstream, instance, now.Sub(at)))
 	}
-	if w.leaving[upstream] {
+	if w.leaving[upstream] && (!raw || w.shedding[upstream] > 0) {
 		header.Set("Server-Leaving", "1")
 		if w.toldLeave[upstream][instance].IsZero() {
 			w.toldLeave[upstream][instance] = now
