--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -36,7 +36,7 @@
 	{8031, "soak: a link that held answers back did not excuse an instance that had not received an upstream's word"},
 	{8042, "upstreams: the word of a process that came before its record was taken for that of the process before it"},
 	{8047, "upstreams: same cause as 8042"},
-	{13007, "soak: a raw early answer, which bears no word of leaving, counted as if it had told the instance"},
+	{13007, "soak: a raw early answer, which bears no word of leaving, counted as received"},
 	{607, "quotas: the relay, which reports the usage of its failure domain to other domains, stopped, and its successor had just started and reported less"},
 }
 
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -99,7 +99,7 @@
 
 // arrive checks a request that reaches an upstream against what the upstream has told its
 // instance, and sets the headers of the answer. It returns false if the upstream turns the
-// request away. If it does not, and the answer is a raw one, the instance is told nothing.
+// request away. If it does not, a raw answer bears none of these headers.
 func (d *deployment) arrive(upstream int, id string, header http.Header, raw bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
